Lay the wire, the codes and the checks

The whole system needs shared seams first: numbered result codes with their table, typed messages, framed and authenticated connections with heartbeats, the shape of settings and configuration, and one script that runs every check.

Conclusion: deciders and shells can now be written side by side against these types.

--- /dev/null
+++ b/messenger/keeper.go
@@ -0,0 +1,112 @@
+package messenger
+
+import (
+	"time"
+
+	"bramleyshunt/coder"
+)
+
+// Announce renews the lease of a target at a keeper.
+type Announce struct {
+	Target Target        `msgpack:"target"`
+	Lease  time.Duration `msgpack:"lease"`
+}
+
+// Announced answers an Announce with what the target must know.
+type Announced struct {
+	Fence   uint64 `msgpack:"fence"`   // highest order number issued for the target
+	Leader  string `msgpack:"leader"`  // identity of the leading keeper
+	Version uint64 `msgpack:"version"` // configuration in force
+}
+
+// Watch asks a keeper for a stream of Updates.
+type Watch struct {
+	Node    string `msgpack:"node"`
+	Version uint64 `msgpack:"version"` // configuration held; zero for none
+}
+
+// File is one configuration file; nil Data removes it.
+type File struct {
+	Name string `msgpack:"name"`
+	Data []byte `msgpack:"data"`
+}
+
+// Update carries what changed since the last one of the same stream.
+type Update struct {
+	Version   uint64   `msgpack:"version"`
+	Full      bool     `msgpack:"full"` // Files is the whole folder, Targets all targets
+	Files     []File   `msgpack:"files"`
+	Targets   []Target `msgpack:"targets"`
+	Gone      []string `msgpack:"gone"`      // target ids whose lease ended
+	Confirmed bool     `msgpack:"confirmed"` // the keeper confirmed Version with a quorum just now
+	Blocked   []uint64 `msgpack:"blocked"`   // quarantined fingerprints, whole list when Full
+	Freed     []uint64 `msgpack:"freed"`     // fingerprints whose quarantine ended
+}
+
+// State is the state of an idempotency claim.
+type State uint8
+
+// Claim states.
+const (
+	ClaimNone State = iota
+	ClaimHeld
+	ClaimRun
+	ClaimDone
+	ClaimVoid
+)
+
+// Claim moves an idempotency claim to a state.
+type Claim struct {
+	Account string `msgpack:"account"`
+	Service string `msgpack:"service"`
+	Key     string `msgpack:"key"`
+	Digest  uint64 `msgpack:"digest"` // of the request body
+	Owner   string `msgpack:"owner"`  // attempt that holds the claim
+	State   State  `msgpack:"state"`  // wanted
+	Target  string `msgpack:"target"`
+	Answer  []byte `msgpack:"answer"` // kept with ClaimDone
+}
+
+// Claimed answers a Claim with the state that now stands.
+type Claimed struct {
+	Code   coder.Code `msgpack:"code"` // OK: the wanted state is recorded for the owner
+	State  State      `msgpack:"state"`
+	Owner  string     `msgpack:"owner"`
+	Target string     `msgpack:"target"`
+	Answer []byte     `msgpack:"answer"`
+}
+
+// Propose carries an encoded command to the leading keeper.
+type Propose struct {
+	Data []byte `msgpack:"data"`
+}
+
+// Proposed returns the state machine's answer to the command.
+type Proposed struct {
+	Index uint64 `msgpack:"index"`
+	Data  []byte `msgpack:"data"`
+}
+
+// Suspect reports a request that was running when a target's incarnation ended.
+type Suspect struct {
+	Fingerprint uint64 `msgpack:"fingerprint"`
+	Target      string `msgpack:"target"`
+	Incarnation uint64 `msgpack:"incarnation"`
+}
+
+// Order tells an agent to change its target. Fence orders totally.
+type Order struct {
+	Fence   uint64 `msgpack:"fence"`
+	Target  string `msgpack:"target"`
+	Verb    string `msgpack:"verb"` // load, unload, adapter, version, role
+	Model   string `msgpack:"model"`
+	Version string `msgpack:"version"`
+	Adapter string `msgpack:"adapter"`
+	Lane    string `msgpack:"lane"`
+}
+
+// Ordered answers an Order.
+type Ordered struct {
+	Code  coder.Code `msgpack:"code"`
+	Fence uint64     `msgpack:"fence"` // highest number executed
+}
--- /dev/null
+++ b/messenger/messenger.go
@@ -0,0 +1,240 @@
+// Package messenger declares the typed messages that the system's own processes
+// exchange, with the kind that marks each on the wire. It holds plain data: one
+// struct a message, nothing else, so that deciders can be driven without sockets.
+package messenger
+
+import (
+	"time"
+
+	"bramleyshunt/coder"
+)
+
+//go:generate go tool -modfile=../tools/go.mod stringer -type=Kind,Class,State -output=kind_string.go
+
+// Kind marks the type of a message on the wire. Numbers are stable: append only.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	KindNone Kind = iota
+	KindFailed
+	// Entry to agent.
+	KindReserve
+	KindReserved
+	KindRun
+	KindChunk
+	KindEnd
+	KindVoid
+	KindVoided
+	KindCancel
+	KindCancelled
+	KindResume
+	KindRelease
+	// Agents and entries to keepers.
+	KindAnnounce
+	KindAnnounced
+	KindWatch
+	KindUpdate
+	KindClaim
+	KindClaimed
+	KindPropose
+	KindProposed
+	// Keeper to keeper.
+	KindVote
+	KindVoted
+	KindAppend
+	KindAppended
+	KindInstall
+	KindInstalled
+	// Orders of the controllers to agents.
+	KindOrder
+	KindOrdered
+	// Quarantine reports of entries to keepers.
+	KindSuspect
+)
+
+// Class is the length class of a prompt.
+type Class uint8
+
+// Length classes by prompt tokens. Bounds are in Limit.
+const (
+	Short  Class = iota // up to 4,096 tokens
+	Medium              // up to 32,768 tokens
+	Long                // up to 131,072 tokens
+	Huge                // beyond
+)
+
+// Classes is the number of length classes.
+const Classes = 4
+
+// Limit returns the largest prompt of the class in tokens; zero means unbounded.
+func (c Class) Limit() int {
+	switch c {
+	case Short:
+		return 4096
+	case Medium:
+		return 32768
+	case Long:
+		return 131072
+	default:
+		return 0
+	}
+}
+
+// ClassOf returns the length class of a prompt of n tokens.
+func ClassOf(n int) Class {
+	for c := Short; c < Huge; c++ {
+		if n <= c.Limit() {
+			return c
+		}
+	}
+	return Huge
+}
+
+// Load is what an agent reports of its target. Counts are tokens but for Running.
+type Load struct {
+	Seq     uint64 `msgpack:"seq"`     // rises with each report of an incarnation
+	Waiting int    `msgpack:"waiting"` // prompt tokens accepted but not yet prefilled
+	Running int    `msgpack:"running"` // requests in flight
+	Used    int    `msgpack:"used"`    // reserved engine memory
+	Memory  int    `msgpack:"memory"`  // total engine memory
+	Speed   int    `msgpack:"speed"`   // prefill tokens a second, measured
+	Pace    int    `msgpack:"pace"`    // decode tokens a second and request, measured
+}
+
+// Target describes one back end as its agent announces it.
+type Target struct {
+	ID          string   `msgpack:"id"`
+	Service     string   `msgpack:"service"`
+	Model       string   `msgpack:"model"`   // empty for plain services
+	Version     string   `msgpack:"version"` // model version loaded
+	Adapters    []string `msgpack:"adapters"`
+	Address     string   `msgpack:"address"` // of the agent, host:port
+	Zone        string   `msgpack:"zone"`
+	Lane        string   `msgpack:"lane"` // "", "short" or "long"
+	Incarnation uint64   `msgpack:"incarnation"`
+	Leaving     bool     `msgpack:"leaving"`
+	Fence       uint64   `msgpack:"fence"` // highest order number executed
+	Config      uint64   `msgpack:"config"`
+	Load        Load     `msgpack:"load"`
+}
+
+// Failed ends an exchange with a code.
+type Failed struct {
+	Attempt string        `msgpack:"attempt"`
+	Code    coder.Code    `msgpack:"code"`
+	Run     coder.Run     `msgpack:"run"`
+	Retry   time.Duration `msgpack:"retry"`
+	Text    string        `msgpack:"text"`
+	Leader  string        `msgpack:"leader"` // address of the leading keeper, if known
+}
+
+// Err returns the failure as an error.
+func (f *Failed) Err() *coder.Error {
+	return &coder.Error{Code: f.Code, Run: f.Run, Retry: f.Retry, Text: f.Text}
+}
+
+// FailedOf returns the message that carries err for an attempt.
+func FailedOf(attempt string, err error) *Failed {
+	e := coder.Of(err)
+	return &Failed{Attempt: attempt, Code: e.Code, Run: e.Run, Retry: e.Retry, Text: e.Error()}
+}
+
+// Reserve asks an agent for memory and a slot under a short lease.
+type Reserve struct {
+	Attempt     string        `msgpack:"attempt"`
+	Incarnation uint64        `msgpack:"incarnation"`
+	Account     string        `msgpack:"account"`
+	Prompt      int           `msgpack:"prompt"` // predicted prompt tokens
+	Output      int           `msgpack:"output"` // predicted answer tokens
+	Priority    int           `msgpack:"priority"`
+	Remaining   time.Duration `msgpack:"remaining"` // time left of the request
+	Fingerprint uint64        `msgpack:"fingerprint"`
+	Gang        bool          `msgpack:"gang"` // one segment of a longer prompt
+}
+
+// Reserved grants a reservation until the lease ends.
+type Reserved struct {
+	Attempt     string        `msgpack:"attempt"`
+	Incarnation uint64        `msgpack:"incarnation"`
+	Lease       time.Duration `msgpack:"lease"`
+	Load        Load          `msgpack:"load"`
+}
+
+// Header is one HTTP header field of a plain call.
+type Header struct {
+	Name  string `msgpack:"name"`
+	Value string `msgpack:"value"`
+}
+
+// Run starts a reserved attempt. Engines take Body alone; plain services the whole call.
+type Run struct {
+	Attempt     string        `msgpack:"attempt"`
+	Incarnation uint64        `msgpack:"incarnation"`
+	Remaining   time.Duration `msgpack:"remaining"`
+	Method      string        `msgpack:"method"`
+	Path        string        `msgpack:"path"`
+	Headers     []Header      `msgpack:"headers"`
+	Body        []byte        `msgpack:"body"`
+	Import      []byte        `msgpack:"import"`  // gang: KV handle of the segments before this one
+	Prefill     bool          `msgpack:"prefill"` // gang: hold the segment and return its KV handle instead of decoding
+}
+
+// Chunk is one piece of an answer. Seq counts from 1 within an attempt.
+type Chunk struct {
+	Attempt string   `msgpack:"attempt"`
+	Seq     uint64   `msgpack:"seq"`
+	Status  int      `msgpack:"status"`  // HTTP status, on the first chunk of a plain answer
+	Headers []Header `msgpack:"headers"` // on the first chunk of a plain answer
+	Data    []byte   `msgpack:"data"`
+}
+
+// Usage is what an engine says a request took, in tokens.
+type Usage struct {
+	Prompt int `msgpack:"prompt"`
+	Cached int `msgpack:"cached"`
+	Output int `msgpack:"output"`
+}
+
+// End closes a whole answer. Count is the number of chunks sent.
+type End struct {
+	Attempt string `msgpack:"attempt"`
+	Count   uint64 `msgpack:"count"`
+	Usage   Usage  `msgpack:"usage"`
+	Load    Load   `msgpack:"load"`
+	Export  []byte `msgpack:"export"` // gang: KV handle after a Prefill run
+}
+
+// Void withdraws an attempt; the agent answers Voided with what it knows.
+type Void struct {
+	Attempt     string `msgpack:"attempt"`
+	Incarnation uint64 `msgpack:"incarnation"`
+}
+
+// Voided tells whether the attempt had started. NotRun means it never will.
+type Voided struct {
+	Attempt string    `msgpack:"attempt"`
+	Run     coder.Run `msgpack:"run"`
+}
+
+// Cancel ends a running attempt and frees what it holds.
+type Cancel struct {
+	Attempt string `msgpack:"attempt"`
+}
+
+// Cancelled confirms a Cancel.
+type Cancelled struct {
+	Attempt string `msgpack:"attempt"`
+}
+
+// Resume asks for the chunks of a running or ended attempt after Seq.
+type Resume struct {
+	Attempt     string `msgpack:"attempt"`
+	Incarnation uint64 `msgpack:"incarnation"`
+	Seq         uint64 `msgpack:"seq"`
+}
+
+// Release gives a reservation back unused.
+type Release struct {
+	Attempt string `msgpack:"attempt"`
+}
--- /dev/null
+++ b/muxer/stream.go
@@ -0,0 +1,129 @@
+package muxer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+)
+
+// Message is one received message, still encoded.
+type Message struct {
+	Kind messenger.Kind
+	Body []byte
+}
+
+// Decode decodes the message into v. A Failed message is returned as *coder.Error.
+func (m Message) Decode(v any) error {
+	if m.Kind == messenger.KindFailed {
+		var f messenger.Failed
+		if err := msgpack.Unmarshal(m.Body, &f); err != nil {
+			return coder.Errorf(coder.BadFrame, "%v", err)
+		}
+		return f.Err()
+	}
+	if err := msgpack.Unmarshal(m.Body, v); err != nil {
+		return coder.Errorf(coder.BadFrame, "%s: %v", m.Kind, err)
+	}
+	return nil
+}
+
+// Stream is one exchange on a connection. A stream whose reader falls
+// inboxFrames behind is ended, so that it can't hold up the others.
+type Stream struct {
+	m    *Muxer
+	id   uint64
+	in   chan Message
+	ctx  context.Context
+	stop context.CancelCauseFunc
+	once sync.Once
+}
+
+func newStream(m *Muxer, id uint64) *Stream {
+	ctx, stop := context.WithCancelCause(m.ctx)
+	return &Stream{m: m, id: id, in: make(chan Message, inboxFrames), ctx: ctx, stop: stop}
+}
+
+// Peer returns the identity that the other end proved.
+func (s *Stream) Peer() string { return s.m.Peer }
+
+// Done is closed when the stream or its connection has ended.
+func (s *Stream) Done() <-chan struct{} { return s.ctx.Done() }
+
+// Send sends one message.
+func (s *Stream) Send(kind messenger.Kind, v any) error {
+	if s.ctx.Err() != nil {
+		return s.lost()
+	}
+	body, err := msgpack.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", kind, err)
+	}
+	return s.m.send(&envelope{Stream: s.id, Kind: kind, Body: body})
+}
+
+// Fail sends err as a Failed message for an attempt.
+func (s *Stream) Fail(attempt string, err error) error {
+	return s.Send(messenger.KindFailed, messenger.FailedOf(attempt, err))
+}
+
+// Receive returns the next message, in the order sent. Messages that arrived
+// before the stream ended are still returned. A lost connection gives code Silent.
+func (s *Stream) Receive(ctx context.Context) (Message, error) {
+	select {
+	case msg := <-s.in:
+		return msg, nil
+	default:
+	}
+	select {
+	case msg := <-s.in:
+		return msg, nil
+	case <-s.ctx.Done():
+		return s.last()
+	case <-ctx.Done():
+		return Message{}, ctx.Err()
+	}
+}
+
+// last drains what arrived in the moment the stream ended.
+func (s *Stream) last() (Message, error) {
+	select {
+	case msg := <-s.in:
+		return msg, nil
+	default:
+		return Message{}, s.lost()
+	}
+}
+
+func (s *Stream) lost() error {
+	return &coder.Error{Code: coder.Silent, Run: coder.Unknown, Cause: context.Cause(s.ctx)}
+}
+
+// Close ends the exchange at both ends.
+func (s *Stream) Close() {
+	s.once.Do(func() {
+		_ = s.m.send(&envelope{Stream: s.id, Close: true})
+		s.m.drop(s.id)
+		s.stop(errEnded)
+	})
+}
+
+var errEnded = fmt.Errorf("stream ended")
+
+func (s *Stream) push(e *envelope) {
+	if e.Close {
+		s.m.drop(s.id)
+		s.stop(errEnded)
+		return
+	}
+	select {
+	case s.in <- Message{Kind: e.Kind, Body: e.Body}:
+	default:
+		s.m.drop(s.id)
+		s.stop(coder.Errorf(coder.Overloaded, "stream reader is %d frames behind", inboxFrames))
+	}
+}
