Read, merge and check the configuration folder

Settings and the folder need one strict reader that names the place of each fault. decoder keeps positions from the syntax tree and fills structs by their json tags; merger merges the trees in byte order of file names, each file's keys and types checked apart, so a wrong file is refused even where a later one hides it; checker reports every fault at once.

--- /dev/null
+++ b/checker/checker_test.go
@@ -0,0 +1,49 @@
+package checker_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"bramleyshunt/checker"
+	"bramleyshunt/merger"
+)
+
+func TestChecker(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "checker")
+}
+
+// TestBadFolders compares all faults of each folder in testdata with its golden file.
+func TestBadFolders(t *testing.T) {
+	folders, err := filepath.Glob("testdata/*.folder")
+	if err != nil || len(folders) == 0 {
+		t.Fatalf("no folders: %v", err)
+	}
+	for _, folder := range folders {
+		t.Run(folder, func(t *testing.T) {
+			files, err := merger.Read(os.DirFS(folder))
+			if err != nil {
+				t.Fatal(err)
+			}
+			m, faults := merger.Merge(files)
+			if m != nil {
+				faults = checker.Check(m)
+			}
+			goldie.New(t).Assert(t, strings.TrimSuffix(filepath.Base(folder), ".folder"), []byte(faults.Error()+"\n"))
+		})
+	}
+}
+
+var _ = Describe("an empty folder", func() {
+	It("has no faults", func() {
+		m, faults := merger.Merge(nil)
+		Expect(faults).To(BeEmpty())
+		Expect(checker.Check(m)).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/merger/merger.go
@@ -0,0 +1,172 @@
+// Package merger merges a folder of small configuration files into one
+// configuration. Files go in byte order of their names: objects merge key by
+// key, a later value wins, null removes a key, and lists replace each other.
+package merger
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"regexp"
+	"slices"
+	"strings"
+
+	"bramleyshunt/configurer"
+	"bramleyshunt/decoder"
+	"bramleyshunt/messenger"
+)
+
+const (
+	// MaxFiles is the largest number of files in a folder.
+	MaxFiles = 4096
+	// MaxBytes is the largest folder.
+	MaxBytes = 8 << 20
+)
+
+var nameRE = regexp.MustCompile(`^[A-Za-z0-9_-][A-Za-z0-9._-]{0,122}\.(json|jsonc|hujson)$`)
+
+// Merger is the outcome of a merge.
+type Merger struct {
+	Config *configurer.Configurer
+	Tree   *decoder.Node // the merged folder with the position of every value
+}
+
+// Merge merges files in byte order of their names, in whatever order they are
+// given. Faults tell what is wrong with any of them; the Merger is then nil.
+func Merge(files []messenger.File) (*Merger, decoder.Faults) {
+	sorted := slices.Clone(files)
+	slices.SortFunc(sorted, func(a, b messenger.File) int { return strings.Compare(a.Name, b.Name) })
+	faults := sizeFaults(sorted)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	tree := &decoder.Node{Kind: decoder.Object, At: decoder.Position{Name: "folder", Line: 1, Column: 1}}
+	for _, f := range sorted {
+		n, more := parse(f)
+		faults = append(faults, more...)
+		if len(more) == 0 {
+			merge(tree, n)
+		}
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	m := &Merger{Config: &configurer.Configurer{}, Tree: tree}
+	if faults = tree.Into(m.Config); len(faults) > 0 {
+		return nil, faults
+	}
+	return m, nil
+}
+
+// parse reads one file and checks its keys and types apart from the others.
+func parse(f messenger.File) (*decoder.Node, decoder.Faults) {
+	n, faults := decoder.Parse(f.Name, f.Data)
+	if n != nil {
+		faults = append(faults, n.Patch(&configurer.Configurer{})...)
+	}
+	return n, faults
+}
+
+func sizeFaults(sorted []messenger.File) decoder.Faults {
+	var faults decoder.Faults
+	fault := func(name, format string, args ...any) {
+		at := decoder.Position{Name: name, Line: 1, Column: 1}
+		faults = append(faults, decoder.Fault{Position: at, Message: fmt.Sprintf(format, args...)})
+	}
+	if len(sorted) > MaxFiles {
+		fault("folder", "%d files exceed %d", len(sorted), MaxFiles)
+	}
+	total := 0
+	for i, f := range sorted {
+		total += len(f.Data)
+		if !nameRE.MatchString(f.Name) {
+			fault(f.Name, "name must be letters, digits, '.', '_' or '-' and end in .json, .jsonc or .hujson")
+		}
+		if i > 0 && sorted[i-1].Name == f.Name {
+			fault(f.Name, "file is given twice")
+		}
+	}
+	if total > MaxBytes {
+		fault("folder", "%d bytes exceed %d", total, MaxBytes)
+	}
+	return faults
+}
+
+// merge lays the fields of src over those of dst. Both are objects.
+func merge(dst, src *decoder.Node) {
+	for _, f := range src.Fields {
+		i := slices.IndexFunc(dst.Fields, func(d decoder.Field) bool { return d.Name == f.Name })
+		switch {
+		case f.Value.Kind == decoder.Null:
+			if i >= 0 {
+				dst.Fields = slices.Delete(dst.Fields, i, i+1)
+			}
+		case f.Value.Kind != decoder.Object:
+			put(dst, i, f)
+		case i >= 0 && dst.Fields[i].Value.Kind == decoder.Object:
+			merge(dst.Fields[i].Value, f.Value)
+		default:
+			// A copy, so that removals inside f are applied too.
+			n := &decoder.Node{Kind: decoder.Object, At: f.Value.At}
+			merge(n, f.Value)
+			put(dst, i, decoder.Field{Name: f.Name, At: f.At, Value: n})
+		}
+	}
+}
+
+func put(dst *decoder.Node, i int, f decoder.Field) {
+	if i < 0 {
+		dst.Fields = append(dst.Fields, f)
+		return
+	}
+	dst.Fields[i] = f
+}
+
+// Read returns the configuration files of a folder in byte order of their
+// names. Folders within, hidden files and files with other endings are left out.
+func Read(folder fs.FS) ([]messenger.File, error) {
+	entries, err := fs.ReadDir(folder, ".")
+	if err != nil {
+		return nil, fmt.Errorf("read folder: %w", err)
+	}
+	var files []messenger.File
+	for _, e := range entries {
+		if e.IsDir() || !nameRE.MatchString(e.Name()) {
+			continue
+		}
+		data, err := fs.ReadFile(folder, e.Name())
+		if err != nil {
+			return nil, fmt.Errorf("read folder: %w", err)
+		}
+		files = append(files, messenger.File{Name: e.Name(), Data: data})
+	}
+	return files, nil
+}
+
+// Digest returns the SHA-256 of a folder: of the names and contents of its
+// files in byte order of names.
+func Digest(files []messenger.File) []byte {
+	sorted := slices.Clone(files)
+	slices.SortFunc(sorted, func(a, b messenger.File) int { return strings.Compare(a.Name, b.Name) })
+	h := sha256.New()
+	for _, f := range sorted {
+		for _, part := range [][]byte{[]byte(f.Name), f.Data} {
+			_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+			_, _ = h.Write(part)
+		}
+	}
+	return h.Sum(nil)
+}
+
+// JSON returns the merged configuration as indented JSON.
+func (m *Merger) JSON() []byte {
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
+	_ = enc.Encode(m.Config)
+	return buf.Bytes()
+}
