--- /dev/null
+++ b/applier/snapshot.go
@@ -0,0 +1,142 @@
+package applier
+
+import (
+	"cmp"
+	"container/heap"
+	"maps"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/merger"
+	"bramleyshunt/messenger"
+)
+
+const snapshotFormat = 1
+
+// snapshot is the whole state. Lists are sorted, so that equal states have
+// equal bytes.
+type snapshot struct {
+	Format   int              `msgpack:"format"`
+	Index    uint64           `msgpack:"index"`
+	Now      int64            `msgpack:"now"` // nanoseconds since the epoch
+	Version  uint64           `msgpack:"version"`
+	Digest   []byte           `msgpack:"digest"`
+	Files    []messenger.File `msgpack:"files"`
+	Stamps   []number         `msgpack:"stamps"`
+	Floor    uint64           `msgpack:"floor"`
+	Records  []Record         `msgpack:"records"`
+	Claims   []claim          `msgpack:"claims"`
+	Fences   []number         `msgpack:"fences"`
+	Passed   uint64           `msgpack:"passed"` // floor of the fences
+	Suspects []suspect        `msgpack:"suspects"`
+}
+
+// number is one entry of a map by name.
+type number struct {
+	Name  string `msgpack:"name"`
+	Value uint64 `msgpack:"value"`
+}
+
+func listOf(m map[string]uint64) []number {
+	var out []number
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, number{name, m[name]})
+	}
+	return out
+}
+
+func mapOf(list []number) map[string]uint64 {
+	out := make(map[string]uint64, len(list))
+	for _, n := range list {
+		out[n.Name] = n.Value
+	}
+	return out
+}
+
+// Snapshot returns the whole state; equal states give equal bytes.
+func (a *Applier) Snapshot() []byte {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	s := snapshot{
+		Format: snapshotFormat, Index: a.index, Now: a.now,
+		Version: a.config.version, Digest: a.config.digest, Files: a.config.files,
+		Stamps: listOf(a.config.stamps), Floor: a.config.floor, Records: a.config.records,
+		Fences: listOf(a.fences.issued), Passed: a.fences.floor,
+	}
+	for _, c := range a.claims.held {
+		s.Claims = append(s.Claims, *c)
+	}
+	slices.SortFunc(s.Claims, func(x, y claim) int { return x.Key.compare(y.Key) })
+	for _, f := range slices.Sorted(maps.Keys(a.suspect.seen)) {
+		s.Suspects = append(s.Suspects, *a.suspect.seen[f])
+	}
+	return encode(&s)
+}
+
+func (k claimKey) compare(o claimKey) int {
+	return cmp.Or(cmp.Compare(k.Account, o.Account), cmp.Compare(k.Service, o.Service), cmp.Compare(k.Key, o.Key))
+}
+
+// Restore replaces the state by a snapshot. The state is unchanged if the
+// snapshot can't be read; the error then carries code BadVersion or BadFrame.
+func (a *Applier) Restore(data []byte) error {
+	var s snapshot
+	if err := msgpack.Unmarshal(data, &s); err != nil {
+		return coder.Errorf(coder.BadFrame, "snapshot: %v", err)
+	}
+	if s.Format != snapshotFormat {
+		return coder.Errorf(coder.BadVersion, "snapshot format %d, want %d", s.Format, snapshotFormat)
+	}
+	a.mu.Lock()
+	a.index = s.Index
+	a.now = s.Now
+	a.config = s.config()
+	a.claims = s.claims()
+	a.fences = fences{issued: mapOf(s.Fences), floor: s.Passed}
+	a.suspect = s.suspects()
+	notify := a.notify
+	a.mu.Unlock()
+	for _, f := range notify {
+		f()
+	}
+	return nil
+}
+
+func (s *snapshot) config() config {
+	c := config{version: s.Version, digest: s.Digest, files: s.Files, stamps: mapOf(s.Stamps), floor: s.Floor, records: s.Records}
+	if s.Version > 0 {
+		c.merged, _ = merger.Merge(s.Files)
+	}
+	for _, r := range s.Records {
+		if c.byID == nil {
+			c.byID = map[string]uint64{}
+		}
+		c.byID[r.Change] = r.Version
+	}
+	return c
+}
+
+func (s *snapshot) claims() claims {
+	out := claims{held: map[claimKey]*claim{}}
+	for _, c := range s.Claims {
+		out.held[c.Key] = &c
+		out.expiry = append(out.expiry, expiry{at: c.Expires, key: c.Key})
+		if len(c.Answer) > 0 {
+			out.answers = append(out.answers, answer{c.Key, c.Ended})
+			out.bytes += len(c.Answer)
+		}
+	}
+	heap.Init(&out.expiry)
+	slices.SortFunc(out.answers, func(x, y answer) int { return cmp.Compare(x.ended, y.ended) })
+	return out
+}
+
+func (s *snapshot) suspects() suspects {
+	out := suspects{seen: map[uint64]*suspect{}}
+	for _, one := range s.Suspects {
+		out.seen[one.Fingerprint] = &one
+	}
+	return out
+}
