--- a/messenger/kind_string.go
+++ b/messenger/kind_string.go
@@ -38,11 +38,16 @@
 	_ = x[KindOrder-27]
 	_ = x[KindOrdered-28]
 	_ = x[KindSuspect-29]
+	_ = x[KindProbe-30]
+	_ = x[KindProbed-31]
+	_ = x[KindFound-32]
+	_ = x[KindConfirm-33]
+	_ = x[KindConfirmed-34]
 }
 
-const _Kind_name = "KindNoneKindFailedKindReserveKindReservedKindRunKindChunkKindEndKindVoidKindVoidedKindCancelKindCancelledKindResumeKindReleaseKindAnnounceKindAnnouncedKindWatchKindUpdateKindClaimKindClaimedKindProposeKindProposedKindVoteKindVotedKindAppendKindAppendedKindInstallKindInstalledKindOrderKindOrderedKindSuspect"
+const _Kind_name = "KindNoneKindFailedKindReserveKindReservedKindRunKindChunkKindEndKindVoidKindVoidedKindCancelKindCancelledKindResumeKindReleaseKindAnnounceKindAnnouncedKindWatchKindUpdateKindClaimKindClaimedKindProposeKindProposedKindVoteKindVotedKindAppendKindAppendedKindInstallKindInstalledKindOrderKindOrderedKindSuspectKindProbeKindProbedKindFoundKindConfirmKindConfirmed"
 
-var _Kind_index = [...]uint16{0, 8, 18, 29, 41, 48, 57, 64, 72, 82, 92, 105, 115, 126, 138, 151, 160, 170, 179, 190, 201, 213, 221, 230, 240, 252, 263, 276, 285, 296, 307}
+var _Kind_index = [...]uint16{0, 8, 18, 29, 41, 48, 57, 64, 72, 82, 92, 105, 115, 126, 138, 151, 160, 170, 179, 190, 201, 213, 221, 230, 240, 252, 263, 276, 285, 296, 307, 316, 326, 335, 346, 359}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -51,6 +51,12 @@
 	KindOrdered
 	// Quarantine reports of entries to keepers.
 	KindSuspect
+	// Keeper to keeper: joining a group, read barriers.
+	KindProbe
+	KindProbed
+	KindFound
+	KindConfirm
+	KindConfirmed
 )
 
 // Class is the length class of a prompt.
--- /dev/null
+++ b/replicator/replicator.go
@@ -0,0 +1,2 @@
+// Package replicator decides for one replica of a replicated log.
+package replicator
