Number damaged folders and failed disks; Unconfirmed says nothing of execution

An entry that a leader took and then lost its leadership over may still be committed by the next one. The code's run state was not-run; it is unknown.

--- a/coder/code_string.go
+++ b/coder/code_string.go
@@ -55,6 +55,8 @@
 	_ = x[Silent-5004]
 	_ = x[Internal-5005]
 	_ = x[UnknownAttempt-5006]
+	_ = x[Damaged-5007]
+	_ = x[DiskFailed-5008]
 }
 
 const (
@@ -63,7 +65,7 @@
 	_Code_name_2 = "RateLimitedConcLimitedOverloadedNoTargetLeavingStaleNoQuorumMemoryFullWrongIncarnationLeaseExpiredBusyNotReadyClaimHeldRetryBudget"
 	_Code_name_3 = "DeadlineExceededTargetLostEngineFailedCancelledOutcomeUnknownVoidedAlreadyRanGangLost"
 	_Code_name_4 = "ConflictInvalidFencedNotLeaderUnconfirmed"
-	_Code_name_5 = "BadFrameBadVersionBadProofSilentInternalUnknownAttempt"
+	_Code_name_5 = "BadFrameBadVersionBadProofSilentInternalUnknownAttemptDamagedDiskFailed"
 )
 
 var (
@@ -71,7 +73,7 @@
 	_Code_index_2 = [...]uint8{0, 11, 22, 32, 40, 47, 52, 60, 70, 86, 98, 102, 110, 119, 130}
 	_Code_index_3 = [...]uint8{0, 16, 26, 38, 47, 61, 67, 77, 85}
 	_Code_index_4 = [...]uint8{0, 8, 15, 21, 30, 41}
-	_Code_index_5 = [...]uint8{0, 8, 18, 26, 32, 40, 54}
+	_Code_index_5 = [...]uint8{0, 8, 18, 26, 32, 40, 54, 61, 71}
 )
 
 func (i Code) String() string {
@@ -90,7 +92,7 @@
 	case 4001 <= i && i <= 4005:
 		i -= 4001
 		return _Code_name_4[_Code_index_4[i]:_Code_index_4[i+1]]
-	case 5001 <= i && i <= 5006:
+	case 5001 <= i && i <= 5008:
 		i -= 5001
 		return _Code_name_5[_Code_index_5[i]:_Code_index_5[i+1]]
 	default:
--- a/coder/coder.go
+++ b/coder/coder.go
@@ -83,6 +83,8 @@
 	Silent
 	Internal
 	UnknownAttempt
+	Damaged
+	DiskFailed
 )
 
 // Run tells whether a request ran. The zero value makes no claim.
@@ -132,7 +134,7 @@
 func (e *Error) Unwrap() error { return e.Cause }
 
 // Errorf returns an Error of the given code. The run state is the code's own
-// default: NotRun for codes 1xxx, 2xxx and 4xxx, Unknown otherwise.
+// default: NotRun for codes 1xxx, 2xxx and 4xxx but Unconfirmed, Unknown otherwise.
 func Errorf(c Code, format string, args ...any) *Error {
 	return &Error{Code: c, Run: c.Run(), Text: fmt.Sprintf(format, args...)}
 }
@@ -155,6 +157,8 @@
 	switch {
 	case c == OK, c == AlreadyRan:
 		return Ran
+	case c == Unconfirmed:
+		return Unknown
 	case c == Voided, c < 3000, c >= 4000 && c < 5000:
 		return NotRun
 	default:
--- a/coder/table.go
+++ b/coder/table.go
@@ -70,6 +70,8 @@
 	Silent:         {http.StatusBadGateway, "connection silent", "The peer sent no heartbeat in time.", first},
 	Internal:       {http.StatusInternalServerError, "internal fault", "A fault of the system itself; see its log.", first},
 	UnknownAttempt: {http.StatusBadGateway, "unknown attempt", "The target has no record of the attempt.", first},
+	Damaged:        {http.StatusInternalServerError, "data folder refused", "The data folder is damaged or belongs to another node. The keeper does not start on it.", first},
+	DiskFailed:     {http.StatusInternalServerError, "disk failed", "A write or sync of the data folder failed. The keeper ends.", first},
 }
 
 // All returns every code in ascending order.
