--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -4,21 +4,36 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
-	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
-	"bramleyshunt/muxer"
 	"bramleyshunt/pooler"
+	"bramleyshunt/recorder"
 	"bramleyshunt/replicator"
 	"bramleyshunt/setter"
 )
 
+const (
+	// DefaultEvery is the number of entries between snapshots when Config.Every is zero.
+	DefaultEvery = 1024
+
+	trailCount = 256 // entries kept behind a snapshot for slow followers
+	inputCount = 1024
+	tickParts  = 3 // ticks in a heartbeat
+)
+
 // Config says what a Keeper hosts and where. Apply, Snapshot and Restore are
-// called on one goroutine only.
+// called on one goroutine only. Zero values of the fields after Folder and Pool
+// take defaults.
 type Config struct {
 	Node     string
 	Peers    []setter.Keeper // founding voters including this node
@@ -30,7 +45,14 @@
 	Log      *logrus.Entry
 	Metrics  metrics.Registry
 	Now      func() time.Time
-	Seed     uint64
+	Seed     uint64 // of the election timeouts; zero takes a random one
+
+	Heartbeat time.Duration
+	Election  time.Duration
+	Every     uint64                                      // entries between snapshots
+	Files     recorder.Files                              // file system; the operating system's if zero
+	Fatal     func(error)                                 // ends the process after a failed write or sync; os.Exit if nil
+	Drop      func(to messenger.Member, message any) bool // faults: messages not to send; nil sends all
 }
 
 // Status is a view of a keeper for operators.
@@ -45,41 +67,149 @@
 	Last     uint64 // last index of the log
 	Commit   uint64
 	Applied  uint64
+	Snapshot uint64 // index of the latest snapshot
 	Voters   []messenger.Member
 	Learners []messenger.Member
-	Repaired bool // leader: every voter holds all that is committed, and no member waits
+	Waiting  []messenger.Member // leader: keepers that ask to be members
+	Repaired bool               // leader: every voter holds all that is committed, and no member waits
+	Lease    time.Time          // leader: no other leads before; zero for none
 }
 
 // Keeper hosts one replica.
 type Keeper struct {
-	cfg Config
+	cfg   Config
+	start time.Time
+	in    chan input
+	ctx   context.Context
+	wg    conc.WaitGroup
+	view  atomic.Pointer[Status]
+
+	// Of the control goroutine.
+	rec      *recorder.Recorder
+	rep      *replicator.Replicator
+	links    map[string]*link
+	dirty    bool
+	after    []replicator.Send
+	apply    []messenger.Entry
+	own      []any // messages to itself
+	applied  uint64
+	snapshot uint64
+	next     uint64              // number of the next call
+	calls    map[uint64][]*call  // taken, by number
+	pending  map[uint64]*promise // accepted, by index
+	reads    map[uint64][]*call  // confirmed, by index
+	gauges   gauges
+	stop     context.CancelFunc
 }
 
 // New opens the folder and starts the replica. The returned function stops it.
+// Errors: Damaged if the folder is refused, DiskFailed.
 func New(cfg Config) (*Keeper, func(), error) {
-	return &Keeper{cfg: cfg}, func() {}, nil
+	cfg.fill()
+	rec, closeFolder, err := recorder.New(recorder.Config{
+		Folder: cfg.Folder, Node: cfg.Node, Disk: rand.Uint64() | 1, Files: cfg.Files,
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	k := &Keeper{
+		cfg: cfg, start: cfg.Now(), in: make(chan input, inputCount), rec: rec,
+		links: map[string]*link{}, calls: map[uint64][]*call{}, pending: map[uint64]*promise{},
+		reads: map[uint64][]*call{}, gauges: newGauges(cfg.Metrics),
+	}
+	if err := k.load(); err != nil {
+		closeFolder()
+		return nil, nil, err
+	}
+	k.ctx, k.stop = context.WithCancel(context.Background())
+	k.publish()
+	k.wg.Go(k.run)
+	closer := func() {
+		k.stop()
+		k.wg.Wait()
+		closeFolder()
+	}
+	return k, closer, nil
 }
 
-// Handle serves a stream of another keeper. It returns false at once if first
-// is no message between keepers.
-func (k *Keeper) Handle(_ context.Context, _ *muxer.Stream, _ muxer.Message) bool { return false }
-
-// Propose appends a command to the log and returns the state machine's answer
-// once it is applied. Errors: NotLeader, and Unconfirmed if the outcome is open.
-func (k *Keeper) Propose(_ context.Context, _ []byte) (uint64, []byte, error) {
-	return 0, nil, coder.Errorf(coder.NotLeader, "not started")
+func (c *Config) fill() {
+	if c.Log == nil {
+		l := logrus.New()
+		l.SetOutput(io.Discard)
+		c.Log = logrus.NewEntry(l)
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64()
+	}
+	if c.Heartbeat == 0 {
+		c.Heartbeat = replicator.DefaultHeartbeat
+	}
+	if c.Election == 0 {
+		c.Election = replicator.DefaultElection
+	}
+	if c.Every == 0 {
+		c.Every = DefaultEvery
+	}
+	if c.Fatal == nil {
+		log := c.Log
+		c.Fatal = func(err error) {
+			log.WithError(err).Error("data folder failed, ending the process")
+			os.Exit(1)
+		}
+	}
 }
 
-// Confirm returns once everything that was committed when it was called is
-// applied here. It fails with NoQuorum.
-func (k *Keeper) Confirm(_ context.Context) (uint64, error) {
-	return 0, coder.Errorf(coder.NoQuorum, "not started")
+// load restores the state machine and makes the replica.
+func (k *Keeper) load() error {
+	saved := k.rec.Saved()
+	if saved.Snapshot.Index > 0 {
+		if err := k.cfg.Restore(saved.Snapshot.Data); err != nil {
+			return errors.Join(errors.New("restore snapshot"), err)
+		}
+	}
+	k.applied, k.snapshot = saved.Snapshot.Index, saved.Snapshot.Index
+	self := messenger.Member{Node: k.cfg.Node, Disk: k.rec.Disk()}
+	peers := make([]messenger.Member, 0, len(k.cfg.Peers))
+	for _, p := range k.cfg.Peers {
+		peers = append(peers, messenger.Member{Node: p.Node, Address: p.Address})
+		if p.Node == k.cfg.Node {
+			self.Address = p.Address
+		}
+	}
+	k.rep = replicator.New(k.now(), replicator.Config{
+		Self: self, Peers: peers, Heartbeat: k.cfg.Heartbeat, Election: k.cfg.Election,
+		Seed: k.cfg.Seed, Trail: trailCount,
+	}, saved)
+	return nil
 }
 
+func (k *Keeper) now() time.Duration { return k.cfg.Now().Sub(k.start) }
+
 // Status returns the latest view.
-func (k *Keeper) Status() Status { return Status{Node: k.cfg.Node} }
+func (k *Keeper) Status() Status { return *k.view.Load() }
 
-// Change adds or removes a node. Only the leader accepts it.
-func (k *Keeper) Change(_ context.Context, _ replicator.Verb, _ string) error {
-	return coder.Errorf(coder.NotLeader, "not started")
+// publish updates the view and logs a change of role or leader.
+func (k *Keeper) publish() {
+	s := k.rep.Status()
+	v := &Status{
+		Node: k.cfg.Node, Disk: k.rec.Disk(), Group: s.State.Group, Term: s.State.Term, Role: s.Role,
+		Leader: s.Leader.Node, Address: s.Leader.Address, Last: s.Last, Commit: s.Commit,
+		Applied: k.applied, Snapshot: s.Snapshot, Voters: s.Members.Voters, Learners: s.Members.Learners,
+		Waiting: s.Waiting, Repaired: s.Repaired,
+	}
+	if s.Lease > 0 {
+		v.Lease = k.start.Add(s.Lease)
+	}
+	old := k.view.Swap(v)
+	if old != nil && (old.Role != v.Role || old.Leader != v.Leader || old.Repaired != v.Repaired) {
+		k.cfg.Log.WithFields(logrus.Fields{
+			"role": v.Role.String(), "leader": v.Leader, "term": v.Term, "repaired": v.Repaired,
+		}).Info("keeper changed")
+	}
 }
