--- /dev/null
+++ b/fencer/fencer_test.go
@@ -0,0 +1,106 @@
+package fencer_test
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/fencer"
+	"bramleyshunt/messenger"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261203") }
+
+func TestFencer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fencer")
+}
+
+func order(fence uint64, verb string) *messenger.Order {
+	return &messenger.Order{Fence: fence, Verb: verb}
+}
+
+func expectRefused(f *fencer.Fencer, o *messenger.Order, want coder.Code) {
+	GinkgoHelper()
+	begin, answer, err := f.Begin(o)
+	Expect(begin).To(BeFalse())
+	Expect(answer.Code).To(Equal(want))
+	Expect(coder.Of(err).Code).To(Equal(want))
+}
+
+func expectBegun(f *fencer.Fencer, o *messenger.Order) {
+	GinkgoHelper()
+	begin, _, err := f.Begin(o)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(begin).To(BeTrue())
+}
+
+var _ = Describe("a fencer", func() {
+	It("refuses all orders until it knows the number issued", func() {
+		f := &fencer.Fencer{}
+		expectRefused(f, order(9, "load"), coder.NotReady)
+		f.Learn(7)
+		expectRefused(f, order(6, "load"), coder.Fenced)
+		expectBegun(f, order(9, "load"))
+		f.Forget()
+		expectRefused(f, order(10, "load"), coder.NotReady)
+	})
+
+	It("answers a repeated order as the first time and refuses another with its number", func() {
+		f := &fencer.Fencer{}
+		f.Learn(1)
+		expectBegun(f, order(2, "load"))
+		expectRefused(f, order(2, "load"), coder.Busy)
+		first := f.Finish(order(2, "load"), coder.OK)
+		begin, again, err := f.Begin(order(2, "load"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(begin).To(BeFalse())
+		Expect(again).To(Equal(first))
+		expectRefused(f, order(2, "unload"), coder.Fenced)
+	})
+
+	It("lets a failed order be tried again with its number", func() {
+		f := &fencer.Fencer{}
+		f.Learn(1)
+		expectBegun(f, order(2, "load"))
+		f.Finish(order(2, "load"), coder.TargetLost)
+		expectRefused(f, order(2, "unload"), coder.Fenced)
+		expectBegun(f, order(2, "load"))
+	})
+})
+
+// TestInvariants: no order is executed with a number below one already executed,
+// and none twice, over agents that restart without memory.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fencer.Fencer{}
+		var issued, highest uint64
+		verbs := map[uint64]string{}
+		t.Repeat(map[string]func(*rapid.T){
+			"issue": func(t *rapid.T) {
+				issued += rapid.Uint64Range(1, 3).Draw(t, "step")
+				verbs[issued] = rapid.SampledFrom([]string{"load", "unload"}).Draw(t, "verb")
+			},
+			"deliver": func(t *rapid.T) {
+				n := rapid.Uint64Range(0, issued).Draw(t, "fence")
+				o := order(n, verbs[n])
+				begin, _, _ := f.Begin(o)
+				if !begin {
+					return
+				}
+				if n < highest {
+					t.Fatalf("executed %d after %d", n, highest)
+				}
+				highest = n
+				f.Finish(o, rapid.SampledFrom([]coder.Code{coder.OK, coder.TargetLost}).Draw(t, "outcome"))
+			},
+			"learn":   func(*rapid.T) { f.Learn(issued) },
+			"lapse":   func(*rapid.T) { f.Forget() },
+			"restart": func(*rapid.T) { f = &fencer.Fencer{} },
+		})
+	})
+}
--- /dev/null
+++ b/reserver/invariants_test.go
@@ -0,0 +1,212 @@
+package reserver_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+	"bramleyshunt/reserver"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261203") }
+
+const (
+	testKept   = 10 * time.Second
+	frameLife  = 8 * time.Second // a delayed Reserve or Run arrives within it
+	testStep   = 2 * time.Second // observed time per call at most
+	testMemory = 1000
+)
+
+// trial is what the model knows of one attempt.
+type trial struct {
+	id          string
+	incarnation uint64
+	prompt      int
+	born        time.Duration // observed
+	sent        bool          // a Run was sent
+	granted     bool
+	starts      int
+	notRun      bool // somebody was told so
+	afterLeave  bool // granted by a reservation made after leaving
+}
+
+// world delivers messages to a Reserver late, doubled, out of order or never,
+// and counts what starts.
+type world struct {
+	t       *rapid.T
+	r       *reserver.Reserver
+	now     time.Time
+	seen    time.Duration
+	trials  []*trial
+	running map[string]bool
+	engine  uint64
+	left    bool
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: time.Unix(1000, 0), running: map[string]bool{}, engine: 1}
+	w.r = &reserver.Reserver{Incarnation: 1, Memory: testMemory, Slots: 4, Kept: testKept, Lease: 2 * time.Second}
+	w.reconcile(w.t)
+	return w
+}
+
+func (w *world) pick(t *rapid.T) *trial {
+	if len(w.trials) == 0 {
+		t.Skip("no attempts yet")
+	}
+	return w.trials[rapid.IntRange(max(0, len(w.trials)-6), len(w.trials)-1).Draw(t, "attempt")]
+}
+
+func (w *world) fresh(x *trial) bool { return w.seen-x.born <= frameLife }
+
+func (w *world) create(t *rapid.T) {
+	inc := w.r.Incarnation - uint64(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "behind"))
+	x := &trial{id: fmt.Sprint(len(w.trials)), incarnation: inc, born: w.seen, prompt: rapid.IntRange(0, 600).Draw(t, "prompt")}
+	w.trials = append(w.trials, x)
+	w.reserve(t, x)
+}
+
+func (w *world) reserve(t *rapid.T, x *trial) {
+	if !w.fresh(x) {
+		t.Skip("frame too old")
+	}
+	before := w.r.Phase(x.id)
+	life := time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second
+	got, err := w.r.Reserve(w.now, &messenger.Reserve{Attempt: x.id, Incarnation: x.incarnation, Prompt: x.prompt, Remaining: life})
+	if err != nil {
+		return
+	}
+	x.granted = true
+	x.afterLeave = x.afterLeave || before == reserver.Unseen && w.left
+	if got.Lease <= 0 || got.Lease > 2*time.Second {
+		t.Fatalf("attempt %s: lease %s", x.id, got.Lease)
+	}
+}
+
+func (w *world) run(t *rapid.T) {
+	x := w.pick(t)
+	if !x.granted || !w.fresh(x) {
+		t.Skip("no grant, or frame too old")
+	}
+	x.sent = true
+	started, err := w.r.Run(w.now, &messenger.Run{Attempt: x.id, Incarnation: x.incarnation, Remaining: time.Minute})
+	if started {
+		x.starts++
+		w.running[x.id] = true
+	}
+	if err != nil && coder.Of(err).Run == coder.NotRun {
+		w.claim(t, x)
+	}
+	if x.starts > 1 || x.starts > 0 && (x.notRun || x.afterLeave) {
+		t.Fatalf("attempt %s started: %+v", x.id, x)
+	}
+}
+
+// claim checks that an attempt reported as not run has not run.
+func (w *world) claim(t *rapid.T, x *trial) {
+	x.notRun = true
+	if x.starts > 0 {
+		t.Fatalf("attempt %s ran and is reported as not run", x.id)
+	}
+}
+
+func (w *world) void(t *rapid.T) {
+	x := w.pick(t)
+	switch w.r.Void(w.now, &messenger.Void{Attempt: x.id, Incarnation: x.incarnation}).Run {
+	case coder.NotRun:
+		w.claim(t, x)
+	case coder.Ran:
+		if x.starts == 0 {
+			t.Fatalf("attempt %s did not run and is reported as run", x.id)
+		}
+	}
+}
+
+func (w *world) end(t *rapid.T) {
+	x := w.pick(t)
+	if !w.running[x.id] {
+		t.Skip("not running")
+	}
+	w.r.First(w.now, x.id)
+	hold := rapid.Bool().Draw(t, "hold")
+	w.r.End(w.now, x.id, reserver.Outcome{Hold: hold, Lost: rapid.Bool().Draw(t, "lost")})
+	delete(w.running, x.id)
+}
+
+func (w *world) pass(t *rapid.T) {
+	step := rapid.SampledFrom([]time.Duration{100 * time.Millisecond, time.Second, 2 * time.Second, time.Minute}).Draw(t, "step")
+	w.now = w.now.Add(step)
+	w.seen += min(step, testStep)
+	w.r.Tick(w.now)
+}
+
+func (w *world) reconcile(t *rapid.T) {
+	if rapid.IntRange(0, 4).Draw(t, "crash") == 0 {
+		w.engine++
+	}
+	live := make([]string, 0, len(w.running))
+	for id := range w.running {
+		live = append(live, id)
+	}
+	slices.Sort(live)
+	out := w.r.Reconcile(w.now, &reserver.Report{Asked: w.now, Incarnation: w.engine, Live: append(live, "left behind")})
+	if !slices.Equal(out.Free, []string{"left behind"}) {
+		t.Fatalf("freed %v while %v run", out.Free, live)
+	}
+}
+
+// restart replaces the agent by one without memory.
+func (w *world) restart(_ *rapid.T) {
+	w.r = &reserver.Reserver{Incarnation: w.r.Incarnation + 1, Memory: testMemory, Slots: 4, Kept: testKept, Lease: 2 * time.Second}
+	w.running = map[string]bool{}
+	w.left = false
+}
+
+func (w *world) check(t *rapid.T) {
+	l := w.r.Load(w.now)
+	if l.Used < 0 || l.Used > testMemory || l.Waiting < 0 || l.Running > 4 {
+		t.Fatalf("load %+v", l)
+	}
+}
+
+// settle ends everything and expects the idle figures.
+func (w *world) settle(t *rapid.T) {
+	for id := range w.running {
+		w.r.End(w.now, id, reserver.Outcome{})
+	}
+	w.r.Tick(w.now.Add(time.Minute))
+	if l := w.r.Load(w.now.Add(time.Minute)); l.Used != 0 || l.Running != 0 || l.Waiting != 0 {
+		t.Fatalf("not idle: %+v", l)
+	}
+}
+
+// TestInvariants: at most one run per attempt; one reported as not run never
+// starts; nothing runs by a reservation made after leaving; memory comes back.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":          w.check,
+			"create":    w.create,
+			"reserve":   func(t *rapid.T) { w.reserve(t, w.pick(t)) },
+			"run":       w.run,
+			"run again": w.run,
+			"void":      w.void,
+			"cancel":    func(t *rapid.T) { w.r.Cancel(w.now, w.pick(t).id) },
+			"release":   func(t *rapid.T) { w.r.Release(w.now, w.pick(t).id) },
+			"end":       w.end,
+			"pass":      w.pass,
+			"reconcile": w.reconcile,
+			"restart":   w.restart,
+			"leave":     func(*rapid.T) { w.r.Leave(); w.left = true },
+			"crash":     func(*rapid.T) { w.r.Crash(w.now) },
+		})
+		w.settle(t)
+	})
+}
