Drive the reservations through lost, doubled and late frames

At most one run per attempt; none after it was reported as not run; none by a reservation made after leaving; memory back to idle.

--- a/reserver/invariants_test.go
+++ b/reserver/invariants_test.go
@@ -14,11 +14,17 @@
 	"bramleyshunt/reserver"
 )
 
-func init() { _ = flag.Set("rapid.seed", "20261203") }
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.steps": "150", "rapid.checks": "400"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
 
 const (
-	testKept   = 10 * time.Second
-	frameLife  = 8 * time.Second // a delayed Reserve or Run arrives within it
+	testKept   = 4 * time.Second
+	frameLife  = 3 * time.Second // a delayed Reserve or Run arrives within it
 	testStep   = 2 * time.Second // observed time per call at most
 	testMemory = 1000
 )
@@ -58,7 +64,7 @@
 
 func (w *world) pick(t *rapid.T) *trial {
 	if len(w.trials) == 0 {
-		t.Skip("no attempts yet")
+		w.create(t)
 	}
 	return w.trials[rapid.IntRange(max(0, len(w.trials)-6), len(w.trials)-1).Draw(t, "attempt")]
 }
@@ -74,10 +80,10 @@
 
 func (w *world) reserve(t *rapid.T, x *trial) {
 	if !w.fresh(x) {
-		t.Skip("frame too old")
+		return
 	}
 	before := w.r.Phase(x.id)
-	life := time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second
+	life := time.Duration(rapid.IntRange(0, 6).Draw(t, "seconds")) * time.Second
 	got, err := w.r.Reserve(w.now, &messenger.Reserve{Attempt: x.id, Incarnation: x.incarnation, Prompt: x.prompt, Remaining: life})
 	if err != nil {
 		return
@@ -92,7 +98,7 @@
 func (w *world) run(t *rapid.T) {
 	x := w.pick(t)
 	if !x.granted || !w.fresh(x) {
-		t.Skip("no grant, or frame too old")
+		return
 	}
 	x.sent = true
 	started, err := w.r.Run(w.now, &messenger.Run{Attempt: x.id, Incarnation: x.incarnation, Remaining: time.Minute})
@@ -131,7 +137,7 @@
 func (w *world) end(t *rapid.T) {
 	x := w.pick(t)
 	if !w.running[x.id] {
-		t.Skip("not running")
+		return
 	}
 	w.r.First(w.now, x.id)
 	hold := rapid.Bool().Draw(t, "hold")
@@ -147,7 +153,7 @@
 }
 
 func (w *world) reconcile(t *rapid.T) {
-	if rapid.IntRange(0, 4).Draw(t, "crash") == 0 {
+	if rare(t) {
 		w.engine++
 	}
 	live := make([]string, 0, len(w.running))
@@ -162,12 +168,31 @@
 }
 
 // restart replaces the agent by one without memory.
-func (w *world) restart(_ *rapid.T) {
+func (w *world) restart(t *rapid.T) {
+	if !rare(t) {
+		return
+	}
 	w.r = &reserver.Reserver{Incarnation: w.r.Incarnation + 1, Memory: testMemory, Slots: 4, Kept: testKept, Lease: 2 * time.Second}
 	w.running = map[string]bool{}
 	w.left = false
 }
 
+func (w *world) leave(t *rapid.T) {
+	if rare(t) {
+		w.r.Leave()
+		w.left = true
+	}
+}
+
+func (w *world) crash(t *rapid.T) {
+	if rare(t) {
+		w.r.Crash(w.now)
+	}
+}
+
+// rare keeps a run from starting anew all the time.
+func rare(t *rapid.T) bool { return rapid.IntRange(0, 9).Draw(t, "rare") == 0 }
+
 func (w *world) check(t *rapid.T) {
 	l := w.r.Load(w.now)
 	if l.Used < 0 || l.Used > testMemory || l.Waiting < 0 || l.Running > 4 {
@@ -197,6 +222,7 @@
 			"reserve":   func(t *rapid.T) { w.reserve(t, w.pick(t)) },
 			"run":       w.run,
 			"run again": w.run,
+			"pass more": w.pass,
 			"void":      w.void,
 			"cancel":    func(t *rapid.T) { w.r.Cancel(w.now, w.pick(t).id) },
 			"release":   func(t *rapid.T) { w.r.Release(w.now, w.pick(t).id) },
@@ -204,8 +230,8 @@
 			"pass":      w.pass,
 			"reconcile": w.reconcile,
 			"restart":   w.restart,
-			"leave":     func(*rapid.T) { w.r.Leave(); w.left = true },
-			"crash":     func(*rapid.T) { w.r.Crash(w.now) },
+			"leave":     w.leave,
+			"crash":     w.crash,
 		})
 		w.settle(t)
 	})
