--- /dev/null
+++ b/announcer/announcer_test.go
@@ -0,0 +1,115 @@
+package announcer_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/announcer"
+	"bramleyshunt/messenger"
+	"bramleyshunt/setter"
+)
+
+// keepers counts announcements and answers as told.
+type keepers struct {
+	mu     sync.Mutex
+	counts map[string]int
+	hung   map[string]bool
+	down   map[string]bool
+}
+
+func (k *keepers) call(ctx context.Context, addr string, m *messenger.Announce) (messenger.Announced, error) {
+	k.mu.Lock()
+	k.counts[addr]++
+	hung, down := k.hung[addr], k.down[addr]
+	k.mu.Unlock()
+	if hung {
+		<-ctx.Done()
+		return messenger.Announced{}, ctx.Err()
+	}
+	if down {
+		return messenger.Announced{}, errors.New("down")
+	}
+	return messenger.Announced{Fence: uint64(m.Lease / time.Second)}, nil
+}
+
+func (k *keepers) set(addr string, down bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.down[addr] = down
+}
+
+func (k *keepers) count(addr string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.counts[addr]
+}
+
+func announce(k *keepers, learned func(time.Time, messenger.Announced)) (*announcer.Announcer, func()) {
+	return announcer.New(announcer.Config{
+		Keepers: []setter.Keeper{{Address: "a"}, {Address: "b"}},
+		Target:  func() messenger.Target { return messenger.Target{ID: "t"} },
+		Learned: learned,
+		Call:    k.call,
+	})
+}
+
+func newKeepers() *keepers {
+	return &keepers{counts: map[string]int{}, hung: map[string]bool{}, down: map[string]bool{}}
+}
+
+// wait lets virtual time pass and the goroutines settle.
+func wait(d time.Duration) {
+	<-time.After(d)
+	synctest.Wait()
+}
+
+func TestRenewsAtEveryKeeperThoughOneHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		k := newKeepers()
+		k.hung["a"] = true
+		a, stop := announce(k, nil)
+		defer stop()
+		wait(5500 * time.Millisecond)
+		g.Expect(k.count("b")).To(Equal(6))
+		g.Expect(a.Held(time.Now())).To(BeTrue())
+		g.Expect(a.Failed()).To(HaveKey("a"))
+		a.Kick()
+		wait(0)
+		g.Expect(k.count("b")).To(Equal(7))
+	})
+}
+
+func TestLeaseEndsWithoutAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		k := newKeepers()
+		var learned []uint64
+		var mu sync.Mutex
+		a, stop := announce(k, func(_ time.Time, m messenger.Announced) {
+			mu.Lock()
+			defer mu.Unlock()
+			learned = append(learned, m.Fence)
+		})
+		defer stop()
+		wait(0)
+		g.Expect(a.Held(time.Now())).To(BeTrue())
+		g.Expect(a.Held(time.Now().Add(announcer.DefaultLease))).To(BeFalse())
+		k.set("a", true)
+		k.set("b", true)
+		wait(3 * time.Second)
+		g.Expect(a.Held(time.Now())).To(BeFalse())
+		k.set("b", false)
+		wait(time.Second)
+		g.Expect(a.Held(time.Now())).To(BeTrue())
+		mu.Lock()
+		defer mu.Unlock()
+		g.Expect(learned).To(Equal([]uint64{3, 3, 3}))
+	})
+}
--- a/messenger/keeper.go
+++ b/messenger/keeper.go
@@ -17,6 +17,10 @@
 	Fence   uint64 `msgpack:"fence"`   // highest order number issued for the target
 	Leader  string `msgpack:"leader"`  // identity of the leading keeper
 	Version uint64 `msgpack:"version"` // configuration in force
+
+	// Confirmed says that a quorum confirmed Fence after the Announce arrived. An
+	// agent that has lost its memory takes no number from an answer without it.
+	Confirmed bool `msgpack:"confirmed"`
 }
 
 // Watch asks a keeper for a stream of Updates.
