--- /dev/null
+++ b/chainer/chainer.go
@@ -0,0 +1,76 @@
+// Package chainer composes filters around the handler of a request.
+package chainer
+
+import (
+	"context"
+	"time"
+
+	"bramleyshunt/configurer"
+	"bramleyshunt/messenger"
+)
+
+// Request is one caller's request on its way through the chain. The shell fills
+// the first group; each filter fills the fields that later ones read.
+type Request struct {
+	ID      string // unique; the prefix of its attempts' ids
+	Token   string // bearer token
+	Key     string // Idempotency-Key
+	Batch   string
+	Method  string
+	Path    string // after the service's name
+	Headers []messenger.Header
+	Body    []byte
+	Stream  bool
+	Chat    bool
+	Service string
+	Model   string
+	Text    int      // bytes of prompt text
+	Prefix  []uint64 // hashes of the prompt's beginnings, shortest first
+	Bound   int      // answer tokens the caller allows; zero for none
+	Arrived time.Time
+	Timeout time.Duration // asked for; zero for the service's
+
+	Config   *configurer.Configurer
+	Spec     configurer.Service
+	Account  string
+	Deadline time.Time
+	Once     bool // not idempotent
+	Priority int
+
+	Prompt      int // predicted tokens
+	Output      int // predicted tokens
+	Class       messenger.Class
+	Fingerprint uint64
+
+	Answer Answer
+}
+
+// Answer receives what the caller gets. Begin is called before the chunks of an
+// attempt; it returns false if an earlier attempt's chunks can't be taken back.
+type Answer struct {
+	Begin func() bool
+	Chunk func(messenger.Chunk) error
+	End   func(messenger.End) error
+	Kept  func() []byte      // the whole answer in its kept form; nil if too large
+	Reply func([]byte) error // writes an answer in its kept form
+}
+
+// Handler works on one request. Its error is what the caller is told.
+type Handler func(ctx context.Context, r *Request) error
+
+// Filter wraps a handler.
+type Filter func(next Handler) Handler
+
+// Chainer holds filters in the order in which requests pass them.
+type Chainer struct {
+	Filters []Filter
+}
+
+// Then returns the handler that passes a request through all filters to last.
+func (c *Chainer) Then(last Handler) Handler {
+	h := last
+	for i := len(c.Filters) - 1; i >= 0; i-- {
+		h = c.Filters[i](h)
+	}
+	return h
+}
--- /dev/null
+++ b/entry/claim.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"bramleyshunt/chainer"
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+)
+
+// claimLimit bounds the settling of a claim after its request has ended.
+const claimLimit = 5 * time.Second
+
+// claim keeps a request that is not idempotent to one run, and answers a resend
+// with what was kept. Idempotent requests pass without a keeper.
+func (e *Entry) claim(next chainer.Handler) chainer.Handler {
+	return func(ctx context.Context, r *chainer.Request) error {
+		if !r.Once {
+			return next(ctx, r)
+		}
+		if r.Key == "" {
+			return coder.Errorf(coder.KeyRequired, "")
+		}
+		cl := claimOf(r)
+		answer, err := e.claims.Hold(ctx, cl)
+		if err != nil {
+			return e.unclaimed(ctx, cl, err)
+		}
+		if answer != nil {
+			e.meter.count("replayed")
+			return r.Answer.Reply(answer)
+		}
+		err = next(ctx, r)
+		e.settle(ctx, r, cl, err)
+		return err
+	}
+}
+
+func claimOf(r *chainer.Request) messenger.Claim {
+	return messenger.Claim{
+		Account: r.Account, Service: r.Service, Key: r.Key, Digest: r.Fingerprint, Owner: r.ID,
+	}
+}
+
+// unclaimed gives back a claim that may have been recorded though no answer came.
+func (e *Entry) unclaimed(ctx context.Context, cl messenger.Claim, err error) error {
+	c := coder.Of(err)
+	if c.Code == coder.NoQuorum {
+		e.later(ctx, func(ctx context.Context) error { return e.claims.Void(ctx, cl) })
+	}
+	if c.Code == coder.NoQuorum || c.Code == coder.ClaimHeld {
+		return retry(c, time.Second)
+	}
+	return c
+}
+
+// settle records the outcome. An unknown one leaves the claim as it is, so that
+// no resend runs.
+func (e *Entry) settle(ctx context.Context, r *chainer.Request, cl messenger.Claim, err error) {
+	switch {
+	case err == nil:
+		answer := r.Answer.Kept()
+		e.later(ctx, func(ctx context.Context) error { return e.claims.Done(ctx, cl, answer) })
+	case coder.Of(err).Run == coder.NotRun:
+		e.later(ctx, func(ctx context.Context) error { return e.claims.Void(ctx, cl) })
+	case coder.Of(err).Run == coder.Ran:
+		e.later(ctx, func(ctx context.Context) error { return e.claims.Done(ctx, cl, nil) })
+	}
+}
+
+// later runs f until it succeeds or its time is up, after the caller's answer.
+func (e *Entry) later(ctx context.Context, f func(context.Context) error) {
+	ctx = context.WithoutCancel(ctx)
+	e.wg.Go(func() {
+		ctx, stop := context.WithTimeout(ctx, claimLimit)
+		defer stop()
+		for f(ctx) != nil && sleep(ctx, tick) == nil {
+		}
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/entry/filters.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bramleyshunt/chainer"
+	"bramleyshunt/coder"
+	"bramleyshunt/configurer"
+	"bramleyshunt/identifier"
+	"bramleyshunt/messenger"
+)
+
+const (
+	// DefaultTimeout holds when neither caller nor service names one.
+	DefaultTimeout = time.Minute
+	// DefaultLongest bounds what a caller may ask for when the service doesn't.
+	DefaultLongest = time.Hour
+)
+
+// accounts is the Identifier of one configuration.
+type accounts struct {
+	config     *configurer.Configurer
+	identifier *identifier.Identifier
+}
+
+// chain returns the filters in the order in which a request passes them.
+func (e *Entry) chain() chainer.Handler {
+	c := chainer.Chainer{Filters: []chainer.Filter{
+		e.allow, e.bound, e.measure, e.quarantine, e.limit, e.claim, e.admit,
+	}}
+	return c.Then(e.run)
+}
+
+// identify returns the client account of a call's token.
+func (e *Entry) identify(hr *http.Request) (string, error) {
+	v := e.cfg.View()
+	if v == nil {
+		return "", coder.Errorf(coder.NotReady, "")
+	}
+	a := e.accounts.Load()
+	if a == nil || a.config != v.Config {
+		a = &accounts{config: v.Config, identifier: identifier.New(v.Config.Accounts)}
+		e.accounts.Store(a)
+	}
+	return a.identifier.Identify(bearer(hr.Header))
+}
+
+// allow checks the service and the account's right to it.
+func (e *Entry) allow(next chainer.Handler) chainer.Handler {
+	return func(ctx context.Context, r *chainer.Request) error {
+		spec, ok := r.Config.Services[r.Service]
+		if !ok || (spec.Kind == "engine") != (r.Model != "") {
+			return coder.Errorf(coder.UnknownService, "%.64q", r.Service)
+		}
+		a := r.Config.Accounts[r.Account]
+		if err := (&identifier.Identifier{}).Allow(a, r.Service); err != nil {
+			return err
+		}
+		r.Spec = spec
+		r.Priority = spec.Priority + a.Priority
+		r.Once = once(spec, r.Method, r.Path)
+		e.own(r)
+		return next(ctx, r)
+	}
+}
+
+// once reports whether a call must not be repeated. Without routes a plain
+// service's calls are idempotent by their method, as HTTP defines it.
+func once(s configurer.Service, method, path string) bool {
+	if s.Once || s.Kind == "engine" {
+		return s.Once
+	}
+	for _, route := range s.Routes {
+		if (route.Method == "" || strings.EqualFold(route.Method, method)) && strings.HasPrefix(path, route.Prefix) {
+			return route.Once
+		}
+	}
+	return method == http.MethodPost || method == http.MethodPatch
+}
+
+// bound sets the deadline and ends the request at it.
+func (e *Entry) bound(next chainer.Handler) chainer.Handler {
+	return func(ctx context.Context, r *chainer.Request) error {
+		longest := seconds(r.Spec.Longest, DefaultLongest)
+		if r.Timeout > longest {
+			return coder.Errorf(coder.BadTimeout, "more than %s", longest)
+		}
+		if r.Timeout == 0 {
+			r.Timeout = min(longest, seconds(r.Spec.Timeout, DefaultTimeout))
+		}
+		r.Deadline = r.Arrived.Add(r.Timeout)
+		ctx, stop := context.WithTimeout(ctx, r.Deadline.Sub(e.cfg.Now()))
+		defer stop()
+		return next(ctx, r)
+	}
+}
+
+func seconds(v float64, otherwise time.Duration) time.Duration {
+	if v <= 0 {
+		return otherwise
+	}
+	return time.Duration(v * float64(time.Second))
+}
+
+// measure predicts the tokens and learns from what the engine reports.
+func (e *Entry) measure(next chainer.Handler) chainer.Handler {
+	return func(ctx context.Context, r *chainer.Request) error {
+		e.control.measure(r)
+		r.Class = messenger.ClassOf(r.Prompt)
+		if w := r.Config.Models[r.Model].Window; w > 0 && r.Prompt > w {
+			return coder.Errorf(coder.PromptTooLong, "about %d tokens of %d", r.Prompt, w)
+		}
+		return next(ctx, r)
+	}
+}
+
+// quarantine refuses requests that crashed targets.
+func (e *Entry) quarantine(next chainer.Handler) chainer.Handler {
+	return func(ctx context.Context, r *chainer.Request) error {
+		r.Fingerprint = fingerprint(r)
+		if e.cfg.View().Blocked[r.Fingerprint] {
+			return coder.Errorf(coder.Quarantined, "")
+		}
+		return next(ctx, r)
+	}
+}
+
+// fingerprint identifies what a target would be given. Calls of plain services
+// differ by path too.
+func fingerprint(r *chainer.Request) uint64 {
+	d := xxhash.New()
+	for _, s := range []string{r.Service, "\x00", r.Method, "\x00", r.Path, "\x00"} {
+		_, _ = d.WriteString(s)
+	}
+	_, _ = d.Write(r.Body)
+	return d.Sum64()
+}
+
+// limit holds the account to its rate and number of requests.
+func (e *Entry) limit(next chainer.Handler) chainer.Handler {
+	return func(ctx context.Context, r *chainer.Request) error {
+		if err := e.control.take(r, r.Config.Accounts[r.Account]); err != nil {
+			return err
+		}
+		spare := r.Prompt + r.Output
+		end := r.Answer.End
+		r.Answer.End = func(m messenger.End) error {
+			spare -= m.Usage.Prompt + m.Usage.Output
+			e.control.learn(r, m.Usage)
+			return end(m)
+		}
+		err := next(ctx, r)
+		if err != nil && coder.Of(err).Run != coder.NotRun {
+			spare = 0
+		}
+		e.control.give(r, spare)
+		return err
+	}
+}
+
+// admit refuses a request that can't finish in its time.
+func (e *Entry) admit(next chainer.Handler) chainer.Handler {
+	return func(ctx context.Context, r *chainer.Request) error {
+		if err := e.control.admit(r); err != nil {
+			return err
+		}
+		return next(ctx, r)
+	}
+}
--- /dev/null
+++ b/entry/parse.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"encoding/json"
+	"strings"
+
+	"bramleyshunt/chainer"
+	"bramleyshunt/coder"
+	"bramleyshunt/router"
+)
+
+// body holds the fields that the entry reads of an engine request. The engine
+// gets all others as they are, but for the priority, which is not the caller's
+// to choose.
+type body struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	Messages  []turn `json:"messages"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+type turn struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func parsePrompt(r *chainer.Request) error {
+	b, err := parse(r)
+	if err != nil {
+		return err
+	}
+	if b.Prompt == "" {
+		return coder.Errorf(coder.Malformed, "no prompt")
+	}
+	return fill(r, b, b.Prompt)
+}
+
+func parseChat(r *chainer.Request) error {
+	b, err := parse(r)
+	if err != nil {
+		return err
+	}
+	if len(b.Messages) == 0 {
+		return coder.Errorf(coder.Malformed, "no messages")
+	}
+	r.Chat = true
+	var text strings.Builder
+	for _, m := range b.Messages {
+		text.WriteString(m.Role)
+		text.WriteString(m.Content)
+	}
+	return fill(r, b, text.String())
+}
+
+func parse(r *chainer.Request) (*body, error) {
+	var b body
+	if err := json.Unmarshal(r.Body, &b); err != nil {
+		return nil, coder.Errorf(coder.Malformed, "%v", err)
+	}
+	if b.Model == "" {
+		return nil, coder.Errorf(coder.Malformed, "no model")
+	}
+	if b.MaxTokens < 0 {
+		return nil, coder.Errorf(coder.Malformed, "max_tokens is negative")
+	}
+	return &b, nil
+}
+
+func fill(r *chainer.Request, b *body, text string) error {
+	r.Service = r.Config.ByModel(b.Model)
+	if r.Service == "" {
+		return coder.Errorf(coder.UnknownModel, "%.64q", b.Model)
+	}
+	r.Model, r.Stream = b.Model, b.Stream
+	r.Text = len(text)
+	r.Prefix = router.Prefixes(b.Model, text)
+	r.Bound = b.MaxTokens
+	if r.Bound == 0 {
+		r.Bound = r.Config.Models[b.Model].Output
+	}
+	return rewrite(r)
+}
+
+// rewrite makes the engine's body. Keys come out sorted, so that requests which
+// differ in layout alone have one fingerprint.
+func rewrite(r *chainer.Request) error {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(r.Body, &fields); err != nil {
+		return coder.Errorf(coder.Malformed, "%v", err)
+	}
+	delete(fields, "priority")
+	fields["stream"] = json.RawMessage("true")
+	if r.Bound > 0 {
+		fields["max_tokens"], _ = json.Marshal(r.Bound)
+	}
+	out, err := json.Marshal(fields)
+	if err != nil {
+		return coder.Errorf(coder.Malformed, "%v", err)
+	}
+	r.Body = out
+	return nil
+}
--- /dev/null
+++ b/entry/run.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"bramleyshunt/chainer"
+	"bramleyshunt/coder"
+	"bramleyshunt/dispatcher"
+	"bramleyshunt/messenger"
+	"bramleyshunt/retrier"
+	"bramleyshunt/router"
+)
+
+// running is one request from its queue to the end of its answer.
+type running struct {
+	e       *Entry
+	r       *chainer.Request
+	exclude []string
+	tries   int
+	last    time.Time // of the last chunk
+	begun   bool      // the first chunk of any attempt came
+}
+
+// run queues a request, has attempts made and passes the answer on.
+func (e *Entry) run(ctx context.Context, r *chainer.Request) error {
+	x := &running{e: e, r: r}
+	for {
+		pick, err := x.place(ctx)
+		if err != nil {
+			return err
+		}
+		x.tries++
+		err = x.attempt(ctx, pick)
+		if err == nil {
+			return nil
+		}
+		if err := x.again(ctx, pick, err); err != nil {
+			return err
+		}
+	}
+}
+
+// place waits for a target until it is too late to finish in time.
+func (x *running) place(ctx context.Context) (router.Pick, error) {
+	need := x.e.control.needs(x.r)
+	bound, stop := context.WithTimeoutCause(ctx, x.left()-need, errTooLate)
+	defer stop()
+	w := x.e.control.enqueue(x.r, x.exclude)
+	select {
+	case p := <-w.placed:
+		return p.pick, p.err
+	case <-bound.Done():
+		x.e.control.abandon(w)
+		return router.Pick{}, x.unplaced(bound)
+	}
+}
+
+var errTooLate = coder.Errorf(coder.Overloaded, "no target was free in time")
+
+func (x *running) unplaced(ctx context.Context) error {
+	cause := context.Cause(ctx)
+	e := *coder.Of(cause)
+	switch {
+	case cause == errTooLate:
+		e.Retry = x.e.control.backoff(x.r)
+	case cause == context.DeadlineExceeded:
+		e = *coder.Errorf(coder.DeadlineExceeded, "")
+	case cause == context.Canceled:
+		e = *coder.Errorf(coder.Cancelled, "")
+	}
+	e.Run = coder.NotRun
+	return &e
+}
+
+func (x *running) left() time.Duration { return x.r.Deadline.Sub(x.e.cfg.Now()) }
+
+// attempt runs the request at one target.
+func (x *running) attempt(ctx context.Context, pick router.Pick) error {
+	if !x.r.Answer.Begin() {
+		return coder.Errorf(coder.Internal, "second answer")
+	}
+	counted := true
+	started := func() {
+		if counted {
+			counted = false
+			x.e.control.started(x.r, pick)
+		}
+	}
+	defer started()
+	j := x.job(pick)
+	j.Emit = func(c messenger.Chunk) error {
+		started()
+		x.time()
+		return x.r.Answer.Chunk(c)
+	}
+	end, err := x.e.dispatch.Do(ctx, j)
+	if err != nil {
+		return err
+	}
+	x.e.meter.slowdown(x.r, x.e.cfg.Now().Sub(x.r.Arrived), x.alone(pick, end.Usage))
+	return x.r.Answer.End(end)
+}
+
+func (x *running) job(pick router.Pick) dispatcher.Job {
+	t := pick.Target
+	attempt := fmt.Sprintf("%s-%d", x.r.ID, x.tries)
+	left := x.left()
+	return dispatcher.Job{
+		Address: t.Address,
+		Reserve: messenger.Reserve{
+			Attempt: attempt, Incarnation: t.Incarnation, Account: x.r.Account,
+			Prompt: x.r.Prompt, Output: x.r.Output, Priority: priority(x.r),
+			Remaining: left, Fingerprint: x.r.Fingerprint,
+		},
+		Run: messenger.Run{
+			Attempt: attempt, Incarnation: t.Incarnation, Remaining: left,
+			Method: x.r.Method, Path: x.r.Path, Headers: x.r.Headers, Body: x.r.Body,
+		},
+		Before: func(ctx context.Context) error { return x.claim(ctx, t.ID) },
+		Load:   func(l messenger.Load) { x.e.control.report(pick, l) },
+	}
+}
+
+// priority puts short prompts before long ones of the same configured priority.
+func priority(r *chainer.Request) int {
+	return r.Priority*messenger.Classes + messenger.Classes - 1 - int(r.Class)
+}
+
+// claim records the start of a request that is not idempotent.
+func (x *running) claim(ctx context.Context, target string) error {
+	if !x.r.Once {
+		return nil
+	}
+	return x.e.claims.Run(ctx, claimOf(x.r), target)
+}
+
+// time takes the histograms' samples.
+func (x *running) time() {
+	now := x.e.cfg.Now()
+	if !x.begun {
+		x.begun = true
+		x.e.meter.first(x.r, now.Sub(x.r.Arrived))
+	} else {
+		x.e.meter.between(x.r, now.Sub(x.last))
+	}
+	x.last = now
+}
+
+// alone is the time that the request would take on an idle target.
+func (x *running) alone(pick router.Pick, u messenger.Usage) time.Duration {
+	if x.r.Model == "" {
+		return 0
+	}
+	return router.Span(u.Prompt-u.Cached, pick.Speed) + router.Span(u.Output, pick.Pace)
+}
+
+// again waits before the next attempt, or returns what the caller is told.
+func (x *running) again(ctx context.Context, pick router.Pick, err error) error {
+	c := coder.Of(err)
+	x.suspect(ctx, pick, c)
+	x.e.meter.count(fmt.Sprintf("attempt.%d", c.Code))
+	if ctx.Err() != nil {
+		return err
+	}
+	if refusal(c.Code) && c.Run == coder.NotRun {
+		x.e.control.refused(pick, c.Retry)
+		return nil
+	}
+	delay, err := x.e.control.again(retrier.Case{
+		Service: x.r.Service, Err: err, Once: x.r.Once, Sent: !x.r.Answer.Begin(),
+		Tries: x.tries, Left: x.left(), Share: x.r.Config.Limits.Retries,
+	})
+	if err != nil {
+		return err
+	}
+	x.exclude = append(x.exclude, pick.Target.ID)
+	x.e.meter.count("retries")
+	if sleep(ctx, delay) != nil {
+		return x.unplaced(ctx)
+	}
+	return nil
+}
+
+// suspect reports a request that was running when its target was lost.
+func (x *running) suspect(ctx context.Context, pick router.Pick, c *coder.Error) {
+	if c.Code != coder.TargetLost || c.Run == coder.NotRun || x.e.cfg.Call == nil {
+		return
+	}
+	m := messenger.Suspect{Fingerprint: x.r.Fingerprint, Target: pick.Target.ID, Incarnation: pick.Target.Incarnation}
+	x.e.meter.count("suspects")
+	x.e.later(ctx, func(ctx context.Context) error {
+		var out messenger.Proposed
+		return x.e.cfg.Call(ctx, messenger.KindSuspect, &m, &out)
+	})
+}
--- /dev/null
+++ b/retrier/retrier.go
@@ -0,0 +1,102 @@
+// Package retrier decides whether a failed attempt is followed by another, and
+// after what delay.
+package retrier
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bramleyshunt/coder"
+)
+
+const (
+	// DefaultShare of a service's traffic may be retries when the limit is zero.
+	DefaultShare = 0.1
+
+	mostBudget = 20.0 // retries saved up at most
+	mostTries  = 6
+	firstDelay = 10 * time.Millisecond
+	mostDelay  = time.Second
+	seedStream = 0x72657472
+)
+
+// Case is one failed attempt.
+type Case struct {
+	Service string
+	Err     error
+	Once    bool          // the request is not idempotent
+	Sent    bool          // part of an answer has reached the caller
+	Tries   int           // attempts made so far
+	Left    time.Duration // until the deadline
+	Share   float64       // of traffic that may be retries; DefaultShare if zero
+}
+
+// Retrier keeps a retry budget per service. The zero value starts with full budgets.
+type Retrier struct {
+	Seed uint64
+
+	rnd   *rand.Rand
+	spent map[string]float64
+}
+
+// First credits a service's budget with one first attempt.
+func (r *Retrier) First(service string, share float64) {
+	r.spend(service, -rate(share))
+}
+
+// Again returns the delay before the next attempt, or the error that the caller
+// is told: that of the attempt, or RetryBudget when the budget is the reason.
+func (r *Retrier) Again(c Case) (time.Duration, error) {
+	e := coder.Of(c.Err)
+	if !repeatable(e, c) {
+		return 0, c.Err
+	}
+	delay := r.delay(c.Tries)
+	if c.Tries >= mostTries || delay >= c.Left {
+		return 0, c.Err
+	}
+	if r.spent[c.Service] > mostBudget-1 {
+		return 0, &coder.Error{Code: coder.RetryBudget, Run: e.Run, Retry: max(e.Retry, time.Second), Cause: c.Err}
+	}
+	r.spend(c.Service, 1)
+	return delay, nil
+}
+
+// repeatable reports whether another attempt is safe and may help.
+func repeatable(e *coder.Error, c Case) bool {
+	if c.Sent || c.Once && e.Run != coder.NotRun {
+		return false
+	}
+	switch e.Code {
+	case coder.Cancelled, coder.DeadlineExceeded, coder.Quarantined, coder.Internal:
+		return false
+	default:
+		return e.Code >= 2000 && e.Code < 4000 || e.Code == coder.Silent || e.Code == coder.UnknownAttempt
+	}
+}
+
+func (r *Retrier) spend(service string, n float64) {
+	if r.spent == nil {
+		r.spent = map[string]float64{}
+	}
+	r.spent[service] = max(0, r.spent[service]+n)
+}
+
+// delay doubles with each try; half of it is random.
+func (r *Retrier) delay(tries int) time.Duration {
+	if r.rnd == nil {
+		r.rnd = rand.New(rand.NewPCG(r.Seed, seedStream))
+	}
+	d := firstDelay
+	for range max(0, tries-1) {
+		d = min(2*d, mostDelay)
+	}
+	return d/2 + time.Duration(r.rnd.Int64N(int64(d/2)))
+}
+
+func rate(share float64) float64 {
+	if share > 0 {
+		return share
+	}
+	return DefaultShare
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,394 @@
+// Package router picks a target for a request from hints that may be old: the
+// load that targets reported, this entry's own sends since, and the prompts it
+// sent where. A wrong pick costs a refusal by the target's agent, nothing more.
+package router
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bramleyshunt/messenger"
+)
+
+const (
+	// LaneShort is the lane of targets kept for short prompts.
+	LaneShort = "short"
+	// LaneLong is the lane of targets kept for long prompts.
+	LaneLong = "long"
+
+	// DefaultLong is the prompt above which a request is kept off the short
+	// lane, in tokens.
+	DefaultLong = 32768
+	// DefaultSpeed is the prefill of a target that reported none, in tokens a second.
+	DefaultSpeed = 8000
+	// DefaultPace is the decode of a target that reported none, in tokens a
+	// second and request.
+	DefaultPace = 25
+	// DefaultWait is the most predicted wait at a target that may be sent to.
+	DefaultWait = 250 * time.Millisecond
+
+	wanted     = 2 // candidates scored beside the cached one
+	extraDraws = 4 // draws beyond twice the logarithm of the replicas
+	seedStream = 0x726f7574
+)
+
+// Case is one request to be placed.
+type Case struct {
+	Service string
+	Prompt  int      // tokens
+	Output  int      // tokens
+	Prefix  []uint64 // hashes of the prompt's beginnings, shortest first
+	Text    int      // bytes of prompt text
+	Exclude []string // targets that failed or refused it
+	Any     bool     // take a target however long the wait is
+}
+
+// Pick is a chosen target and what is expected of it.
+type Pick struct {
+	Target messenger.Target
+	Wait   time.Duration // before prefill starts
+	Cached int           // tokens expected in its cache
+	Speed  int           // prefill tokens a second
+	Pace   int           // decode tokens a second
+}
+
+// Router keeps what is known of targets. Zero fields take the defaults.
+type Router struct {
+	Seed uint64
+	Long int           // tokens
+	Wait time.Duration // most predicted wait
+	Off  Parts         // parts switched off, for measurements
+
+	Examined uint64 // candidates looked at, for measurements
+
+	rnd     *rand.Rand
+	byID    map[string]*state
+	byName  map[string]*index
+	history history
+}
+
+// Parts names what can be switched off.
+type Parts struct {
+	Lanes  bool
+	Own    bool // own sends
+	Cached bool
+	Gate   bool // the bound on the wait
+}
+
+// index holds one service's targets by lane, so that a draw costs the same in
+// a large service as in a small one.
+type index struct {
+	all   []*state
+	short []*state // may take short prompts by lane
+	long  []*state // may take long prompts
+	spare []*state // long lane, open to short prompts while idle
+	sums  [2]Sum   // of short and long
+}
+
+// Sum adds up the targets that a request may be sent to.
+type Sum struct {
+	Targets int
+	Speed   int // prefill tokens a second of all
+	Pace    int // decode tokens a second and request, mean
+	Memory  int // tokens, of the largest
+}
+
+// state is what is known of one target.
+type state struct {
+	target messenger.Target
+	others int // prompt tokens waiting there that this entry did not send
+	own    int // prompt tokens sent by this entry and not yet prefilled
+	held   int // memory taken by this entry's sends since the report
+	until  time.Time
+}
+
+// Update takes the targets of a view. Reports older than the known ones are left out.
+func (r *Router) Update(targets []messenger.Target) {
+	byID := make(map[string]*state, len(targets))
+	byName := map[string]*index{}
+	for _, t := range targets {
+		s := r.byID[t.ID]
+		if s == nil || s.target.Incarnation != t.Incarnation {
+			s = &state{target: t, others: t.Load.Waiting}
+		}
+		s.adopt(t)
+		byID[t.ID] = s
+		if !t.Leaving {
+			x := byName[t.Service]
+			if x == nil {
+				x = &index{}
+				byName[t.Service] = x
+			}
+			x.add(s)
+		}
+	}
+	for _, x := range byName {
+		x.sums = [2]Sum{sum(x.short), sum(x.long)}
+	}
+	r.byID, r.byName = byID, byName
+}
+
+func sum(set []*state) Sum {
+	var n Sum
+	for _, s := range set {
+		n.Targets++
+		n.Speed += first(s.target.Load.Speed, DefaultSpeed)
+		n.Pace += first(s.target.Load.Pace, DefaultPace)
+		n.Memory = max(n.Memory, s.target.Load.Memory)
+	}
+	n.Pace /= max(1, n.Targets)
+	return n
+}
+
+func first(v, otherwise int) int {
+	if v > 0 {
+		return v
+	}
+	return otherwise
+}
+
+// Sum returns the sum of the targets open to short or long prompts of a service.
+func (r *Router) Sum(service string, long bool) Sum {
+	x := r.byName[service]
+	switch {
+	case x == nil:
+		return Sum{}
+	case long:
+		return x.sums[1]
+	default:
+		return x.sums[0]
+	}
+}
+
+// IsLong reports whether a prompt is kept off the short lane.
+func (r *Router) IsLong(prompt int) bool { return prompt > r.long() }
+
+func (s *state) adopt(t messenger.Target) {
+	known := s.target.Load
+	s.target = t
+	if t.Load.Seq <= known.Seq {
+		s.target.Load = known
+		return
+	}
+	s.report(t.Load)
+}
+
+func (s *state) report(l messenger.Load) {
+	s.target.Load = l
+	s.others = max(0, l.Waiting-s.own)
+	s.held = 0
+}
+
+func (x *index) add(s *state) {
+	x.all = append(x.all, s)
+	lane := s.target.Lane
+	if lane != LaneLong {
+		x.short = append(x.short, s)
+	}
+	if lane != LaneShort {
+		x.long = append(x.long, s)
+	}
+	if lane == LaneLong {
+		x.spare = append(x.spare, s)
+	}
+}
+
+// Report takes the load that a target's agent sent with an answer.
+func (r *Router) Report(id string, incarnation uint64, l messenger.Load) {
+	s := r.byID[id]
+	if s != nil && s.target.Incarnation == incarnation && l.Seq > s.target.Load.Seq {
+		s.report(l)
+	}
+}
+
+// Sent records a request given to a target.
+func (r *Router) Sent(now time.Time, p Pick, c Case) {
+	s := r.byID[p.Target.ID]
+	if s == nil {
+		return
+	}
+	s.own += c.Prompt - p.Cached
+	s.held += c.Prompt + c.Output
+	r.history.add(now, c.Prefix, s.target)
+}
+
+// Started records that the prefill of a request sent earlier ended or that the
+// request is over, whichever came first.
+func (r *Router) Started(p Pick, c Case) {
+	s := r.byID[p.Target.ID]
+	if s != nil && s.target.Incarnation == p.Target.Incarnation {
+		s.own = max(0, s.own-(c.Prompt-p.Cached))
+	}
+}
+
+// Refused keeps new requests off a target until a time, or its next incarnation.
+func (r *Router) Refused(id string, until time.Time) {
+	if s := r.byID[id]; s != nil && until.After(s.until) {
+		s.until = until
+	}
+}
+
+// Known reports whether a service has a live target.
+func (r *Router) Known(service string) bool {
+	x := r.byName[service]
+	return x != nil && len(x.all) > 0
+}
+
+// Pick chooses a target, or returns false if none of the candidates can take
+// the request now. It looks at a number of targets that grows with the
+// logarithm of the replicas.
+func (r *Router) Pick(now time.Time, c Case) (Pick, bool) {
+	x := r.byName[c.Service]
+	if x == nil {
+		return Pick{}, false
+	}
+	best, found := r.remembered(now, c)
+	for _, s := range r.lanes(x, c) {
+		p, ok := r.draw(now, s, c)
+		if ok && (!found || r.better(p, best)) {
+			best, found = p, true
+		}
+		if found {
+			break
+		}
+	}
+	return best, found
+}
+
+// better compares the times to the first token.
+func (r *Router) better(a, b Pick) bool { return a.Wait-saved(a) < b.Wait-saved(b) }
+
+func saved(p Pick) time.Duration { return Span(p.Cached, p.Speed) }
+
+// lanes returns the sets to draw from, in the order in which they are tried.
+func (r *Router) lanes(x *index, c Case) [][]*state {
+	if r.Off.Lanes {
+		return [][]*state{x.all}
+	}
+	if c.Prompt > r.long() {
+		return [][]*state{x.long}
+	}
+	return [][]*state{x.short, x.spare}
+}
+
+// draw scores random targets of a set until two can take the request.
+func (r *Router) draw(now time.Time, set []*state, c Case) (Pick, bool) {
+	if r.rnd == nil {
+		r.rnd = rand.New(rand.NewPCG(r.Seed, seedStream))
+	}
+	var best Pick
+	n, found := len(set), 0
+	for i := range min(n, 2*bits.Len(uint(n))+extraDraws) {
+		j := i + r.rnd.IntN(n-i)
+		set[i], set[j] = set[j], set[i]
+		p, ok := r.weigh(now, set[i], c)
+		if !ok {
+			continue
+		}
+		if found == 0 || r.better(p, best) {
+			best = p
+		}
+		found++
+		if found == wanted {
+			break
+		}
+	}
+	return best, found > 0
+}
+
+// remembered weighs the target that last got the longest beginning of the prompt.
+func (r *Router) remembered(now time.Time, c Case) (Pick, bool) {
+	if r.Off.Cached {
+		return Pick{}, false
+	}
+	id, _ := r.history.find(now, c.Prefix, r.byID)
+	s := r.byID[id]
+	if s == nil || s.target.Leaving || s.target.Service != c.Service {
+		return Pick{}, false
+	}
+	if !r.Off.Lanes && !s.open(c.Prompt > r.long()) {
+		return Pick{}, false
+	}
+	return r.weigh(now, s, c)
+}
+
+// open applies the rule of draw's sets to one target.
+func (s *state) open(long bool) bool {
+	if long {
+		return s.target.Lane != LaneShort
+	}
+	return s.target.Lane != LaneLong || s.others+s.own == 0
+}
+
+// weigh predicts the wait at one target and reports whether it may be sent to.
+func (r *Router) weigh(now time.Time, s *state, c Case) (Pick, bool) {
+	r.Examined++
+	l := s.target.Load
+	p := Pick{Target: s.target, Speed: first(l.Speed, DefaultSpeed), Pace: first(l.Pace, DefaultPace)}
+	if !r.Off.Cached {
+		p.Cached = r.cached(now, s, c)
+	}
+	p.Wait = Span(r.waiting(s), p.Speed)
+	if slices.Contains(c.Exclude, s.target.ID) {
+		return p, false
+	}
+	if c.Any {
+		return p, true
+	}
+	return p, r.fits(now, s, c, p)
+}
+
+func (r *Router) waiting(s *state) int {
+	if r.Off.Own {
+		return s.target.Load.Waiting
+	}
+	return s.others + s.own
+}
+
+// fits applies memory, refusals, the bound on the wait, and the rule that short
+// prompts enter the long lane only while it is idle.
+func (r *Router) fits(now time.Time, s *state, c Case, p Pick) bool {
+	l := s.target.Load
+	if now.Before(s.until) {
+		return false
+	}
+	if l.Memory > 0 && l.Used+s.held+c.Prompt+c.Output > l.Memory {
+		return false
+	}
+	if r.Off.Gate {
+		return true
+	}
+	if !r.Off.Lanes && s.target.Lane == LaneLong && c.Prompt <= r.long() && r.waiting(s) > 0 {
+		return false
+	}
+	return p.Wait <= r.wait()
+}
+
+func (r *Router) cached(now time.Time, s *state, c Case) int {
+	id, i := r.history.find(now, c.Prefix, r.byID)
+	if id != s.target.ID || c.Text <= 0 {
+		return 0
+	}
+	return min(c.Prompt-1, int(int64(c.Prompt)*int64(Cut(i))/int64(c.Text)))
+}
+
+func (r *Router) long() int {
+	if r.Long > 0 {
+		return r.Long
+	}
+	return DefaultLong
+}
+
+func (r *Router) wait() time.Duration {
+	if r.Wait > 0 {
+		return r.Wait
+	}
+	return DefaultWait
+}
+
+// Span returns the time that tokens take at a rate in tokens a second.
+func Span(tokens, rate int) time.Duration {
+	return time.Duration(float64(tokens) / float64(rate) * float64(time.Second))
+}
