--- a/entry/claim.go
+++ b/entry/claim.go
@@ -25,14 +25,14 @@
 		cl := claimOf(r)
 		answer, err := e.claims.Hold(ctx, cl)
 		if err != nil {
-			return e.unclaimed(ctx, cl, err)
+			return e.unclaimed(cl, err)
 		}
 		if answer != nil {
 			e.meter.count("replayed")
 			return r.Answer.Reply(answer)
 		}
 		err = next(ctx, r)
-		e.settle(ctx, r, cl, err)
+		e.settle(r, cl, err)
 		return err
 	}
 }
@@ -44,10 +44,10 @@
 }
 
 // unclaimed gives back a claim that may have been recorded though no answer came.
-func (e *Entry) unclaimed(ctx context.Context, cl messenger.Claim, err error) error {
+func (e *Entry) unclaimed(cl messenger.Claim, err error) error {
 	c := coder.Of(err)
 	if c.Code == coder.NoQuorum {
-		e.later(ctx, func(ctx context.Context) error { return e.claims.Void(ctx, cl) })
+		e.later(func(ctx context.Context) error { return e.claims.Void(ctx, cl) })
 	}
 	if c.Code == coder.NoQuorum || c.Code == coder.ClaimHeld {
 		return retry(c, time.Second)
@@ -57,23 +57,23 @@
 
 // settle records the outcome. An unknown one leaves the claim as it is, so that
 // no resend runs.
-func (e *Entry) settle(ctx context.Context, r *chainer.Request, cl messenger.Claim, err error) {
+func (e *Entry) settle(r *chainer.Request, cl messenger.Claim, err error) {
 	switch {
 	case err == nil:
 		answer := r.Answer.Kept()
-		e.later(ctx, func(ctx context.Context) error { return e.claims.Done(ctx, cl, answer) })
+		e.later(func(ctx context.Context) error { return e.claims.Done(ctx, cl, answer) })
 	case coder.Of(err).Run == coder.NotRun:
-		e.later(ctx, func(ctx context.Context) error { return e.claims.Void(ctx, cl) })
+		e.later(func(ctx context.Context) error { return e.claims.Void(ctx, cl) })
 	case coder.Of(err).Run == coder.Ran:
-		e.later(ctx, func(ctx context.Context) error { return e.claims.Done(ctx, cl, nil) })
+		e.later(func(ctx context.Context) error { return e.claims.Done(ctx, cl, nil) })
 	}
 }
 
-// later runs f until it succeeds or its time is up, after the caller's answer.
-func (e *Entry) later(ctx context.Context, f func(context.Context) error) {
-	ctx = context.WithoutCancel(ctx)
+// later runs f until it succeeds, its time is up or the Entry ends, after the
+// caller's answer.
+func (e *Entry) later(f func(context.Context) error) {
 	e.wg.Go(func() {
-		ctx, stop := context.WithTimeout(ctx, claimLimit)
+		ctx, stop := context.WithTimeout(e.ctx, claimLimit)
 		defer stop()
 		for f(ctx) != nil && sleep(ctx, tick) == nil {
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,6 +49,7 @@
 	dispatch dispatcher.Dispatcher
 	accounts atomic.Pointer[accounts]
 	nextID   atomic.Uint64
+	ctx      context.Context // of work that outlives its request
 
 	mu      sync.Mutex // guards what follows
 	leaving bool
@@ -80,11 +81,14 @@
 		active:   map[string]*active{},
 		idle:     make(chan struct{}),
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.ctx = ctx
 	control, stop := newControl(cfg)
 	e.control = control
 	e.handler = e.chain()
 	e.mux = e.routes()
 	return e, func() {
+		cancel()
 		e.cancelAll()
 		e.wg.Wait()
 		e.dispatch.Wait()
@@ -117,7 +121,7 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
 
 // Drain turns readiness off, refuses new requests and returns when those in
-// hand have ended or ctx has.
+// hand have ended and their claims are settled, or ctx has ended.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.mu.Lock()
 	if !e.leaving {
@@ -130,6 +134,7 @@
 	e.mu.Unlock()
 	select {
 	case <-e.idle:
+		e.wg.Wait()
 		e.dispatch.Wait()
 		e.cfg.Log.Info("drained")
 		return nil
--- a/entry/run.go
+++ b/entry/run.go
@@ -19,8 +19,9 @@
 	r       *chainer.Request
 	exclude []string
 	tries   int
-	last    time.Time // of the last chunk
-	begun   bool      // the first chunk of any attempt came
+	last    time.Time    // of the last chunk
+	begun   bool         // the first chunk of any attempt came
+	failed  *coder.Error // of the last attempt that may have run
 }
 
 // run queues a request, has attempts made and passes the answer on.
@@ -29,19 +30,36 @@
 	for {
 		pick, err := x.place(ctx)
 		if err != nil {
-			return err
+			return x.told(err)
 		}
 		x.tries++
 		err = x.attempt(ctx, pick)
 		if err == nil {
 			return nil
 		}
+		if c := coder.Of(err); c.Run != coder.NotRun {
+			x.failed = c
+		}
 		if err := x.again(ctx, pick, err); err != nil {
-			return err
+			return x.told(err)
 		}
 	}
 }
 
+// told returns what the caller is told. Nothing that follows an attempt which
+// may have run says that the request did not run.
+func (x *running) told(err error) error {
+	if x.failed == nil || coder.Of(err).Run != coder.NotRun {
+		return err
+	}
+	if coder.Of(err).Code == coder.NoTarget {
+		return x.failed
+	}
+	e := *coder.Of(err)
+	e.Run = x.failed.Run
+	return &e
+}
+
 // place waits for a target until it is too late to finish in time.
 func (x *running) place(ctx context.Context) (router.Pick, error) {
 	need := x.e.control.needs(x.r)
@@ -159,7 +177,7 @@
 // again waits before the next attempt, or returns what the caller is told.
 func (x *running) again(ctx context.Context, pick router.Pick, err error) error {
 	c := coder.Of(err)
-	x.suspect(ctx, pick, c)
+	x.suspect(pick, c)
 	x.e.meter.count(fmt.Sprintf("attempt.%d", c.Code))
 	if ctx.Err() != nil {
 		return err
@@ -184,13 +202,13 @@
 }
 
 // suspect reports a request that was running when its target was lost.
-func (x *running) suspect(ctx context.Context, pick router.Pick, c *coder.Error) {
+func (x *running) suspect(pick router.Pick, c *coder.Error) {
 	if c.Code != coder.TargetLost || c.Run == coder.NotRun || x.e.cfg.Call == nil {
 		return
 	}
 	m := messenger.Suspect{Fingerprint: x.r.Fingerprint, Target: pick.Target.ID, Incarnation: pick.Target.Incarnation}
 	x.e.meter.count("suspects")
-	x.e.later(ctx, func(ctx context.Context) error {
+	x.e.later(func(ctx context.Context) error {
 		var out messenger.Proposed
 		return x.e.cfg.Call(ctx, messenger.KindSuspect, &m, &out)
 	})
--- a/queuer/queuer_test.go
+++ b/queuer/queuer_test.go
@@ -85,51 +85,68 @@
 	})
 })
 
-// TestQueuerKeeps checks against a plain set that nothing is lost, doubled or
-// served after its removal, and that the sums hold.
+// model is a plain set of what waits, beside the queue.
+type model struct {
+	q      queuer.Queuer
+	held   map[string]int
+	tokens int
+	next   int
+}
+
+func (m *model) Push(t *rapid.T) {
+	m.next++
+	it := &queuer.Item{
+		ID:      fmt.Sprint(m.next),
+		Cost:    rapid.IntRange(0, 1_000_000).Draw(t, "cost"),
+		Account: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"),
+		Share:   rapid.IntRange(0, 4).Draw(t, "share"),
+	}
+	m.held[it.ID] = it.Cost
+	m.tokens += it.Cost
+	m.q.Push(it)
+}
+
+func (m *model) Pop(t *rapid.T) {
+	it := m.q.Pop()
+	if it == nil {
+		if len(m.held) > 0 {
+			t.Fatalf("%d wait, none served", len(m.held))
+		}
+		return
+	}
+	m.forget(t, it.ID)
+}
+
+func (m *model) Remove(t *rapid.T) {
+	id := fmt.Sprint(rapid.IntRange(1, max(1, m.next)).Draw(t, "id"))
+	_, waits := m.held[id]
+	if m.q.Remove(id) != waits {
+		t.Fatalf("%s: waiting is %v", id, waits)
+	}
+	if waits {
+		m.forget(t, id)
+	}
+}
+
+func (m *model) forget(t *rapid.T, id string) {
+	cost, ok := m.held[id]
+	if !ok {
+		t.Fatalf("%s was not waiting", id)
+	}
+	delete(m.held, id)
+	m.tokens -= cost
+}
+
+func (m *model) Check(t *rapid.T) {
+	if m.q.Len() != len(m.held) || m.q.Tokens() != m.tokens {
+		t.Fatalf("%d of %d tokens, want %d of %d", m.q.Len(), m.q.Tokens(), len(m.held), m.tokens)
+	}
+}
+
+// TestQueuerKeeps checks that nothing is lost, doubled or served after its
+// removal, and that the sums hold.
 func TestQueuerKeeps(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var q queuer.Queuer
-		held := map[string]int{}
-		tokens, next := 0, 0
-		t.Repeat(map[string]func(*rapid.T){
-			"push": func(t *rapid.T) {
-				next++
-				id := fmt.Sprint(next)
-				cost := rapid.IntRange(0, 1_000_000).Draw(t, "cost")
-				account := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")
-				q.Push(&queuer.Item{ID: id, Account: account, Cost: cost, Share: rapid.IntRange(0, 4).Draw(t, "share")})
-				held[id] = cost
-				tokens += cost
-			},
-			"pop": func(t *rapid.T) {
-				it := q.Pop()
-				if it == nil {
-					if len(held) > 0 {
-						t.Fatalf("%d wait, none served", len(held))
-					}
-					return
-				}
-				if _, ok := held[it.ID]; !ok {
-					t.Fatalf("%s was not waiting", it.ID)
-				}
-				delete(held, it.ID)
-				tokens -= it.Cost
-			},
-			"remove": func(t *rapid.T) {
-				id := fmt.Sprint(rapid.IntRange(1, max(1, next)).Draw(t, "id"))
-				cost, ok := held[id]
-				if q.Remove(id) != ok {
-					t.Fatalf("%s: waiting is %v", id, ok)
-				}
-				delete(held, id)
-				tokens -= cost
-			},
-			"": func(t *rapid.T) {
-				if q.Len() != len(held) || q.Tokens() != tokens {
-					t.Fatalf("%d of %d tokens, want %d of %d", q.Len(), q.Tokens(), len(held), tokens)
-				}
-			},
-		})
+		t.Repeat(rapid.StateMachineActions(&model{held: map[string]int{}}))
 	})
 }
