Publish configuration, targets and quarantine to confirmed watchers

An update may lie in a socket while its reader is frozen, so a flag in it proves nothing of its age. Each Watch carries a number, and a keeper returns the highest one that arrived before a confirmation by a quorum began; the watcher counts its confirmation from the moment it sent that number. Confirmations are shared by all streams and announcements of a keeper. A withdrawn claim leaves a tombstone, so a late frame of its owner takes none.

--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -170,6 +170,23 @@
 		expectClaim(l.apply(claim("y", 8, messenger.ClaimHeld)), coder.OK, messenger.ClaimHeld, "y")
 	})
 
+	It("move a run that did not start to another target", func() {
+		l := newLog()
+		l.apply(claim("x", 7, messenger.ClaimHeld))
+		l.apply(claim("x", 7, messenger.ClaimRun))
+		other := claim("x", 7, messenger.ClaimRun)
+		other.Claim.Target = "other"
+		expectClaim(l.apply(other), coder.OK, messenger.ClaimRun, "x")
+		Expect(l.apply(claim("y", 7, messenger.ClaimHeld)).Claimed.Target).To(Equal("other"))
+	})
+
+	It("are not taken by an owner that withdrew before", func() {
+		l := newLog()
+		expectClaim(l.apply(claim("x", 7, messenger.ClaimVoid)), coder.OK, messenger.ClaimVoid, "x")
+		expectClaim(l.apply(claim("x", 7, messenger.ClaimHeld)), coder.Voided, messenger.ClaimVoid, "x")
+		expectClaim(l.apply(claim("y", 7, messenger.ClaimHeld)), coder.OK, messenger.ClaimHeld, "y")
+	})
+
 	It("expire by the time of commands", func() {
 		l := newLog()
 		l.apply(claim("x", 7, messenger.ClaimHeld))
--- a/applier/claims.go
+++ b/applier/claims.go
@@ -97,7 +97,7 @@
 	case messenger.ClaimDone:
 		return s.done(m, c, w)
 	case messenger.ClaimVoid:
-		return s.void(m, c, w)
+		return s.void(m, k, c, w)
 	default:
 		return &messenger.Claimed{Code: coder.Malformed}
 	}
@@ -118,13 +118,18 @@
 	if c == nil && len(s.held) >= MaxClaims {
 		return &messenger.Claimed{Code: coder.Overloaded}
 	}
-	c = &claim{Key: k, Digest: w.Digest, Owner: w.Owner, State: messenger.ClaimHeld}
+	c = s.add(k, w)
+	s.expire(c, m.now.Add(HeldTime))
+	return c.outcome(coder.OK)
+}
+
+func (s *claims) add(k claimKey, w *messenger.Claim) *claim {
 	if s.held == nil {
 		s.held = map[claimKey]*claim{}
 	}
+	c := &claim{Key: k, Digest: w.Digest, Owner: w.Owner, State: messenger.ClaimHeld}
 	s.held[k] = c
-	s.expire(c, m.now.Add(HeldTime))
-	return c.outcome(coder.OK)
+	return c
 }
 
 // refusal tells why a claim that exists stands against w, OK if it does not. An
@@ -161,13 +166,10 @@
 	return c.outcome(coder.ClaimHeld)
 }
 
+// run lets the owner start at a target, or at another one after the first said
+// that it did not run.
 func (s *claims) run(m moment, c *claim, w *messenger.Claim) *messenger.Claimed {
-	switch {
-	case !c.mine(w):
-		return lost(c)
-	case c.State == messenger.ClaimRun && c.Target == w.Target:
-		return c.outcome(coder.OK)
-	case c.State != messenger.ClaimHeld:
+	if !c.mine(w) || (c.State != messenger.ClaimHeld && c.State != messenger.ClaimRun) {
 		return lost(c)
 	}
 	c.State, c.Target = messenger.ClaimRun, w.Target
@@ -190,8 +192,12 @@
 	return c.outcome(coder.OK)
 }
 
-// void records that the owner's attempt never ran.
-func (s *claims) void(m moment, c *claim, w *messenger.Claim) *messenger.Claimed {
+// void records that the owner's attempt never ran. It leaves a tombstone where
+// there is no claim, so that the owner's late ClaimHeld takes none.
+func (s *claims) void(m moment, k claimKey, c *claim, w *messenger.Claim) *messenger.Claimed {
+	if c == nil {
+		c = s.add(k, w)
+	}
 	if !c.mine(w) || c.State == messenger.ClaimDone {
 		return lost(c)
 	}
--- a/applier/command.go
+++ b/applier/command.go
@@ -108,3 +108,6 @@
 	}
 	return data
 }
+
+// Encode returns the answer as Apply does.
+func (a *Answer) Encode() []byte { return encode(a) }
--- a/messenger/keeper.go
+++ b/messenger/keeper.go
@@ -27,6 +27,11 @@
 type Watch struct {
 	Node    string `msgpack:"node"`
 	Version uint64 `msgpack:"version"` // configuration held; zero for none
+
+	// Lean asks for the configuration alone, without targets and quarantine.
+	Lean bool `msgpack:"lean"`
+	// Seq rises with each Watch of a stream; see Update.Seq.
+	Seq uint64 `msgpack:"seq"`
 }
 
 // File is one configuration file; nil Data removes it.
@@ -35,16 +40,22 @@
 	Data []byte `msgpack:"data"`
 }
 
-// Update carries what changed since the last one of the same stream.
+// Update carries what changed since the last one of the same stream. The first
+// one of a stream carries all targets and the whole quarantine. A watcher sends
+// another Watch on the stream to report the version it has put in force.
 type Update struct {
 	Version   uint64   `msgpack:"version"`
-	Full      bool     `msgpack:"full"` // Files is the whole folder, Targets all targets
+	Full      bool     `msgpack:"full"` // Files is the whole folder
 	Files     []File   `msgpack:"files"`
 	Targets   []Target `msgpack:"targets"`
 	Gone      []string `msgpack:"gone"`      // target ids whose lease ended
-	Confirmed bool     `msgpack:"confirmed"` // the keeper confirmed Version with a quorum just now
-	Blocked   []uint64 `msgpack:"blocked"`   // quarantined fingerprints, whole list when Full
+	Confirmed bool     `msgpack:"confirmed"` // the keeper has just reached a quorum
+	Blocked   []uint64 `msgpack:"blocked"`   // quarantined fingerprints that are new
 	Freed     []uint64 `msgpack:"freed"`     // fingerprints whose quarantine ended
+	// Seq is the highest Seq of a Watch that arrived before a quorum was asked and
+	// confirmed Version. Its age bounds the age of what the watcher holds, however
+	// long the Update was on its way.
+	Seq uint64 `msgpack:"seq"`
 }
 
 // State is the state of an idempotency claim.
@@ -114,3 +125,19 @@
 	Code  coder.Code `msgpack:"code"`
 	Fence uint64     `msgpack:"fence"` // highest number executed
 }
+
+// Nodes asks a keeper which nodes it has heard of.
+type Nodes struct{}
+
+// Node tells what a keeper knows of one node.
+type Node struct {
+	Node    string        `msgpack:"node" json:"node"`
+	Version uint64        `msgpack:"version" json:"version"` // in force there
+	Target  string        `msgpack:"target" json:"target"`   // announced by it, if any
+	Seen    time.Duration `msgpack:"seen" json:"seen"`       // since it was last heard of
+}
+
+// NodesListed answers Nodes.
+type NodesListed struct {
+	Nodes []Node `msgpack:"nodes"` // in order of their names
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -57,6 +57,9 @@
 	KindFound
 	KindConfirm
 	KindConfirmed
+	// Keepers on behalf of operators.
+	KindNodes
+	KindNodesListed
 )
 
 // Class is the length class of a prompt.
--- /dev/null
+++ b/publisher/board.go
@@ -0,0 +1,143 @@
+package publisher
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"bramleyshunt/applier"
+	"bramleyshunt/messenger"
+	"bramleyshunt/registrar"
+)
+
+// idleGap is the longest time between two updates of a stream.
+const idleGap = 900 * time.Millisecond
+
+// maxProofs bounds the Seqs that wait; the oldest go first.
+const maxProofs = 64
+
+// board is all that watchers may be told at one moment. It is never changed.
+type board struct {
+	view      *applier.View
+	blocked   []uint64
+	live      []registrar.Entry
+	gone      []registrar.Gone
+	rev       uint64 // of the leases
+	confirmed bool   // the last round reached a quorum
+	round     uint64
+	next      chan struct{} // closed when the next board is there
+}
+
+// cursor is what one stream has been told.
+type cursor struct {
+	lean    bool
+	begun   bool
+	proved  bool // a Seq was returned
+	version uint64
+	rev     uint64
+	blocked []uint64
+	round   uint64
+	sent    time.Time
+	proofs  proofs
+}
+
+// update returns what the stream must be told now, nil if nothing. A stream
+// hears of something at least every idleGap, and of its first proof at once.
+func (c *cursor) update(b *board, now time.Time) *messenger.Update {
+	u := &messenger.Update{Version: b.view.Version}
+	if b.view.Version > c.version {
+		c.files(u, b.view)
+	}
+	if !c.lean {
+		c.targets(u, b)
+		c.quarantine(u, b)
+	}
+	empty := !u.Full && len(u.Files)+len(u.Targets)+len(u.Gone)+len(u.Blocked)+len(u.Freed) == 0
+	first := !c.proved && b.confirmed && c.proofs.ready(b.round)
+	if empty && c.begun && !first && now.Sub(c.sent) < idleGap {
+		return nil
+	}
+	if b.confirmed && b.round > c.round {
+		u.Confirmed, c.round = true, b.round
+		u.Seq = c.proofs.take(b.round)
+		c.proved = c.proved || u.Seq > 0
+	}
+	c.begun, c.version, c.rev, c.blocked, c.sent = true, max(c.version, b.view.Version), b.rev, b.blocked, now
+	return u
+}
+
+// proofs is the Seqs of a stream that wait for a confirmation begun after them.
+type proofs struct {
+	mu      sync.Mutex
+	waiting []proof
+}
+
+type proof struct {
+	seq  uint64
+	need uint64 // number of the first round begun after seq arrived
+}
+
+func (p *proofs) add(seq, need uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting = append(p.waiting, proof{seq, need})
+	if len(p.waiting) > maxProofs {
+		p.waiting = p.waiting[1:]
+	}
+}
+
+// ready reports whether the round proves any Seq.
+func (p *proofs) ready(round uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiting) > 0 && p.waiting[0].need <= round
+}
+
+// take returns the highest Seq that the round proves, zero if none.
+func (p *proofs) take(round uint64) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	seq := uint64(0)
+	for len(p.waiting) > 0 && p.waiting[0].need <= round {
+		seq = p.waiting[0].seq
+		p.waiting = p.waiting[1:]
+	}
+	return seq
+}
+
+func (c *cursor) files(u *messenger.Update, v *applier.View) {
+	files, known := v.Delta(c.version)
+	if !known {
+		u.Full, files = true, v.Files
+	}
+	u.Files = files
+}
+
+func (c *cursor) targets(u *messenger.Update, b *board) {
+	for _, e := range b.live {
+		if e.Rev > c.rev || !c.begun {
+			u.Targets = append(u.Targets, e.Target)
+		}
+	}
+	for _, g := range b.gone {
+		if g.Rev > c.rev && c.begun {
+			u.Gone = append(u.Gone, g.ID)
+		}
+	}
+}
+
+func (c *cursor) quarantine(u *messenger.Update, b *board) {
+	u.Blocked = without(b.blocked, c.blocked)
+	u.Freed = without(c.blocked, b.blocked)
+}
+
+// without returns the numbers of a that are not in b. Both are sorted.
+func without(a, b []uint64) []uint64 {
+	var out []uint64
+	for _, x := range a {
+		if _, found := slices.BinarySearch(b, x); !found {
+			out = append(out, x)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,181 @@
+// Package registrar keeps the leases of targets that announce themselves. A
+// higher incarnation replaces a lower one for good; a lease that is not renewed
+// ends. It is a pure decider: time comes in.
+package registrar
+
+import (
+	"cmp"
+	"math/bits"
+	"reflect"
+	"slices"
+	"time"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+)
+
+const (
+	// DefaultLease is used when an announcement names no lease.
+	DefaultLease = 3 * time.Second
+	// MaxLease bounds what an announcement may ask for.
+	MaxLease = 30 * time.Second
+	// Remembered is how long the incarnation of a target that has gone still
+	// bars lower ones.
+	Remembered = time.Hour
+	// MaxTargets bounds the targets held at once.
+	MaxTargets = 16384
+
+	loadSteps = 8 // steps of a load figure between two powers of two
+)
+
+// Entry is one live target.
+type Entry struct {
+	Target messenger.Target
+	Since  time.Time // first announcement of this incarnation
+	Until  time.Time // end of the lease
+	Rev    uint64    // of the last change that watchers must see
+}
+
+// Gone is a target whose lease ended.
+type Gone struct {
+	ID          string
+	Incarnation uint64
+	At          time.Time
+	Rev         uint64
+}
+
+// Registrar holds the leases. The zero value is ready.
+type Registrar struct {
+	rev  uint64
+	live map[string]*Entry
+	gone map[string]Gone
+}
+
+// Announce renews a lease. The error carries WrongIncarnation for an incarnation
+// lower than one seen, Malformed for a target without id or incarnation, and
+// Overloaded when there are too many targets.
+func (r *Registrar) Announce(now time.Time, a messenger.Announce) (Entry, error) {
+	t := a.Target
+	if t.ID == "" || t.Incarnation == 0 {
+		return Entry{}, coder.Errorf(coder.Malformed, "a target needs an id and an incarnation")
+	}
+	if seen := r.seen(t.ID); t.Incarnation < seen {
+		return Entry{}, coder.Errorf(coder.WrongIncarnation, "target %q: %d is below %d", t.ID, t.Incarnation, seen)
+	}
+	e := r.live[t.ID]
+	if e == nil && len(r.live) >= MaxTargets {
+		return Entry{}, coder.Errorf(coder.Overloaded, "%d targets are announced", len(r.live))
+	}
+	if e == nil || e.Target.Incarnation < t.Incarnation {
+		e = r.add(now, t.ID)
+	}
+	if e.Rev == 0 || differs(e.Target, t) {
+		r.rev++
+		e.Rev = r.rev
+		e.Target = t
+	}
+	e.Until = now.Add(lease(a.Lease))
+	return *e, nil
+}
+
+func lease(d time.Duration) time.Duration {
+	if d <= 0 {
+		return DefaultLease
+	}
+	return min(d, MaxLease)
+}
+
+// seen returns the highest incarnation of a target known, zero if none is.
+func (r *Registrar) seen(id string) uint64 {
+	if e := r.live[id]; e != nil {
+		return e.Target.Incarnation
+	}
+	return r.gone[id].Incarnation
+}
+
+func (r *Registrar) add(now time.Time, id string) *Entry {
+	if r.live == nil {
+		r.live, r.gone = map[string]*Entry{}, map[string]Gone{}
+	}
+	delete(r.gone, id)
+	e := &Entry{Since: now}
+	r.live[id] = e
+	return e
+}
+
+// differs reports whether watchers must see the new figures: any change but a
+// load figure that stays within its step.
+func differs(old, t messenger.Target) bool {
+	if step(old.Load) != step(t.Load) {
+		return true
+	}
+	old.Load, t.Load = messenger.Load{}, messenger.Load{}
+	old.Config, t.Config = 0, 0
+	return !reflect.DeepEqual(old, t)
+}
+
+// step maps each load figure to its step.
+func step(l messenger.Load) messenger.Load {
+	return messenger.Load{
+		Waiting: level(l.Waiting), Running: level(l.Running), Used: level(l.Used),
+		Memory: l.Memory, Speed: level(l.Speed), Pace: level(l.Pace),
+	}
+}
+
+// level numbers the steps: loadSteps of them between two powers of two.
+func level(n int) int {
+	if n < 2*loadSteps {
+		return n
+	}
+	shift := bits.Len(uint(n)) - bits.Len(uint(loadSteps))
+	return shift*loadSteps + n>>shift
+}
+
+// Expire ends the leases that are over and returns their targets' ids in order.
+func (r *Registrar) Expire(now time.Time) []string {
+	var ended []string
+	for id, e := range r.live {
+		if !now.Before(e.Until) {
+			ended = append(ended, id)
+		}
+	}
+	slices.Sort(ended)
+	for _, id := range ended {
+		r.rev++
+		r.gone[id] = Gone{ID: id, Incarnation: r.live[id].Target.Incarnation, At: now, Rev: r.rev}
+		delete(r.live, id)
+	}
+	r.forget(now)
+	return ended
+}
+
+func (r *Registrar) forget(now time.Time) {
+	for id, g := range r.gone {
+		if now.Sub(g.At) >= Remembered {
+			delete(r.gone, id)
+		}
+	}
+}
+
+// Rev returns the number of the last change that watchers must see.
+func (r *Registrar) Rev() uint64 { return r.rev }
+
+// Live returns the live targets in order of their ids.
+func (r *Registrar) Live() []Entry {
+	out := make([]Entry, 0, len(r.live))
+	for _, e := range r.live {
+		out = append(out, *e)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Target.ID, b.Target.ID) })
+	return out
+}
+
+// Gone returns the targets that have gone and are remembered, in order of ids.
+func (r *Registrar) Gone() []Gone {
+	out := make([]Gone, 0, len(r.gone))
+	for _, g := range r.gone {
+		out = append(out, g)
+	}
+	slices.SortFunc(out, func(a, b Gone) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,87 @@
+package registrar_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+	"bramleyshunt/registrar"
+)
+
+func TestRegistrar(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "registrar")
+}
+
+var start = time.Unix(1000, 0)
+
+func announce(r *registrar.Registrar, at time.Duration, t messenger.Target) error {
+	_, err := r.Announce(start.Add(at), messenger.Announce{Target: t, Lease: 3 * time.Second})
+	return err
+}
+
+func target(inc uint64) messenger.Target {
+	return messenger.Target{ID: "t", Incarnation: inc, Load: messenger.Load{Waiting: 1000, Memory: 1 << 20}}
+}
+
+func expectLive(r *registrar.Registrar, incs ...uint64) {
+	GinkgoHelper()
+	live := []uint64{}
+	for _, e := range r.Live() {
+		live = append(live, e.Target.Incarnation)
+	}
+	Expect(live).To(Equal(append([]uint64{}, incs...)))
+}
+
+var _ = Describe("leases", func() {
+	var r *registrar.Registrar
+	BeforeEach(func() { r = &registrar.Registrar{} })
+
+	It("end unless they are renewed", func() {
+		Expect(announce(r, 0, target(1))).To(Succeed())
+		Expect(announce(r, 2*time.Second, target(1))).To(Succeed())
+		Expect(r.Expire(start.Add(4 * time.Second))).To(BeEmpty())
+		Expect(r.Expire(start.Add(5 * time.Second))).To(Equal([]string{"t"}))
+		expectLive(r)
+	})
+
+	It("go to the higher incarnation for good", func() {
+		Expect(announce(r, 0, target(5))).To(Succeed())
+		Expect(announce(r, 0, target(7))).To(Succeed())
+		Expect(coder.Of(announce(r, 0, target(5))).Code).To(Equal(coder.WrongIncarnation))
+		expectLive(r, 7)
+		r.Expire(start.Add(time.Minute))
+		Expect(coder.Of(announce(r, time.Minute, target(6))).Code).To(Equal(coder.WrongIncarnation))
+		Expect(announce(r, time.Minute, target(7))).To(Succeed())
+		expectLive(r, 7)
+		r.Expire(start.Add(2 * time.Minute))
+		r.Expire(start.Add(registrar.Remembered + 2*time.Minute))
+		Expect(announce(r, 2*registrar.Remembered, target(1))).To(Succeed())
+	})
+
+	It("refuse a target without id or incarnation", func() {
+		Expect(coder.Of(announce(r, 0, messenger.Target{Incarnation: 1})).Code).To(Equal(coder.Malformed))
+		Expect(coder.Of(announce(r, 0, messenger.Target{ID: "t"})).Code).To(Equal(coder.Malformed))
+	})
+
+	DescribeTable("tell watchers of", func(edit func(*messenger.Target), told bool) {
+		Expect(announce(r, 0, target(1))).To(Succeed())
+		before := r.Rev()
+		t := target(1)
+		edit(&t)
+		Expect(announce(r, 0, t)).To(Succeed())
+		Expect(r.Rev() > before).To(Equal(told))
+	},
+		Entry("nothing new", func(*messenger.Target) {}, false),
+		Entry("a load within its step", func(t *messenger.Target) { t.Load.Waiting, t.Load.Seq = 1020, 9 }, false),
+		Entry("a load in another step", func(t *messenger.Target) { t.Load.Waiting = 1200 }, true),
+		Entry("the first request", func(t *messenger.Target) { t.Load.Running = 1 }, true),
+		Entry("leaving", func(t *messenger.Target) { t.Leaving = true }, true),
+		Entry("another version", func(t *messenger.Target) { t.Version = "2" }, true),
+		Entry("an adapter", func(t *messenger.Target) { t.Adapters = []string{"a"} }, true),
+	)
+})
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,193 @@
+// Package watcher keeps this process's confirmed view of configuration, targets
+// and quarantine. It follows one keeper at a time, adopts only higher versions,
+// and says when what it holds can no longer be confirmed.
+package watcher
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/configurer"
+	"bramleyshunt/messenger"
+	"bramleyshunt/pooler"
+	"bramleyshunt/setter"
+)
+
+const (
+	// StaleAfter is how long a view holds without a confirmation.
+	StaleAfter = 5 * time.Second
+	// DefaultSilence is how long the watcher stays with a keeper that sends
+	// nothing, or that reaches no quorum.
+	DefaultSilence = 1500 * time.Millisecond
+	// reportEvery is the time between two reports to the keeper.
+	reportEvery = time.Second
+	// againAfter is the pause before the next keeper is tried.
+	againAfter = 50 * time.Millisecond
+)
+
+// Config says who watches and whom.
+type Config struct {
+	Node    string
+	Keepers []setter.Keeper
+	Pool    *pooler.Pooler
+	Lean    bool          // configuration only, no targets and no quarantine
+	Silence time.Duration // DefaultSilence if zero
+	Log     *logrus.Entry
+	Metrics metrics.Registry
+	Now     func() time.Time
+}
+
+// View is what is in force. It is never changed.
+type View struct {
+	Version   uint64
+	Config    *configurer.Configurer
+	Targets   []messenger.Target // in order of their ids
+	ByService map[string][]messenger.Target
+	Blocked   map[uint64]bool // quarantined fingerprints
+}
+
+// Watcher follows the keepers.
+type Watcher struct {
+	cfg  Config
+	view atomic.Pointer[View]
+	ctx  context.Context
+	wg   conc.WaitGroup
+
+	mu        sync.Mutex
+	changed   chan struct{}
+	confirmed time.Time // when the last proven Watch was sent
+
+	// Of the goroutine that follows.
+	state state
+	stale bool
+}
+
+// New returns a Watcher and the function that ends it.
+func New(cfg Config) (*Watcher, func(), error) {
+	if len(cfg.Keepers) == 0 || cfg.Pool == nil {
+		return nil, nil, coder.Errorf(coder.Internal, "watcher needs Keepers and Pool")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Watcher{cfg: cfg.withDefaults(), ctx: ctx, changed: make(chan struct{}), stale: true}
+	w.wg.Go(w.run)
+	return w, func() {
+		cancel()
+		w.wg.Wait()
+	}, nil
+}
+
+func (c Config) withDefaults() Config {
+	if c.Silence <= 0 {
+		c.Silence = DefaultSilence
+	}
+	if c.Log == nil {
+		l := logrus.New()
+		l.SetOutput(io.Discard)
+		c.Log = logrus.NewEntry(l)
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
+// View returns what is in force, nil before the first confirmed update.
+func (w *Watcher) View() *View { return w.view.Load() }
+
+// Changed returns a channel that is closed when the view is next replaced.
+func (w *Watcher) Changed() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+// Confirmed returns when the keepers last confirmed the view, counted from the
+// moment the watcher asked; zero for never.
+func (w *Watcher) Confirmed() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.confirmed
+}
+
+// Ready returns code Stale if there is no view or it was not confirmed for
+// StaleAfter. A process that was frozen finds itself stale when it wakes.
+func (w *Watcher) Ready() error {
+	at := w.Confirmed()
+	if w.View() == nil || at.IsZero() {
+		return coder.Errorf(coder.Stale, "no configuration was confirmed yet")
+	}
+	if age := w.cfg.Now().Sub(at); age > StaleAfter {
+		return coder.Errorf(coder.Stale, "configuration %d was last confirmed %s ago", w.View().Version, age.Round(time.Second))
+	}
+	return nil
+}
+
+// run follows one keeper after the other, beginning at one that depends on the
+// node's name so that nodes spread over keepers.
+func (w *Watcher) run() {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(w.cfg.Node))
+	for i := int(h.Sum32() % uint32(len(w.cfg.Keepers))); w.ctx.Err() == nil; i++ {
+		k := w.cfg.Keepers[i%len(w.cfg.Keepers)]
+		w.follow(k.Address)
+		metrics.GetOrRegisterCounter("watcher.keeper.left", w.cfg.Metrics).Inc(1)
+		w.note()
+		pause(w.ctx, againAfter)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// note logs when the view becomes stale or confirmed.
+func (w *Watcher) note() {
+	err := w.Ready()
+	if (err != nil) == w.stale {
+		return
+	}
+	w.stale = err != nil
+	if err != nil {
+		w.cfg.Log.WithError(err).Warn("configuration is stale")
+		return
+	}
+	w.cfg.Log.WithField("version", w.View().Version).Info("configuration is confirmed")
+}
+
+// publish replaces the view.
+func (w *Watcher) publish(v *View) {
+	old := w.view.Swap(v)
+	if old == nil || old.Version != v.Version {
+		w.cfg.Log.WithField("version", v.Version).Info("configuration put in force")
+	}
+	metrics.GetOrRegisterGauge("watcher.version", w.cfg.Metrics).Update(int64(v.Version))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *Watcher) prove(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if at.After(w.confirmed) {
+		w.confirmed = at
+	}
+}
