Serve entries beside the target

The agent holds the reservations on one control goroutine, streams answers on others, keeps them for a resume, ends what nobody reads or what has run out of time, reconciles with the engine's report every second, announces itself to every keeper and executes orders one at a time behind the fencing number.

--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,197 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/agent"
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+	"bramleyshunt/muxer"
+	"bramleyshunt/pooler"
+	"bramleyshunt/setter"
+)
+
+func TestAgent(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(10 * time.Second)
+	RunSpecs(t, "agent")
+}
+
+var key = muxer.Config{Node: "test", Key: []byte("fleet")}
+
+// listen serves exchanges on loopback and returns the address.
+func listen(handle func(context.Context, *muxer.Stream)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = muxer.Serve(ctx, l, key, handle)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		<-done
+	})
+	return l.Addr().String()
+}
+
+// node is an agent under test with its entry side.
+type node struct {
+	agent *agent.Agent
+	addr  string
+	stop  func()
+
+	mu       sync.Mutex
+	suspects []messenger.Suspect
+}
+
+func (n *node) call(_ context.Context, _ messenger.Kind, v, _ any) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.suspects = append(n.suspects, *v.(*messenger.Suspect))
+	return nil
+}
+
+func (n *node) reported() []messenger.Suspect {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]messenger.Suspect{}, n.suspects...)
+}
+
+// start runs an agent for an engine and waits until it takes work.
+func start(e *stub, change func(*agent.Config)) *node {
+	n := &node{}
+	cfg := agent.Config{
+		Settings: &setter.Setter{Node: "n1", Target: setter.Target{Kind: "engine", Service: "s"}},
+		Engine:   e.engine(), Call: n.call, Every: 20 * time.Millisecond,
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	a, stop, err := agent.New(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	n.agent, n.stop = a, sync.OnceFunc(stop)
+	DeferCleanup(n.stop)
+	n.addr = listen(func(ctx context.Context, s *muxer.Stream) {
+		msg, err := s.Receive(ctx)
+		if err == nil && !a.Handle(ctx, s, msg) {
+			_ = s.Fail("", coder.Errorf(coder.BadFrame, "kind %s", msg.Kind))
+		}
+	})
+	Eventually(func() bool { return n.agent.Target().Leaving }).Should(BeFalse())
+	return n
+}
+
+// dial returns a new connection and the function that cuts it.
+func (n *node) dial() (*muxer.Muxer, func()) {
+	GinkgoHelper()
+	m, closer, err := muxer.Dial(context.Background(), n.addr, key)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(closer)
+	return m, closer
+}
+
+func (n *node) reserve(id string) *messenger.Reserve {
+	return &messenger.Reserve{Attempt: id, Incarnation: n.agent.Target().Incarnation, Prompt: 10, Output: 5, Remaining: time.Minute, Fingerprint: 77}
+}
+
+func (n *node) runMessage(id, body string) *messenger.Run {
+	return &messenger.Run{Attempt: id, Incarnation: n.agent.Target().Incarnation, Remaining: time.Minute, Body: []byte(body)}
+}
+
+// grant reserves on a stream that stays open.
+func (n *node) grant(m *muxer.Muxer, id string) *muxer.Stream {
+	GinkgoHelper()
+	s, err := m.Open(messenger.KindReserve, n.reserve(id))
+	Expect(err).NotTo(HaveOccurred())
+	var got messenger.Reserved
+	Expect(receive(s).Decode(&got)).To(Succeed())
+	Expect(got.Attempt).To(Equal(id))
+	return s
+}
+
+// begin reserves and runs on one stream.
+func (n *node) begin(m *muxer.Muxer, id, body string) *muxer.Stream {
+	GinkgoHelper()
+	s := n.grant(m, id)
+	Expect(s.Send(messenger.KindRun, n.runMessage(id, body))).To(Succeed())
+	return s
+}
+
+func receive(s *muxer.Stream) muxer.Message {
+	GinkgoHelper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	msg, err := s.Receive(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	return msg
+}
+
+func expectChunk(s *muxer.Stream, seq uint64) {
+	GinkgoHelper()
+	msg := receive(s)
+	Expect(msg.Kind).To(Equal(messenger.KindChunk))
+	var c messenger.Chunk
+	Expect(msg.Decode(&c)).To(Succeed())
+	Expect(c.Seq).To(Equal(seq))
+	Expect(string(c.Data)).To(Equal(fmt.Sprint(seq)))
+}
+
+func expectRest(s *muxer.Stream, from, to uint64) {
+	GinkgoHelper()
+	for seq := from; seq <= to; seq++ {
+		expectChunk(s, seq)
+	}
+	var end messenger.End
+	msg := receive(s)
+	Expect(msg.Kind).To(Equal(messenger.KindEnd))
+	Expect(msg.Decode(&end)).To(Succeed())
+	Expect(end.Count).To(Equal(to))
+}
+
+func expectFailed(s *muxer.Stream, c coder.Code, known coder.Run) {
+	GinkgoHelper()
+	err := receive(s).Decode(nil)
+	Expect(coder.Of(err)).To(HaveField("Code", c), "%v", err)
+	Expect(coder.Of(err).Run).To(Equal(known), "%v", err)
+}
+
+func ask(m *muxer.Muxer, kind messenger.Kind, v, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return m.Call(ctx, kind, v, out)
+}
+
+func (n *node) expectVoided(m *muxer.Muxer, id string, want coder.Run) {
+	GinkgoHelper()
+	var out messenger.Voided
+	v := &messenger.Void{Attempt: id, Incarnation: n.agent.Target().Incarnation}
+	Expect(ask(m, messenger.KindVoid, v, &out)).To(Succeed())
+	Expect(out.Run).To(Equal(want))
+}
+
+func (n *node) expectIdle() {
+	GinkgoHelper()
+	Eventually(func() int { return n.agent.Target().Load.Used }).Should(BeZero())
+	Expect(n.agent.Target().Load.Running).To(BeZero())
+}
+
+func keeperAt(confirmed bool, fence uint64) (setter.Keeper, *pooler.Pooler) {
+	addr := listen(func(ctx context.Context, s *muxer.Stream) {
+		if _, err := s.Receive(ctx); err == nil {
+			_ = s.Send(messenger.KindAnnounced, &messenger.Announced{Fence: fence, Confirmed: confirmed})
+		}
+	})
+	p, closer := pooler.New(key)
+	DeferCleanup(closer)
+	return setter.Keeper{Node: "k", Address: addr}, p
+}
--- /dev/null
+++ b/agent/answer_test.go
@@ -0,0 +1,239 @@
+package agent_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/agent"
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+	"bramleyshunt/muxer"
+	"bramleyshunt/setter"
+)
+
+var _ = Describe("an agent", func() {
+	var e *stub
+
+	BeforeEach(func() { e = newStub() })
+
+	It("streams a whole answer and gives the memory back", func() {
+		n := start(e, nil)
+		m, _ := n.dial()
+		expectRest(n.begin(m, "a", "100"), 1, 100)
+		n.expectIdle()
+		Expect(n.agent.Target()).To(And(HaveField("Model", "m"), HaveField("Version", "v1"), HaveField("ID", "n1")))
+	})
+
+	It("goes on when the connection is cut, and resumes over another", func() {
+		e.steps = make(chan struct{}, 10)
+		n := start(e, nil)
+		m, cut := n.dial()
+		s := n.begin(m, "a", "5")
+		e.steps <- struct{}{}
+		e.steps <- struct{}{}
+		expectChunk(s, 1)
+		cut()
+		again, _ := n.dial()
+		s, err := again.Open(messenger.KindResume, &messenger.Resume{Attempt: "a", Incarnation: n.agent.Target().Incarnation, Seq: 1})
+		Expect(err).NotTo(HaveOccurred())
+		expectChunk(s, 2)
+		close(e.steps)
+		expectRest(s, 3, 5)
+		Expect(e.started("a")).To(Equal(1))
+		late, err := again.Open(messenger.KindResume, &messenger.Resume{Attempt: "a", Incarnation: n.agent.Target().Incarnation, Seq: 4})
+		Expect(err).NotTo(HaveOccurred())
+		expectRest(late, 5, 5)
+	})
+
+	It("gives an answer up that nobody comes back for", func() {
+		e.steps = make(chan struct{})
+		n := start(e, func(cfg *agent.Config) { cfg.Orphan = 50 * time.Millisecond })
+		m, cut := n.dial()
+		n.begin(m, "a", "5")
+		Eventually(func() int { return e.started("a") }).Should(Equal(1))
+		cut()
+		Eventually(func() int { return e.cancelled("a") }).Should(Equal(1))
+		n.expectIdle()
+	})
+
+	It("starts a doubled run once", func() {
+		n := start(e, nil)
+		m, _ := n.dial()
+		s := n.begin(m, "a", "3")
+		Expect(s.Send(messenger.KindRun, n.runMessage("a", "3"))).To(Succeed())
+		expectRest(s, 1, 3)
+		other, _ := n.dial()
+		late, err := other.Open(messenger.KindRun, n.runMessage("a", "3"))
+		Expect(err).NotTo(HaveOccurred())
+		expectRest(late, 1, 3)
+		Expect(e.started("a")).To(Equal(1))
+	})
+
+	It("says what it knows when an attempt is voided", func() {
+		n := start(e, nil)
+		m, _ := n.dial()
+		s := n.grant(m, "a")
+		other, _ := n.dial()
+		n.expectVoided(other, "a", coder.NotRun)
+		Expect(s.Send(messenger.KindRun, n.runMessage("a", "3"))).To(Succeed())
+		expectFailed(s, coder.Voided, coder.NotRun)
+		Expect(e.started("a")).To(BeZero())
+		expectRest(n.begin(m, "b", "3"), 1, 3)
+		n.expectVoided(other, "b", coder.Ran)
+	})
+
+	It("cancels over another connection and frees the engine", func() {
+		e.steps = make(chan struct{})
+		n := start(e, nil)
+		m, _ := n.dial()
+		s := n.begin(m, "a", "5")
+		Eventually(func() int { return e.started("a") }).Should(Equal(1))
+		other, _ := n.dial()
+		Expect(ask(other, messenger.KindCancel, &messenger.Cancel{Attempt: "a"}, &messenger.Cancelled{})).To(Succeed())
+		expectFailed(s, coder.Cancelled, coder.Ran)
+		Eventually(func() int { return e.cancelled("a") }).Should(Equal(1))
+		n.expectIdle()
+	})
+
+	It("ends an attempt whose time is over", func() {
+		e.steps = make(chan struct{})
+		n := start(e, nil)
+		m, _ := n.dial()
+		s := n.grant(m, "a")
+		run := n.runMessage("a", "5")
+		run.Remaining = 50 * time.Millisecond
+		Expect(s.Send(messenger.KindRun, run)).To(Succeed())
+		expectFailed(s, coder.DeadlineExceeded, coder.Ran)
+		n.expectIdle()
+	})
+
+	It("releases a reservation", func() {
+		n := start(e, nil)
+		m, _ := n.dial()
+		n.grant(m, "a")
+		Expect(n.agent.Target().Load.Used).To(Equal(15))
+		Expect(ask(m, messenger.KindRelease, &messenger.Release{Attempt: "a"}, &messenger.Cancelled{})).To(Succeed())
+		n.expectIdle()
+	})
+
+	It("holds a gang member's cache while the stream is open", func() {
+		n := start(e, nil)
+		m, _ := n.dial()
+		s := n.grant(m, "a")
+		run := n.runMessage("a", "0")
+		run.Prefill = true
+		Expect(s.Send(messenger.KindRun, run)).To(Succeed())
+		var end messenger.End
+		Expect(receive(s).Decode(&end)).To(Succeed())
+		Expect(end.Export).To(Equal([]byte("kv")))
+		Expect(n.agent.Target().Load.Used).To(Equal(15))
+		Expect(s.Send(messenger.KindRelease, &messenger.Release{Attempt: "a"})).To(Succeed())
+		n.expectIdle()
+		Eventually(func() int { return e.cancelled("a") }).Should(Equal(1))
+	})
+
+	It("answers garbage with a code and serves on", func() {
+		n := start(e, nil)
+		m, _ := n.dial()
+		for kind := messenger.KindFailed; kind <= messenger.KindSuspect; kind++ {
+			s, err := m.Open(kind, "garbage")
+			Expect(err).NotTo(HaveOccurred())
+			expectFailed(s, coder.BadFrame, coder.Unknown)
+			s.Close()
+		}
+		expectRest(n.begin(m, "a", "2"), 1, 2)
+	})
+
+	It("passes a plain call on", func() {
+		n := start(e, func(cfg *agent.Config) { cfg.Settings.Target.Kind = "plain" })
+		m, _ := n.dial()
+		s := n.grant(m, "a")
+		Expect(s.Send(messenger.KindRun, n.runMessage("a", "ping"))).To(Succeed())
+		var c messenger.Chunk
+		Expect(receive(s).Decode(&c)).To(Succeed())
+		Expect(c).To(And(HaveField("Status", 200), HaveField("Data", []byte("ping"))))
+	})
+
+	It("takes no new work while it drains, and lets running work end", func() {
+		e.steps = make(chan struct{})
+		n := start(e, nil)
+		m, _ := n.dial()
+		s := n.begin(m, "a", "2")
+		Eventually(func() int { return e.started("a") }).Should(Equal(1))
+		drained := make(chan error, 1)
+		go func() { drained <- n.agent.Drain(context.Background()) }()
+		Eventually(func() bool { return n.agent.Target().Leaving }).Should(BeTrue())
+		refused, err := m.Open(messenger.KindReserve, n.reserve("b"))
+		Expect(err).NotTo(HaveOccurred())
+		expectFailed(refused, coder.Leaving, coder.NotRun)
+		Expect(drained).NotTo(Receive())
+		close(e.steps)
+		expectRest(s, 1, 2)
+		Eventually(drained).Should(Receive(BeNil()))
+	})
+})
+
+var _ = Describe("an agent with a keeper", func() {
+	order := func(m *muxer.Muxer, fence uint64, verb string) error {
+		return ask(m, messenger.KindOrder, &messenger.Order{Fence: fence, Verb: verb}, &messenger.Ordered{})
+	}
+
+	It("executes orders from the confirmed number on", func() {
+		e := newStub()
+		k, pool := keeperAt(true, 5)
+		n := start(e, func(cfg *agent.Config) { cfg.Settings.Keepers, cfg.Pool = []setter.Keeper{k}, pool })
+		m, _ := n.dial()
+		Eventually(func() uint64 { return n.agent.Target().Fence }).Should(Equal(uint64(5)))
+		Expect(coder.Of(order(m, 4, "load")).Code).To(Equal(coder.Fenced))
+		Expect(order(m, 7, "load")).To(Succeed())
+		Expect(order(m, 7, "load")).To(Succeed())
+		Expect(coder.Of(order(m, 6, "unload")).Code).To(Equal(coder.Fenced))
+		Expect(e.executed()).To(Equal([]uint64{7}))
+		Expect(order(m, 8, agent.VerbDrain)).To(Succeed())
+		Expect(n.agent.Target().Leaving).To(BeTrue())
+	})
+
+	It("executes no order on an unconfirmed number", func() {
+		e := newStub()
+		k, pool := keeperAt(false, 5)
+		n := start(e, func(cfg *agent.Config) { cfg.Settings.Keepers, cfg.Pool = []setter.Keeper{k}, pool })
+		m, _ := n.dial()
+		Expect(coder.Of(order(m, 7, "load")).Code).To(Equal(coder.NotReady))
+		Expect(e.executed()).To(BeEmpty())
+	})
+})
+
+var _ = Describe("an agent whose engine dies", func() {
+	It("fails what ran, reports it as suspect and takes work after the restart", func() {
+		e := newStub()
+		e.steps = make(chan struct{})
+		n := start(e, nil)
+		m, _ := n.dial()
+		before := n.agent.Target().Incarnation
+		s := n.begin(m, "a", "5")
+		Eventually(func() int { return e.started("a") }).Should(Equal(1))
+		e.kill()
+		expectFailed(s, coder.TargetLost, coder.Unknown)
+		Eventually(n.reported).Should(HaveExactElements(messenger.Suspect{Fingerprint: 77, Target: "n1", Incarnation: before}))
+		Eventually(func() bool { return n.agent.Target().Leaving }).Should(BeTrue())
+		refused, err := m.Open(messenger.KindReserve, n.reserve("b"))
+		Expect(err).NotTo(HaveOccurred())
+		expectFailed(refused, coder.NotReady, coder.NotRun)
+		e.restart()
+		Eventually(func() bool { return n.agent.Target().Leaving }).Should(BeFalse())
+		Expect(n.agent.Target().Incarnation).To(BeNumerically(">", before))
+		n.expectIdle()
+		close(e.steps)
+		expectRest(n.begin(m, "c", "5"), 1, 5)
+	})
+
+	It("frees what an earlier agent has left in the engine", func() {
+		e := newStub()
+		e.leave("left")
+		start(e, nil)
+		Eventually(func() int { return e.cancelled("left") }).Should(BeNumerically(">=", 1))
+	})
+})
--- /dev/null
+++ b/agent/stub_test.go
@@ -0,0 +1,177 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+
+	"bramleyshunt/agent"
+	"bramleyshunt/coder"
+	"bramleyshunt/driver"
+	"bramleyshunt/messenger"
+)
+
+// stub stands for an engine. The body of a request is the number of pieces of
+// its answer; each takes one step, if steps are asked for.
+type stub struct {
+	mu          sync.Mutex
+	incarnation uint64
+	down        bool
+	live        map[string]context.CancelCauseFunc
+	runs        map[string]int
+	cancels     map[string]int
+	orders      []uint64
+	steps       chan struct{} // nil: pieces come at once
+}
+
+func newStub() *stub {
+	return &stub{incarnation: 1, live: map[string]context.CancelCauseFunc{}, runs: map[string]int{}, cancels: map[string]int{}}
+}
+
+func (e *stub) engine() agent.Engine {
+	return agent.Engine{Run: e.run, Resume: e.resume, Cancel: e.cancel, Report: e.report, Order: e.order, Call: e.call}
+}
+
+var errRefused = &coder.Error{Code: coder.TargetLost, Run: coder.NotRun, Text: "refused"}
+
+func (e *stub) begin(ctx context.Context, id string) (context.Context, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return nil, errRefused
+	}
+	ctx, stop := context.WithCancelCause(ctx)
+	e.live[id] = stop
+	e.runs[id]++
+	return ctx, nil
+}
+
+func (e *stub) run(ctx context.Context, r driver.Request, emit func([]byte) error) (driver.Result, error) {
+	ctx, err := e.begin(ctx, r.ID)
+	if err != nil {
+		return driver.Result{}, err
+	}
+	n, err := strconv.Atoi(string(r.Body))
+	if err != nil {
+		return driver.Result{}, coder.Errorf(coder.Malformed, "%v", err)
+	}
+	for i := range n {
+		if err := e.step(ctx); err != nil {
+			return driver.Result{}, err
+		}
+		if err := emit(fmt.Append(nil, i+1)); err != nil {
+			return driver.Result{}, err
+		}
+	}
+	if !r.Prefill {
+		e.drop(r.ID)
+		return driver.Result{Usage: messenger.Usage{Prompt: 10, Output: n}}, nil
+	}
+	return driver.Result{Export: []byte("kv")}, nil
+}
+
+func (e *stub) step(ctx context.Context) error {
+	if e.steps == nil {
+		return nil
+	}
+	select {
+	case <-e.steps:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (e *stub) drop(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.live, id)
+}
+
+func (e *stub) resume(context.Context, string, uint64, func([]byte) error) (driver.Result, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return driver.Result{}, errRefused
+	}
+	return driver.Result{}, coder.Errorf(coder.UnknownAttempt, "no such request")
+}
+
+func (e *stub) cancel(_ context.Context, id string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return errRefused
+	}
+	e.cancels[id]++
+	delete(e.live, id)
+	return nil
+}
+
+func (e *stub) report(context.Context) (driver.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return driver.Report{}, errRefused
+	}
+	r := driver.Report{Incarnation: e.incarnation, Memory: 1000, Model: "m", Version: "v1"}
+	for id := range e.live {
+		r.Live = append(r.Live, id)
+	}
+	return r, nil
+}
+
+func (e *stub) order(_ context.Context, o messenger.Order) (uint64, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o.Fence)
+	return o.Fence, nil
+}
+
+func (e *stub) call(_ context.Context, r messenger.Run, emit func(messenger.Chunk) error) error {
+	return emit(messenger.Chunk{Attempt: r.Attempt, Seq: 1, Status: 200, Data: r.Body})
+}
+
+// kill breaks every stream; the engine then refuses connections.
+func (e *stub) kill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = true
+	for id, stop := range e.live {
+		stop(&coder.Error{Code: coder.TargetLost, Run: coder.Unknown, Text: "reset"})
+		delete(e.live, id)
+	}
+}
+
+func (e *stub) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = false
+	e.incarnation++
+}
+
+// leave puts an attempt into the engine that no agent knows.
+func (e *stub) leave(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.live[id] = func(error) {}
+}
+
+func (e *stub) started(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]
+}
+
+func (e *stub) cancelled(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cancels[id]
+}
+
+func (e *stub) executed() []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]uint64{}, e.orders...)
+}
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -42,6 +42,7 @@
 
 	mu      sync.Mutex
 	renewed time.Time // when the newest answered renewal was sent
+	lapses  int
 	failed  map[string]error
 }
 
@@ -97,6 +98,13 @@
 	return !a.renewed.IsZero() && now.Sub(a.renewed) < a.cfg.Lease
 }
 
+// Lapses counts how often the lease may have ended before it was renewed.
+func (a *Announcer) Lapses() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lapses
+}
+
 // Failed returns the last error of each keeper that doesn't answer, by address.
 func (a *Announcer) Failed() map[string]error {
 	a.mu.Lock()
@@ -141,6 +149,9 @@
 		return
 	}
 	delete(a.failed, addr)
+	if !a.renewed.IsZero() && a.cfg.Now().Sub(a.renewed) >= a.cfg.Lease {
+		a.lapses++
+	}
 	if sent.After(a.renewed) {
 		a.renewed = sent
 	}
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -108,6 +108,7 @@
 		k.set("b", false)
 		wait(time.Second)
 		g.Expect(a.Held(time.Now())).To(BeTrue())
+		g.Expect(a.Lapses()).To(Equal(1))
 		mu.Lock()
 		defer mu.Unlock()
 		g.Expect(learned).To(Equal([]uint64{3, 3, 3}))
--- a/reserver/ending.go
+++ b/reserver/ending.go
@@ -113,7 +113,7 @@
 		r.meter.ended(o.Usage, rec.prompt, now.Sub(rec.first))
 	}
 	if o.Lost && !rec.lost && len(r.unsettled) < MaxRecords {
-		r.unsettled = append(r.unsettled, Lost{Attempt: attempt, Fingerprint: rec.fingerprint, Incarnation: rec.incarnation})
+		r.unsettled = append(r.unsettled, rec.suspect(now))
 	}
 	if o.Hold && !o.Lost && !rec.lost {
 		rec.phase = Holding
--- a/reserver/invariants_test.go
+++ b/reserver/invariants_test.go
@@ -186,7 +186,7 @@
 
 func (w *world) crash(t *rapid.T) {
 	if rare(t) {
-		w.r.Crash(w.now)
+		w.r.Dead(w.now)
 	}
 }
 
--- a/reserver/reconcile.go
+++ b/reserver/reconcile.go
@@ -23,6 +23,7 @@
 	Attempt     string
 	Fingerprint uint64
 	Incarnation uint64 // of the target
+	Ended       time.Time
 }
 
 // Reconciled is what must follow from a report.
@@ -44,9 +45,11 @@
 	out := Reconciled{Restarted: r.engine != 0 && rep.Incarnation != r.engine}
 	r.engine = rep.Incarnation
 	if out.Restarted {
-		out.Lost = r.restart(rep.Asked, rep.Live)
+		r.end()
+		out.Lost = append(r.settle(now), r.missing(rep)...)
 	}
-	r.unsettled = nil
+	r.dead = false
+	r.settle(rep.Asked)
 	for _, id := range rep.Live {
 		if rec := r.live[id]; rec == nil || rec.phase == Reserved {
 			out.Free = append(out.Free, id)
@@ -55,36 +58,64 @@
 	return out
 }
 
-// Crash tells that the engine can't be reached and must be taken for dead: the
-// target's incarnation rises and everything that ran is lost.
-func (r *Reserver) Crash(now time.Time) []Lost {
+// Dead tells that the target refuses connections: its incarnation ends, and runs
+// that have ended by a lost connection since the last report are returned. A run
+// whose stream is still open goes on, as a target that shuts down gracefully
+// refuses connections too. To be called again as long as the target is dead.
+func (r *Reserver) Dead(now time.Time) []Lost {
 	r.advance(now)
-	r.engine = 0
-	lost := r.restart(now, nil)
-	r.unsettled = nil
-	return lost
+	r.end()
+	r.dead = true
+	return r.settle(now)
 }
 
-// restart ends the target's incarnation. Attempts started since asked, and those
-// that the new engine runs, stay.
-func (r *Reserver) restart(asked time.Time, live []string) []Lost {
+// end ends the target's incarnation, unless it is known to be dead already:
+// reservations are withdrawn and holds are gone.
+func (r *Reserver) end() {
+	if r.dead {
+		return
+	}
 	r.Incarnation++
-	lost := r.unsettled
 	for _, rec := range r.sorted() {
-		switch {
-		case rec.phase == Reserved:
+		switch rec.phase {
+		case Reserved:
 			r.withdraw(rec, coder.WrongIncarnation)
-		case slices.Contains(live, rec.attempt):
-		case rec.phase == Holding:
+		case Holding:
 			r.drop(rec, Ended)
-		case !rec.started.After(asked) && !rec.lost:
-			rec.lost = true
-			lost = append(lost, Lost{Attempt: rec.attempt, Fingerprint: rec.fingerprint, Incarnation: rec.incarnation})
 		}
 	}
+}
+
+// missing returns the attempts that ran before the report and that the new
+// engine does not have.
+func (r *Reserver) missing(rep *Report) []Lost {
+	var lost []Lost
+	for _, rec := range r.sorted() {
+		if rec.phase != Running || rec.lost || rec.started.After(rep.Asked) || slices.Contains(rep.Live, rec.attempt) {
+			continue
+		}
+		rec.lost = true
+		lost = append(lost, rec.suspect(r.now))
+	}
 	return lost
 }
 
+// settle takes the runs out of the open question whether the target had crashed,
+// if they ended up to a time.
+func (r *Reserver) settle(until time.Time) []Lost {
+	n := 0
+	for n < len(r.unsettled) && !r.unsettled[n].Ended.After(until) {
+		n++
+	}
+	done := r.unsettled[:n:n]
+	r.unsettled = r.unsettled[n:]
+	return done
+}
+
+func (r *record) suspect(now time.Time) Lost {
+	return Lost{Attempt: r.attempt, Fingerprint: r.fingerprint, Incarnation: r.incarnation, Ended: now}
+}
+
 // sorted returns the live records in order of attempt.
 func (r *Reserver) sorted() []*record {
 	all := make([]*record, 0, len(r.live))
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -58,7 +58,8 @@
 	leaving   bool
 	used      int
 	engine    uint64 // incarnation of the engine
-	unsettled []Lost
+	dead      bool   // the target refuses connections
+	unsettled []Lost // ended by a lost connection; did the target crash?
 	now       time.Time
 	aged      time.Duration // time observed by calls
 	meter     meter
@@ -252,3 +253,11 @@
 	}
 	return DefaultSlots
 }
+
+// Priority returns the priority of a live attempt.
+func (r *Reserver) Priority(attempt string) int {
+	if rec := r.live[attempt]; rec != nil {
+		return rec.priority
+	}
+	return 0
+}
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -192,6 +192,27 @@
 		expectRefused(err, coder.WrongIncarnation, coder.NotRun)
 	})
 
+	It("suspects what broke before a target refused connections, once", func() {
+		expectGranted(r, at(0), reserve("a", 10))
+		expectGranted(r, at(0), reserve("b", 10))
+		expectStarted(r, at(0), "a")
+		r.End(at(1), "a", reserver.Outcome{Lost: true})
+		Expect(r.Reconcile(at(2), &reserver.Report{Asked: at(0), Incarnation: 7}).Lost).To(BeEmpty())
+		Expect(r.Dead(at(2))).To(HaveExactElements(HaveField("Attempt", "a")))
+		Expect(r.Dead(at(3))).To(BeEmpty())
+		Expect(r.Phase("b")).To(Equal(reserver.Withdrawn))
+		Expect(r.Reconcile(at(4), &reserver.Report{Asked: at(4), Incarnation: 8}).Lost).To(BeEmpty())
+		Expect(r.Incarnation).To(Equal(uint64(2)))
+	})
+
+	It("suspects nothing if the target lives on", func() {
+		expectGranted(r, at(0), reserve("a", 10))
+		expectStarted(r, at(0), "a")
+		r.End(at(1), "a", reserver.Outcome{Lost: true})
+		r.Reconcile(at(2), &reserver.Report{Asked: at(2), Incarnation: 7})
+		Expect(r.Dead(at(3))).To(BeEmpty())
+	})
+
 	It("frees what the engine holds without a live record", func() {
 		expectGranted(r, at(0), reserve("a", 10))
 		expectStarted(r, at(0), "a")
