Let an agent that was replaced leave, and tie holds to their entry

An agent that was frozen past its lease frees nothing at the engine until its lease is renewed, and one that a keeper tells of a newer incarnation takes no more work. A gang member's hold lives as long as the connection to its entry or is renewed by a Resume, and never beyond the attempt's time. A stream that is lost while the engine lives is reported as EngineFailed, so that nobody suspects its request.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -67,6 +67,7 @@
 	health   health
 	lapses   int // of the lease, as far as the fencer knows
 	draining bool
+	replaced bool          // a newer agent holds the target
 	drained  chan struct{} // closed when draining and idle
 	lane     string
 	report   driver.Report
@@ -138,6 +139,7 @@
 		Pool:    a.cfg.Pool,
 		Target:  a.Target,
 		Learned: a.learned,
+		Refused: a.refused,
 		Now:     a.cfg.Now,
 	})
 	_ = a.step(func(time.Time) { a.announce = announce })
@@ -208,7 +210,7 @@
 	}
 	_ = a.step(func(now time.Time) {
 		t.Incarnation = a.reserver.Incarnation
-		t.Leaving = a.draining || a.health.down
+		t.Leaving = a.draining || a.replaced || a.health.down
 		t.Fence = a.fencer.Highest()
 		t.Load = a.reserver.Load(now)
 		t.Lane = a.lane
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +45,13 @@
 	return l.Addr().String()
 }
 
+// clock is the real one, moved on by what a test passes.
+type clock struct{ ahead atomic.Int64 }
+
+func (c *clock) now() time.Time { return time.Now().Add(time.Duration(c.ahead.Load())) }
+
+func (c *clock) pass(d time.Duration) { c.ahead.Add(int64(d)) }
+
 // node is an agent under test with its entry side.
 type node struct {
 	agent *agent.Agent
@@ -185,13 +193,30 @@
 	Expect(n.agent.Target().Load.Running).To(BeZero())
 }
 
-func keeperAt(confirmed bool, fence uint64) (setter.Keeper, *pooler.Pooler) {
+// expectHeld prefills a gang member's segment and expects that it stays held.
+func (n *node) expectHeld(m *muxer.Muxer, id string) {
+	GinkgoHelper()
+	s := n.grant(m, id)
+	run := n.runMessage(id, "0")
+	run.Prefill = true
+	Expect(s.Send(messenger.KindRun, run)).To(Succeed())
+	var end messenger.End
+	Expect(receive(s).Decode(&end)).To(Succeed())
+	Expect(end.Export).To(Equal([]byte("kv")))
+	Expect(end.Load.Used).To(Equal(15))
+}
+
+// beside starts an agent that announces itself to a keeper which answers as told.
+func beside(e *stub, answer func(*muxer.Stream)) *node {
 	addr := listen(func(ctx context.Context, s *muxer.Stream) {
 		if _, err := s.Receive(ctx); err == nil {
-			_ = s.Send(messenger.KindAnnounced, &messenger.Announced{Fence: fence, Confirmed: confirmed})
+			answer(s)
 		}
 	})
-	p, closer := pooler.New(key)
+	pool, closer := pooler.New(key)
 	DeferCleanup(closer)
-	return setter.Keeper{Node: "k", Address: addr}, p
+	return start(e, func(cfg *agent.Config) {
+		cfg.Settings.Keepers = []setter.Keeper{{Node: "k", Address: addr}}
+		cfg.Pool = pool
+	})
 }
--- a/agent/answer_test.go
+++ b/agent/answer_test.go
@@ -11,7 +11,7 @@
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
-	"bramleyshunt/setter"
+	"bramleyshunt/reserver"
 )
 
 var _ = Describe("an agent", func() {
@@ -119,20 +119,31 @@
 		n.expectIdle()
 	})
 
-	It("holds a gang member's cache while the stream is open", func() {
-		n := start(e, nil)
+	It("holds a gang member's cache until it is released or its entry is lost", func() {
+		clock := &clock{}
+		n := start(e, func(cfg *agent.Config) { cfg.Now = clock.now })
+		m, cut := n.dial()
+		n.expectHeld(m, "a")
+		Expect(ask(m, messenger.KindRelease, &messenger.Release{Attempt: "a"}, &messenger.Cancelled{})).To(Succeed())
+		n.expectIdle()
+		Eventually(func() int { return e.cancelled("a") }).Should(Equal(1))
+		n.expectHeld(m, "b")
+		cut()
+		clock.pass(reserver.DefaultHold)
+		Eventually(func() int { return e.cancelled("b") }).Should(Equal(1))
+		n.expectIdle()
+	})
+
+	It("refuses the run of an entry that was frozen past its lease", func() {
+		clock := &clock{}
+		n := start(e, func(cfg *agent.Config) { cfg.Now = clock.now })
 		m, _ := n.dial()
 		s := n.grant(m, "a")
-		run := n.runMessage("a", "0")
-		run.Prefill = true
-		Expect(s.Send(messenger.KindRun, run)).To(Succeed())
-		var end messenger.End
-		Expect(receive(s).Decode(&end)).To(Succeed())
-		Expect(end.Export).To(Equal([]byte("kv")))
-		Expect(n.agent.Target().Load.Used).To(Equal(15))
-		Expect(s.Send(messenger.KindRelease, &messenger.Release{Attempt: "a"})).To(Succeed())
+		clock.pass(reserver.DefaultLease)
 		n.expectIdle()
-		Eventually(func() int { return e.cancelled("a") }).Should(Equal(1))
+		Expect(s.Send(messenger.KindRun, n.runMessage("a", "3"))).To(Succeed())
+		expectFailed(s, coder.LeaseExpired, coder.NotRun)
+		Expect(e.started("a")).To(BeZero())
 	})
 
 	It("answers garbage with a code and serves on", func() {
@@ -180,11 +191,17 @@
 	order := func(m *muxer.Muxer, fence uint64, verb string) error {
 		return ask(m, messenger.KindOrder, &messenger.Order{Fence: fence, Verb: verb}, &messenger.Ordered{})
 	}
+	announced := func(confirmed bool) func(*muxer.Stream) {
+		return func(s *muxer.Stream) {
+			_ = s.Send(messenger.KindAnnounced, &messenger.Announced{Fence: 5, Confirmed: confirmed})
+		}
+	}
+	var e *stub
+
+	BeforeEach(func() { e = newStub() })
 
 	It("executes orders from the confirmed number on", func() {
-		e := newStub()
-		k, pool := keeperAt(true, 5)
-		n := start(e, func(cfg *agent.Config) { cfg.Settings.Keepers, cfg.Pool = []setter.Keeper{k}, pool })
+		n := beside(e, announced(true))
 		m, _ := n.dial()
 		Eventually(func() uint64 { return n.agent.Target().Fence }).Should(Equal(uint64(5)))
 		Expect(coder.Of(order(m, 4, "load")).Code).To(Equal(coder.Fenced))
@@ -197,13 +214,28 @@
 	})
 
 	It("executes no order on an unconfirmed number", func() {
-		e := newStub()
-		k, pool := keeperAt(false, 5)
-		n := start(e, func(cfg *agent.Config) { cfg.Settings.Keepers, cfg.Pool = []setter.Keeper{k}, pool })
+		n := beside(e, announced(false))
 		m, _ := n.dial()
 		Expect(coder.Of(order(m, 7, "load")).Code).To(Equal(coder.NotReady))
 		Expect(e.executed()).To(BeEmpty())
 	})
+
+	It("leaves and frees nothing once another agent holds the target", func() {
+		e.leave("of the successor")
+		refusing := make(chan struct{})
+		n := beside(e, func(s *muxer.Stream) {
+			<-refusing
+			_ = s.Fail("", coder.Errorf(coder.WrongIncarnation, "a newer agent"))
+		})
+		close(refusing)
+		Eventually(func() bool { return n.agent.Target().Leaving }).Should(BeTrue())
+		Expect(e.cancelled("of the successor")).To(BeZero())
+		m, _ := n.dial()
+		s, err := m.Open(messenger.KindReserve, n.reserve("a"))
+		Expect(err).NotTo(HaveOccurred())
+		expectFailed(s, coder.Leaving, coder.NotRun)
+		Expect(coder.Of(order(m, 7, "load")).Code).To(Equal(coder.NotReady))
+	})
 })
 
 var _ = Describe("an agent whose engine dies", func() {
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -25,7 +25,8 @@
 	readers map[*reader]struct{}
 	alone   time.Time     // since when there has been no reader
 	changed chan struct{} // closed at the next change; nil if nobody waits
-	over    bool
+	sealed  bool          // the outcome stands
+	over    bool          // the readers may see it
 	end     messenger.End
 	err     error
 	endedAt time.Time
@@ -46,7 +47,8 @@
 	})
 	context.AfterFunc(ctx, func() {
 		timer.Stop()
-		at.finish(messenger.End{}, at.fault(ctx.Err()), clock())
+		at.seal(messenger.End{}, at.fault(ctx.Err()), clock())
+		at.publish()
 	})
 	return at
 }
@@ -94,15 +96,22 @@
 	return least
 }
 
-// finish records the outcome; only the first one counts.
-func (at *attempt) finish(end messenger.End, err error, now time.Time) {
+// seal records the outcome and returns the one that stands: the first.
+func (at *attempt) seal(end messenger.End, err error, now time.Time) (messenger.End, error) {
 	at.mu.Lock()
 	defer at.mu.Unlock()
-	if at.over {
-		return
+	if !at.sealed {
+		end.Attempt, end.Count = at.id, at.kept.Last()
+		at.sealed, at.end, at.err, at.endedAt = true, end, err, now
 	}
-	end.Attempt, end.Count = at.id, at.kept.Last()
-	at.over, at.end, at.err, at.endedAt = true, end, err, now
+	return at.end, at.err
+}
+
+// publish shows the outcome to the readers.
+func (at *attempt) publish() {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	at.over = true
 	at.wake()
 }
 
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -41,7 +41,9 @@
 			a.reserver.Leave()
 			return
 		}
-		a.reserver.Stay()
+		if !a.replaced {
+			a.reserver.Stay()
+		}
 		a.drained = make(chan struct{})
 	})
 }
--- a/agent/handle.go
+++ b/agent/handle.go
@@ -165,7 +165,7 @@
 	over := a.send(ctx, s, at, r)
 	at.leave(r, a.cfg.Now())
 	if over && at.hold {
-		a.guard(ctx, s, at.id)
+		a.wg.Go(func() { a.guard(s, at.id) })
 	}
 	cancel()
 	wg.Wait()
@@ -196,6 +196,7 @@
 	if err != nil {
 		return s.Fail(at.id, err) == nil
 	}
+	_ = a.step(func(now time.Time) { end.Load = a.reserver.Load(now) })
 	return s.Send(messenger.KindEnd, &end) == nil
 }
 
@@ -215,8 +216,8 @@
 	}
 }
 
-// guard renews a gang member's hold while the entry keeps its stream open.
-func (a *Agent) guard(ctx context.Context, s *muxer.Stream, id string) {
+// guard renews a gang member's hold while the connection to its entry lives.
+func (a *Agent) guard(s *muxer.Stream, id string) {
 	t := time.NewTicker(a.cfg.Every)
 	defer t.Stop()
 	for {
@@ -228,9 +229,9 @@
 			return
 		}
 		select {
-		case <-ctx.Done():
+		case <-a.ctx.Done():
 			return
-		case <-s.Done():
+		case <-s.Gone():
 			return
 		case <-t.C:
 		}
--- a/agent/order.go
+++ b/agent/order.go
@@ -39,6 +39,10 @@
 	if a.announce == nil {
 		return false
 	}
+	if a.replaced {
+		a.fencer.Forget()
+		return false
+	}
 	held, lapses := a.announce.Held(now), a.announce.Lapses()
 	if !held || lapses != a.lapses {
 		a.fencer.Forget()
@@ -47,6 +51,30 @@
 	return held
 }
 
+// owner reports whether the target is surely this agent's, on the control
+// goroutine. An agent that was frozen past its lease may have been replaced: it
+// must not free what its successor runs.
+func (a *Agent) owner(now time.Time) bool {
+	return len(a.cfg.Settings.Keepers) == 0 || a.leased(now)
+}
+
+// refused takes a keeper's refusal of the lease. A newer incarnation of the
+// target makes this agent leave for good.
+func (a *Agent) refused(err error) {
+	if c := coder.Of(err).Code; c != coder.WrongIncarnation && c != coder.Fenced {
+		return
+	}
+	_ = a.step(func(time.Time) {
+		if a.replaced {
+			return
+		}
+		a.replaced = true
+		a.count("replaced")
+		a.cfg.Log.WithError(err).Warn("another agent holds the target; taking no more work")
+		a.reserver.Leave()
+	})
+}
+
 // order executes one order at a time, so that an engine that ignores fencing
 // numbers never sees two at once.
 func (a *Agent) order(ctx context.Context, s *muxer.Stream, msg muxer.Message) bool {
--- a/agent/run.go
+++ b/agent/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"bramleyshunt/coder"
@@ -104,13 +105,14 @@
 	} else {
 		end, err = a.prompt(at, m, priority, deadline)
 	}
-	err = at.fault(err)
-	at.finish(end, err, a.cfg.Now())
-	end, err = at.outcome()
-	if err != nil && !a.plain() {
+	end, err = at.seal(end, at.fault(err), a.cfg.Now())
+	if err != nil {
+		// The answer has failed at once; its memory is free once the engine says so.
+		at.publish()
 		a.freeEngine(at.id)
 	}
 	_ = a.step(func(now time.Time) { a.closed(now, at, end, err) })
+	at.publish()
 	at.stop(nil)
 }
 
@@ -161,18 +163,27 @@
 		a.count("taken-up")
 		res, err = a.engine.Resume(at.ctx, at.id, at.last(), emit)
 	}
-	if c := coder.Of(err); c != nil && c.Code == coder.UnknownAttempt {
-		err = &coder.Error{Code: coder.TargetLost, Run: coder.Unknown, Text: "the engine has no record of the attempt"}
-	}
 	if lost && err != nil {
-		// What a later call says of execution holds for that call alone.
-		unsure := *coder.Of(err)
-		unsure.Run = coder.Unknown
-		err = &unsure
+		err = verdict(coder.Of(err))
 	}
 	return messenger.End{Usage: res.Usage, Export: res.Export}, err
 }
 
+// verdict returns why a stream that was lost could not be taken up. TargetLost
+// is kept for an engine that is gone or has no record of the attempt, so that no
+// request is suspected for a lost connection alone. What a resume says of
+// execution holds for the resume alone.
+func verdict(e *coder.Error) error {
+	v := &coder.Error{Code: e.Code, Run: coder.Unknown, Text: e.Text, Cause: e.Cause}
+	switch {
+	case e.Code == coder.UnknownAttempt:
+		v.Code = coder.TargetLost
+	case broken(e):
+		v.Code = coder.EngineFailed
+	}
+	return v
+}
+
 // broken reports whether an engine's stream was lost after it had been opened.
 func broken(err error) bool {
 	e := coder.Of(err)
@@ -210,34 +221,34 @@
 	}
 }
 
-// sweep drops kept answers, on the control goroutine.
+// sweep drops kept answers, on the control goroutine. Those of held gang members
+// stay, as a Resume renews the hold.
 func (a *Agent) sweep(now time.Time) {
 	total := 0
 	for _, at := range a.ended {
 		total += at.size()
 	}
-	for len(a.ended) > 0 {
-		at := a.ended[0]
-		if total <= endedBytes && now.Sub(at.endedAt) < endedKept {
-			return
+	a.ended = slices.DeleteFunc(a.ended, func(at *attempt) bool {
+		fresh := total <= endedBytes && now.Sub(at.endedAt) < endedKept
+		if fresh || a.reserver.Phase(at.id) == reserver.Holding {
+			return false
 		}
 		total -= at.size()
 		delete(a.attempts, at.id)
-		a.ended[0] = nil
-		a.ended = a.ended[1:]
-	}
+		return true
+	})
 }
 
 // discard frees an attempt at the engine in the background.
 func (a *Agent) discard(id string) {
-	if a.plain() {
-		return
-	}
 	a.wg.Go(func() { a.freeEngine(id) })
 }
 
 // freeEngine frees an attempt at the engine. A failure is left to reconciliation.
 func (a *Agent) freeEngine(id string) {
+	if a.plain() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), cancelTimeout)
 	defer cancel()
 	if a.engine.Cancel(ctx, id) != nil {
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -114,6 +114,9 @@
 		a.kick()
 	}
 	a.lost(out.Lost)
+	if !a.owner(now) {
+		return nil
+	}
 	return out.Free
 }
 
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -21,13 +21,14 @@
 	DefaultLease = 3 * time.Second
 )
 
-// Config says what is announced where. Target and Learned are called from
+// Config says what is announced where. Functions are called from
 // several goroutines.
 type Config struct {
 	Keepers []setter.Keeper
 	Pool    *pooler.Pooler
 	Target  func() messenger.Target
 	Learned func(sent time.Time, a messenger.Announced) // for each answer; may be nil
+	Refused func(err error)                             // for each renewal that failed; may be nil
 	Every   time.Duration
 	Lease   time.Duration
 	Now     func() time.Time // time.Now if nil
@@ -136,7 +137,10 @@
 	sent := a.cfg.Now()
 	answer, err := a.cfg.Call(ctx, addr, &messenger.Announce{Target: a.cfg.Target(), Lease: a.cfg.Lease})
 	a.note(addr, sent, err)
-	if err == nil && a.cfg.Learned != nil {
+	switch {
+	case err != nil && a.cfg.Refused != nil:
+		a.cfg.Refused(err)
+	case err == nil && a.cfg.Learned != nil:
 		a.cfg.Learned(sent, answer)
 	}
 }
--- a/muxer/stream.go
+++ b/muxer/stream.go
@@ -54,6 +54,9 @@
 // Done is closed when the stream or its connection has ended.
 func (s *Stream) Done() <-chan struct{} { return s.ctx.Done() }
 
+// Gone is closed when the connection has ended; the stream may have ended before.
+func (s *Stream) Gone() <-chan struct{} { return s.m.ctx.Done() }
+
 // Send sends one message.
 func (s *Stream) Send(kind messenger.Kind, v any) error {
 	if s.ctx.Err() != nil {
--- a/reserver/ending.go
+++ b/reserver/ending.go
@@ -123,7 +123,7 @@
 	r.drop(rec, Ended)
 }
 
-// Renew extends a hold.
+// Renew extends a hold, though not beyond the time of its attempt.
 func (r *Reserver) Renew(now time.Time, attempt string) {
 	r.advance(now)
 	if rec := r.live[attempt]; rec != nil && rec.phase == Holding {
@@ -137,7 +137,7 @@
 	r.advance(now)
 	var free []string
 	for _, rec := range r.sorted() {
-		if rec.phase == Holding && !rec.lease.After(now) {
+		if rec.phase == Holding && (!rec.lease.After(now) || !rec.deadline.After(now)) {
 			r.drop(rec, Ended)
 			free = append(free, rec.attempt)
 		}
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -234,22 +235,53 @@
 	})
 })
 
-func BenchmarkAttempt(b *testing.B) {
+// attempts returns a function that takes one attempt from Reserve to End beside
+// others that run, with a thousand records kept.
+func attempts(running int) func() error {
 	r := &reserver.Reserver{Incarnation: 1, Memory: 1 << 20, Kept: time.Second}
-	now := start
-	b.ReportAllocs()
-	for i := range b.N {
-		now = now.Add(time.Millisecond)
-		id := fmt.Sprint(i)
-		m := reserve(id, 1000)
-		m.Remaining = time.Second
-		if _, err := r.Reserve(now, m); err != nil {
-			b.Fatal(err)
+	for i := range running {
+		_, _ = r.Reserve(start, reserve(fmt.Sprint("running ", i), 1))
+		_, _ = r.Run(start, run(fmt.Sprint("running ", i)))
+	}
+	now, i := start, 0
+	res, start := reserve("", 1000), run("")
+	res.Remaining = time.Second
+	return func() error {
+		now, i = now.Add(time.Millisecond), i+1
+		res.Attempt = strconv.Itoa(i)
+		start.Attempt = res.Attempt
+		if _, err := r.Reserve(now, res); err != nil {
+			return err
 		}
-		if _, err := r.Run(now, run(id)); err != nil {
-			b.Fatal(err)
+		if _, err := r.Run(now, start); err != nil {
+			return err
 		}
-		r.First(now, id)
-		r.End(now, id, reserver.Outcome{})
+		r.First(now, res.Attempt)
+		r.End(now, res.Attempt, reserver.Outcome{})
+		return nil
+	}
+}
+
+// TestAttemptAllocations bounds what one attempt allocates: its identity and its record.
+func TestAttemptAllocations(t *testing.T) {
+	g := NewWithT(t)
+	attempt := attempts(32)
+	for range 2000 {
+		g.Expect(attempt()).To(Succeed())
+	}
+	g.Expect(testing.AllocsPerRun(1000, func() { _ = attempt() })).To(BeNumerically("<=", 3))
+}
+
+func BenchmarkAttempt(b *testing.B) {
+	for _, running := range []int{0, 32} {
+		b.Run(fmt.Sprint("running=", running), func(b *testing.B) {
+			attempt := attempts(running)
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := attempt(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
 	}
 }
