Keep the sum of waiting tokens instead of counting it on each call

Each call summed the waiting tokens over all live attempts to time the prefill. BenchmarkAttempt beside 32 running attempts: 5700 ns/op before, 2477 after; 2 allocations an attempt in both, bounded at 3 by TestAttemptAllocations.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -47,7 +47,7 @@
 	})
 	context.AfterFunc(ctx, func() {
 		timer.Stop()
-		at.seal(messenger.End{}, at.fault(ctx.Err()), clock())
+		_, _ = at.seal(messenger.End{}, at.fault(ctx.Err()), clock())
 		at.publish()
 	})
 	return at
--- a/reserver/ending.go
+++ b/reserver/ending.go
@@ -90,6 +90,7 @@
 	if rec == nil || rec.filled {
 		return
 	}
+	r.queued -= rec.waiting()
 	rec.filled = true
 	rec.first = now
 	r.meter.prefilled(rec.prompt)
@@ -116,6 +117,7 @@
 		r.unsettled = append(r.unsettled, rec.suspect(now))
 	}
 	if o.Hold && !o.Lost && !rec.lost {
+		r.queued -= rec.waiting()
 		rec.phase = Holding
 		rec.lease = now.Add(r.hold())
 		return
--- a/reserver/load.go
+++ b/reserver/load.go
@@ -25,7 +25,7 @@
 		return e
 	}
 	if len(r.live) >= r.slots() || len(r.records) >= MaxRecords {
-		return r.refuse(coder.Busy, r.waiting(), "%d of %d slots", len(r.live), r.slots())
+		return r.refuse(coder.Busy, r.queued, "%d of %d slots", len(r.live), r.slots())
 	}
 	if err := r.fits(m); err != nil {
 		return err
@@ -51,7 +51,7 @@
 		return coder.Errorf(coder.MemoryFull, "%d tokens, memory for %d", need, r.Memory)
 	}
 	if need > r.Memory-r.used {
-		return r.refuse(coder.MemoryFull, r.waiting(), "%d tokens, %d of %d used", need, r.used, r.Memory)
+		return r.refuse(coder.MemoryFull, r.queued, "%d tokens, %d of %d used", need, r.used, r.Memory)
 	}
 	if messenger.ClassOf(m.Prompt) < messenger.Long {
 		return nil
@@ -78,20 +78,11 @@
 func (r *Reserver) load() messenger.Load {
 	r.seq++
 	return messenger.Load{
-		Seq: r.seq, Waiting: r.waiting(), Running: len(r.live), Used: r.used, Memory: r.Memory,
+		Seq: r.seq, Waiting: r.queued, Running: len(r.live), Used: r.used, Memory: r.Memory,
 		Speed: r.meter.speed(), Pace: r.meter.pace(),
 	}
 }
 
-// waiting returns the prompt tokens accepted but not yet prefilled.
-func (r *Reserver) waiting() int {
-	n := 0
-	for _, rec := range r.live {
-		n += rec.waiting()
-	}
-	return n
-}
-
 // ahead returns the waiting tokens that go before an attempt of a priority.
 func (r *Reserver) ahead(priority int) int {
 	n := 0
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -57,6 +57,7 @@
 	forgot    bool // a record of an attempt that ran has been dropped
 	leaving   bool
 	used      int
+	queued    int    // prompt tokens of live attempts not yet prefilled
 	engine    uint64 // incarnation of the engine
 	dead      bool   // the target refuses connections
 	unsettled []Lost // ended by a lost connection; did the target crash?
@@ -185,12 +186,14 @@
 	r.live[rec.attempt] = rec
 	r.leases = append(r.leases, rec)
 	r.used += rec.tokens
+	r.queued += rec.waiting()
 }
 
 // drop frees what a live record holds and keeps the record as p.
 func (r *Reserver) drop(rec *record, p Phase) {
 	delete(r.live, rec.attempt)
 	r.used -= rec.tokens
+	r.queued -= rec.waiting()
 	rec.phase = p
 	r.keep(rec)
 }
@@ -210,7 +213,7 @@
 	if !r.now.IsZero() {
 		step := max(now.Sub(r.now), 0)
 		r.aged += min(step, maxStep)
-		r.meter.pass(step, r.waiting() > 0)
+		r.meter.pass(step, r.queued > 0)
 	}
 	r.now = now
 	for len(r.leases) > 0 && r.lapsed(r.leases[0]) {
