--- a/reserver/ending.go
+++ b/reserver/ending.go
@@ -90,6 +90,7 @@
 	if rec == nil || rec.filled {
 		return
 	}
+	r.queued -= rec.waiting()
 	rec.filled = true
 	rec.first = now
 	r.meter.prefilled(rec.prompt)
@@ -113,9 +114,10 @@
 		r.meter.ended(o.Usage, rec.prompt, now.Sub(rec.first))
 	}
 	if o.Lost && !rec.lost && len(r.unsettled) < MaxRecords {
-		r.unsettled = append(r.unsettled, Lost{Attempt: attempt, Fingerprint: rec.fingerprint, Incarnation: rec.incarnation})
+		r.unsettled = append(r.unsettled, rec.suspect(now))
 	}
 	if o.Hold && !o.Lost && !rec.lost {
+		r.queued -= rec.waiting()
 		rec.phase = Holding
 		rec.lease = now.Add(r.hold())
 		return
@@ -123,7 +125,7 @@
 	r.drop(rec, Ended)
 }
 
-// Renew extends a hold.
+// Renew extends a hold, though not beyond the time of its attempt.
 func (r *Reserver) Renew(now time.Time, attempt string) {
 	r.advance(now)
 	if rec := r.live[attempt]; rec != nil && rec.phase == Holding {
@@ -137,7 +139,7 @@
 	r.advance(now)
 	var free []string
 	for _, rec := range r.sorted() {
-		if rec.phase == Holding && !rec.lease.After(now) {
+		if rec.phase == Holding && (!rec.lease.After(now) || !rec.deadline.After(now)) {
 			r.drop(rec, Ended)
 			free = append(free, rec.attempt)
 		}
