Join admission, queueing and routing in package scheduler

Change: scheduler is pure; the control goroutine of the entry only runs it. Prefill predictions follow what placed requests got. A prompt that no target can hold is refused at once instead of at the end of its time, and a target that can't be reached is left alone for a second. Conclusion: the specs of scheduler and entry pass.

--- a/entry/run.go
+++ b/entry/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"bramleyshunt/chainer"
@@ -11,12 +12,17 @@
 	"bramleyshunt/messenger"
 	"bramleyshunt/retrier"
 	"bramleyshunt/router"
+	"bramleyshunt/scheduler"
 )
 
+// lostAside is how long a target that can't be reached is left alone.
+const lostAside = time.Second
+
 // running is one request from its queue to the end of its answer.
 type running struct {
 	e       *Entry
 	r       *chainer.Request
+	ticket  *scheduler.Ticket
 	exclude []string
 	tries   int
 	last    time.Time    // of the last chunk
@@ -62,15 +68,16 @@
 
 // place waits for a target until it is too late to finish in time.
 func (x *running) place(ctx context.Context) (router.Pick, error) {
-	need := x.e.control.needs(x.r)
+	x.ticket = ticket(x.r, x.exclude)
+	need := x.e.control.needs(x.ticket)
 	bound, stop := context.WithTimeoutCause(ctx, x.left()-need, errTooLate)
 	defer stop()
-	w := x.e.control.enqueue(x.r, x.exclude)
+	placed := x.e.control.enqueue(x.ticket)
 	select {
-	case p := <-w.placed:
-		return p.pick, p.err
+	case p := <-placed:
+		return p.Pick, p.Err
 	case <-bound.Done():
-		x.e.control.abandon(w)
+		x.e.control.abandon(x.ticket, placed)
 		return router.Pick{}, x.unplaced(bound)
 	}
 }
@@ -82,7 +89,7 @@
 	e := *coder.Of(cause)
 	switch {
 	case cause == errTooLate:
-		e.Retry = x.e.control.backoff(x.r)
+		e.Retry = x.e.control.backoff(x.ticket)
 	case cause == context.DeadlineExceeded:
 		e = *coder.Errorf(coder.DeadlineExceeded, "")
 	case cause == context.Canceled:
@@ -99,17 +106,17 @@
 	if !x.r.Answer.Begin() {
 		return coder.Errorf(coder.Internal, "second answer")
 	}
-	counted := true
-	started := func() {
+	counted, placed := true, x.e.cfg.Now()
+	started := func(after time.Duration) {
 		if counted {
 			counted = false
-			x.e.control.started(x.r, pick)
+			x.e.control.started(x.ticket, pick, after)
 		}
 	}
-	defer started()
+	defer started(0)
 	j := x.job(pick)
 	j.Emit = func(c messenger.Chunk) error {
-		started()
+		started(x.e.cfg.Now().Sub(placed))
 		x.time()
 		return x.r.Answer.Chunk(c)
 	}
@@ -182,8 +189,10 @@
 	if ctx.Err() != nil {
 		return err
 	}
+	if c.Run == coder.NotRun && c.Code != coder.Voided {
+		x.e.control.refused(pick, aside(c))
+	}
 	if refusal(c.Code) && c.Run == coder.NotRun {
-		x.e.control.refused(pick, c.Retry)
 		return nil
 	}
 	delay, err := x.e.control.again(retrier.Case{
@@ -213,3 +222,17 @@
 		return x.e.cfg.Call(ctx, messenger.KindSuspect, &m, &out)
 	})
 }
+
+// refusal reports whether a code is a target's answer that it can't take the
+// request now, which costs no retry budget.
+func refusal(c coder.Code) bool {
+	return slices.Contains([]coder.Code{coder.Busy, coder.MemoryFull, coder.Leaving, coder.Overloaded}, c)
+}
+
+// aside returns how long a target is left alone that did not take a request.
+func aside(c *coder.Error) time.Duration {
+	if c.Code == coder.TargetLost || c.Code == coder.Silent {
+		return lostAside
+	}
+	return c.Retry
+}
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,94 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+	"bramleyshunt/scheduler"
+)
+
+var now = time.Unix(1000, 0)
+
+func one() *scheduler.Scheduler {
+	s := &scheduler.Scheduler{}
+	s.Router.Update([]messenger.Target{{
+		ID: "t", Service: "s", Incarnation: 1,
+		Load: messenger.Load{Seq: 1, Memory: 100000, Speed: 10000, Pace: 50},
+	}})
+	return s
+}
+
+func ticket(id string, prompt int) *scheduler.Ticket {
+	return &scheduler.Ticket{ID: id, Service: "s", Account: "a", Prompt: prompt, Output: 50, Deadline: now.Add(10 * time.Second)}
+}
+
+func expectCode(err error, want coder.Code) {
+	GinkgoHelper()
+	Expect(coder.Of(err)).To(HaveField("Code", want))
+}
+
+var _ = Describe("scheduling", func() {
+	It("places what a target can take and keeps the rest in turn", func() {
+		s := one()
+		for i := range 5 {
+			s.Enqueue(ticket(fmt.Sprint(i), 2000))
+		}
+		placed := s.Pump(now)
+		Expect(placed).To(HaveLen(2))
+		Expect(s.Queued()).To(Equal(3))
+		Expect(s.Pump(now)).To(BeEmpty())
+		s.Started(placed[0].Ticket, placed[0].Pick, time.Second)
+		Expect(s.Pump(now)).To(HaveLen(1))
+	})
+
+	It("admits by what waits before the request and by the speed that others got", func() {
+		s := one()
+		Expect(s.Admit(now, ticket("x", 50000))).To(Succeed())
+		for i := range 20 {
+			s.Enqueue(ticket(fmt.Sprint(i), 5000))
+		}
+		s.Pump(now)
+		expectCode(s.Admit(now, ticket("x", 5000)), coder.Overloaded)
+
+		slow := one()
+		slow.Enqueue(ticket("a", 1000))
+		p := slow.Pump(now)[0]
+		for range 100 {
+			slow.Started(p.Ticket, p.Pick, 400*time.Millisecond)
+		}
+		expectCode(slow.Admit(now, ticket("x", 25000)), coder.Overloaded)
+		Expect(slow.Admit(now, ticket("x", 15000))).To(Succeed())
+	})
+
+	It("refuses at once what no target can ever hold", func() {
+		s := one()
+		expectCode(s.Admit(now, ticket("x", 100000)), coder.PromptTooLong)
+		none := ticket("y", 10)
+		none.Service = "other"
+		expectCode(s.Admit(now, none), coder.NoTarget)
+	})
+
+	It("ends the wait of a request that every target has failed", func() {
+		s := one()
+		t := ticket("x", 10)
+		t.Exclude = []string{"t"}
+		s.Enqueue(t)
+		placed := s.Pump(now)
+		Expect(placed).To(HaveLen(1))
+		expectCode(placed[0].Err, coder.NoTarget)
+	})
+
+	It("forgets an abandoned request once", func() {
+		s := one()
+		t := ticket("x", 10)
+		s.Enqueue(t)
+		Expect(s.Abandon(t)).To(BeTrue())
+		Expect(s.Abandon(t)).To(BeFalse())
+		Expect(s.Pump(now)).To(BeEmpty())
+	})
+})
