Predict no answer tokens for a plain call

Cause: every request was sized as a prompt to a model, so a plain call was predicted to decode 256 tokens at 25 a second and was refused with 2003 when it had less than 10.24 s. Change: a plain call is sized as one prompt token and no answer. Conclusion: the new spec failed before and passes now.

--- a/entry/control.go
+++ b/entry/control.go
@@ -98,7 +98,12 @@
 	return n
 }
 
+// measure predicts tokens. A plain call has none; it counts as one in limits.
 func (c *control) measure(r *chainer.Request) {
+	if r.Model == "" {
+		r.Prompt, r.Output = 1, 0
+		return
+	}
 	c.do(func() {
 		s := c.measurer.Predict(r.Model, r.Config.Models[r.Model], r.Text, r.Bound)
 		r.Prompt, r.Output = s.Prompt, s.Output
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -144,6 +144,11 @@
 		Expect(run.Headers).NotTo(ContainElement(HaveField("Name", "Authorization")))
 	})
 
+	It("predicts no answer tokens for a plain call", func() {
+		b.call("GET", "/service/portal/jobs/7", "")
+		Expect(b.plain.reserved()).To(And(HaveField("Prompt", 1), HaveField("Output", 0)))
+	})
+
 	DescribeTable("refusing", func(method, path, body string, want coder.Code, headers ...string) {
 		resp, text := b.call(method, path, body, headers...)
 		expectCode(resp, text, want)
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -19,6 +19,7 @@
 
 	mu     sync.Mutex
 	heard  map[messenger.Kind]int
+	last   messenger.Reserve
 	bodies []messenger.Run
 }
 
@@ -51,6 +52,7 @@
 		f.mu.Unlock()
 		switch msg.Kind {
 		case messenger.KindReserve:
+			f.reserve(msg)
 			_ = s.Send(messenger.KindReserved, &messenger.Reserved{Load: f.target.Load})
 		case messenger.KindCancel:
 			_ = s.Send(messenger.KindCancelled, &messenger.Cancelled{})
@@ -73,6 +75,22 @@
 	}
 }
 
+// reserve keeps the last reservation asked for.
+func (f *fake) reserve(msg muxer.Message) {
+	var r messenger.Reserve
+	if msg.Decode(&r) == nil {
+		f.mu.Lock()
+		f.last = r
+		f.mu.Unlock()
+	}
+}
+
+func (f *fake) reserved() messenger.Reserve {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last
+}
+
 func (f *fake) runs() []messenger.Run {
 	f.mu.Lock()
 	defer f.mu.Unlock()
