Give a change id one answer for good

A resend whose base was computed anew got a conflict though its id and folder were those accepted. An id now stands for the version that its folder was first answered with, also where that version was another operator's.

--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -88,6 +88,8 @@
 		}
 		Expect(l.apply(change("c1", 0, 1, folder(1)))).To(Equal(first))
 		Expect(l.apply(change("other id", 0, 1, folder(1)))).To(Equal(first))
+		Expect(l.apply(change("c1", 700, 701, folder(1)))).To(Equal(first))
+		Expect(l.apply(change("other id", 700, 701, folder(1)))).To(Equal(first))
 		expectAnswer(l.apply(change("c1", 0, 1, folder(9))), coder.Conflict, 700)
 		Expect(l.applier.View().Version).To(BeEquivalentTo(700))
 	})
--- a/applier/config.go
+++ b/applier/config.go
@@ -23,6 +23,7 @@
 	keptStamps  = 4096 // names of removed files remembered for differences
 	maxID       = 128  // bytes of a change id or operator
 	maxStep     = 1 << 20
+	maxAliases  = 16 // further ids of one version
 )
 
 // config is the configuration in force with the changes that led to it.
@@ -33,8 +34,9 @@
 	merged  *merger.Merger   // nil if a newer process judged the files
 	stamps  map[string]uint64
 	floor   uint64
-	records []Record          // ascending versions
-	byID    map[string]uint64 // change id to version
+	records []Record            // ascending versions
+	byID    map[string]uint64   // change id to version
+	aliases map[uint64][]string // further ids in byID, by version
 }
 
 // merge returns the merged configuration, never nil.
@@ -92,22 +94,40 @@
 }
 
 // known answers a resend of an accepted change, a second use of its id, and a
-// change for a version that another one has taken.
+// change for a version that another one has taken. An id whose folder already is
+// a version's stands for that version from then on.
 func (c *config) known(ch *Change) *Answer {
-	r := c.record(ch.Version)
-	if r != nil && bytes.Equal(r.Digest, ch.Digest) {
-		return &Answer{Version: r.Version, Winner: r}
-	}
 	if v, used := c.byID[ch.ID]; used {
-		return &Answer{Code: coder.Conflict, Text: "change id was used for another change", Version: c.version, Winner: c.record(v)}
+		r := c.record(v)
+		if bytes.Equal(r.Digest, ch.Digest) {
+			return &Answer{Version: v, Winner: r}
+		}
+		return &Answer{Code: coder.Conflict, Text: "change id was used for another folder", Version: c.version, Winner: r}
 	}
+	r := c.record(ch.Version)
 	if r == nil {
 		return nil
 	}
+	if bytes.Equal(r.Digest, ch.Digest) {
+		c.alias(r.Version, ch.ID)
+		return &Answer{Version: r.Version, Winner: r}
+	}
 	text := fmt.Sprintf("version %d was given to change %q of operator %q with digest %x", r.Version, r.Change, r.Operator, r.Digest)
 	return &Answer{Code: coder.Conflict, Text: text, Version: c.version, Winner: r}
 }
 
+// alias has a further id stand for a version.
+func (c *config) alias(version uint64, id string) {
+	if len(c.aliases[version]) >= maxAliases || len(id) > maxID {
+		return
+	}
+	if c.aliases == nil {
+		c.aliases = map[uint64][]string{}
+	}
+	c.aliases[version] = append(c.aliases[version], id)
+	c.byID[id] = version
+}
+
 func (c *config) conflict(ch *Change) *Answer {
 	if ch.Base == c.version && ch.Version > c.version {
 		return nil
@@ -140,7 +160,7 @@
 	if len(faults) > 0 {
 		return nil, faults
 	}
-	return m, checker.Check(m)
+	return m, checker.CheckMerged(m)
 }
 
 func (c *config) accept(m moment, ch *Change, merged *merger.Merger) {
@@ -202,7 +222,11 @@
 	c.records = append(c.records, r)
 	c.byID[r.Change] = r.Version
 	if len(c.records) > KeptAnswers {
-		delete(c.byID, c.records[0].Change)
+		oldest := c.records[0]
+		for _, id := range append(c.aliases[oldest.Version], oldest.Change) {
+			delete(c.byID, id)
+		}
+		delete(c.aliases, oldest.Version)
 		c.records = slices.Delete(c.records, 0, 1)
 	}
 }
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -27,6 +27,7 @@
 	Stamps   []number         `msgpack:"stamps"`
 	Floor    uint64           `msgpack:"floor"`
 	Records  []Record         `msgpack:"records"`
+	Aliases  []number         `msgpack:"aliases"` // of records, by id
 	Claims   []claim          `msgpack:"claims"`
 	Fences   []number         `msgpack:"fences"`
 	Passed   uint64           `msgpack:"passed"` // floor of the fences
@@ -65,6 +66,11 @@
 		Stamps: listOf(a.config.stamps), Floor: a.config.floor, Records: a.config.records,
 		Fences: listOf(a.fences.issued), Passed: a.fences.floor,
 	}
+	for _, r := range s.Records {
+		for _, id := range a.config.aliases[r.Version] {
+			s.Aliases = append(s.Aliases, number{id, r.Version})
+		}
+	}
 	for _, c := range a.claims.held {
 		s.Claims = append(s.Claims, *c)
 	}
@@ -105,16 +111,20 @@
 }
 
 func (s *snapshot) config() config {
-	c := config{version: s.Version, digest: s.Digest, files: s.Files, stamps: mapOf(s.Stamps), floor: s.Floor, records: s.Records}
+	c := config{
+		version: s.Version, digest: s.Digest, files: s.Files, stamps: mapOf(s.Stamps), floor: s.Floor,
+		records: s.Records, byID: map[string]uint64{}, aliases: map[uint64][]string{},
+	}
 	if s.Version > 0 {
 		c.merged, _ = merger.Merge(s.Files)
 	}
 	for _, r := range s.Records {
-		if c.byID == nil {
-			c.byID = map[string]uint64{}
-		}
 		c.byID[r.Change] = r.Version
 	}
+	for _, a := range s.Aliases {
+		c.byID[a.Name] = a.Value
+		c.aliases[a.Value] = append(c.aliases[a.Value], a.Name)
+	}
 	return c
 }
 
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -15,6 +15,7 @@
 	"bramleyshunt/configurer"
 	"bramleyshunt/decoder"
 	"bramleyshunt/merger"
+	"bramleyshunt/messenger"
 )
 
 // Rules is the number of the set of rules below and of those of packages
@@ -33,9 +34,22 @@
 
 var nameRE = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
-// Check returns every fault of the merged configuration in the order of their
-// positions.
-func Check(m *merger.Merger) decoder.Faults {
+// Check merges and checks the files of a folder. The configuration is nil if
+// there are faults.
+func Check(files []messenger.File) (*configurer.Configurer, decoder.Faults) {
+	m, faults := merger.Merge(files)
+	if len(faults) == 0 {
+		faults = CheckMerged(m)
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return m.Config, nil
+}
+
+// CheckMerged returns every fault of the merged configuration in the order of
+// their positions.
+func CheckMerged(m *merger.Merger) decoder.Faults {
 	c := Checker{merged: m}
 	c.services()
 	c.models()
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -31,10 +31,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			m, faults := merger.Merge(files)
-			if m != nil {
-				faults = checker.Check(m)
-			}
+			_, faults := checker.Check(files)
 			goldie.New(t).Assert(t, strings.TrimSuffix(filepath.Base(folder), ".folder"), []byte(faults.Error()+"\n"))
 		})
 	}
@@ -42,8 +39,8 @@
 
 var _ = Describe("an empty folder", func() {
 	It("has no faults", func() {
-		m, faults := merger.Merge(nil)
+		cfg, faults := checker.Check(nil)
 		Expect(faults).To(BeEmpty())
-		Expect(checker.Check(m)).To(BeEmpty())
+		Expect(cfg).NotTo(BeNil())
 	})
 })
--- a/merger/merger.go
+++ b/merger/merger.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io/fs"
+	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -146,6 +147,18 @@
 	return files, nil
 }
 
+// ReadFolder is Read for a folder of the file system.
+func ReadFolder(path string) ([]messenger.File, error) {
+	info, err := os.Stat(path)
+	if err == nil && !info.IsDir() {
+		err = fmt.Errorf("%s is not a folder", path)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read folder: %w", err)
+	}
+	return Read(os.DirFS(path))
+}
+
 // Digest returns the SHA-256 of a folder: of the names and contents of its
 // files in byte order of names.
 func Digest(files []messenger.File) []byte {
