Serve operators: administration API and its client

The client sends a change again with the same id after lost answers; a test loses two and finds one version.

--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,141 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/administrator"
+	"bramleyshunt/applier"
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+	"bramleyshunt/operator"
+)
+
+func TestOperator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operator")
+}
+
+// fleet is one keeper in memory behind two listeners.
+type fleet struct {
+	applier applier.Applier
+	index   uint64
+	urls    []string
+}
+
+func newFleet() *fleet {
+	f := &fleet{}
+	for range 2 {
+		srv := httptest.NewServer(administrator.New(administrator.Config{
+			Key: []byte("fleet"), Applier: &f.applier, Call: f.call,
+			Confirm: func(context.Context) (uint64, error) { return f.index, nil },
+		}))
+		DeferCleanup(srv.Close)
+		f.urls = append(f.urls, srv.URL)
+	}
+	return f
+}
+
+func (f *fleet) call(_ context.Context, _ messenger.Kind, v, out any) error {
+	c, err := applier.DecodeCommand(v.(*messenger.Propose).Data)
+	if err != nil {
+		return err
+	}
+	f.index++
+	out.(*messenger.Proposed).Data = f.applier.Apply(f.index, c.Stamp(time.Unix(1000, 0)))
+	return nil
+}
+
+func (f *fleet) operator() *operator.Operator {
+	return &operator.Operator{Bases: f.urls, Token: operator.FleetToken([]byte("fleet"))}
+}
+
+// lossy loses the answers to the first posts, after they took effect.
+type lossy struct{ left int }
+
+// RoundTrip implements http.RoundTripper.
+func (l *lossy) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil && r.Method == http.MethodPost && l.left > 0 {
+		l.left--
+		_ = resp.Body.Close()
+		return nil, errors.New("answer lost")
+	}
+	return resp, err
+}
+
+func folder(text string) string {
+	dir := GinkgoT().TempDir()
+	Expect(os.WriteFile(filepath.Join(dir, "a.json"), []byte(text), 0o600)).To(Succeed())
+	return dir
+}
+
+var _ = Describe("an operator", func() {
+	ctx := context.Background()
+
+	It("is answered once for a change whose answers were lost", func() {
+		f := newFleet()
+		o := f.operator()
+		o.Client = &http.Client{Transport: &lossy{left: 2}}
+		got, err := o.Apply(ctx, folder(`{"limits": {"body": 1}}`), operator.Options{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Version).To(BeEquivalentTo(1))
+		Expect(f.index).To(BeEquivalentTo(3))
+		Expect(f.applier.View().Version).To(BeEquivalentTo(1))
+	})
+
+	It("gets the first answer for a change id sent by hand again", func() {
+		f := newFleet()
+		dir := folder(`{"limits": {"body": 1}}`)
+		first, err := f.operator().Apply(ctx, dir, operator.Options{Change: "mine"})
+		Expect(err).NotTo(HaveOccurred())
+		second, err := f.operator().Apply(ctx, folder(`{"limits": {"body": 2}}`), operator.Options{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.Version).To(BeEquivalentTo(2))
+		again, err := f.operator().Apply(ctx, dir, operator.Options{Change: "mine"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again).To(Equal(first))
+	})
+
+	It("is told who won", func() {
+		f := newFleet()
+		_, err := f.operator().Apply(ctx, folder(`{"limits": {"body": 1}}`), operator.Options{Change: "winner"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.operator().Apply(ctx, folder(`{"limits": {"body": 2}}`), operator.Options{Change: "late"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.operator().Apply(ctx, folder(`{"limits": {"body": 3}}`), operator.Options{Base: 1})
+		Expect(coder.Of(err).Code).To(Equal(coder.Conflict))
+		Expect(err).To(MatchError(ContainSubstring(`change "late"`)))
+	})
+
+	It("is told of an invalid folder, a wrong token and no folder", func() {
+		o := newFleet().operator()
+		_, err := o.Apply(ctx, folder(`{"limits": 1}`), operator.Options{})
+		Expect(err).To(MatchError("4002 configuration invalid: a.json:1:12: want object, found number"))
+		_, err = o.Apply(ctx, filepath.Join(folder(""), "none"), operator.Options{})
+		Expect(coder.Of(err).Code).To(Equal(coder.Invalid))
+		o.Token = "wrong"
+		_, err = o.Apply(ctx, folder(`{}`), operator.Options{})
+		Expect(coder.Of(err).Code).To(Equal(coder.Unauthenticated))
+	})
+
+	It("shows configuration, nodes and status", func() {
+		f := newFleet()
+		_, err := f.operator().Apply(ctx, folder(`{"limits": {"body": 7}}`), operator.Options{})
+		Expect(err).NotTo(HaveOccurred())
+		var buf bytes.Buffer
+		Expect(f.operator().Show(ctx, &buf)).To(Succeed())
+		Expect(buf.String()).To(ContainSubstring(`"body": 7`))
+		Expect(f.operator().Status(ctx, &buf)).To(Succeed())
+	})
+})
--- a/publisher/nodes.go
+++ b/publisher/nodes.go
@@ -57,3 +57,13 @@
 	})
 	return out, ok
 }
+
+// Targets returns the targets announced to this keeper in order of their ids.
+func (p *Publisher) Targets() []messenger.Target {
+	live := p.board.Load().live
+	out := make([]messenger.Target, 0, len(live))
+	for _, e := range live {
+		out = append(out, e.Target)
+	}
+	return out
+}
