--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -21,13 +21,14 @@
 	DefaultLease = 3 * time.Second
 )
 
-// Config says what is announced where. Target and Learned are called from
+// Config says what is announced where. Functions are called from
 // several goroutines.
 type Config struct {
 	Keepers []setter.Keeper
 	Pool    *pooler.Pooler
 	Target  func() messenger.Target
 	Learned func(sent time.Time, a messenger.Announced) // for each answer; may be nil
+	Refused func(err error)                             // for each renewal that failed; may be nil
 	Every   time.Duration
 	Lease   time.Duration
 	Now     func() time.Time // time.Now if nil
@@ -42,6 +43,7 @@
 
 	mu      sync.Mutex
 	renewed time.Time // when the newest answered renewal was sent
+	lapses  int
 	failed  map[string]error
 }
 
@@ -97,6 +99,13 @@
 	return !a.renewed.IsZero() && now.Sub(a.renewed) < a.cfg.Lease
 }
 
+// Lapses counts how often the lease may have ended before it was renewed.
+func (a *Announcer) Lapses() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lapses
+}
+
 // Failed returns the last error of each keeper that doesn't answer, by address.
 func (a *Announcer) Failed() map[string]error {
 	a.mu.Lock()
@@ -128,7 +137,10 @@
 	sent := a.cfg.Now()
 	answer, err := a.cfg.Call(ctx, addr, &messenger.Announce{Target: a.cfg.Target(), Lease: a.cfg.Lease})
 	a.note(addr, sent, err)
-	if err == nil && a.cfg.Learned != nil {
+	switch {
+	case err != nil && a.cfg.Refused != nil:
+		a.cfg.Refused(err)
+	case err == nil && a.cfg.Learned != nil:
 		a.cfg.Learned(sent, answer)
 	}
 }
@@ -141,6 +153,9 @@
 		return
 	}
 	delete(a.failed, addr)
+	if !a.renewed.IsZero() && a.cfg.Now().Sub(a.renewed) >= a.cfg.Lease {
+		a.lapses++
+	}
 	if sent.After(a.renewed) {
 		a.renewed = sent
 	}
