Read the confirmed view from package watcher and renew queued claims

Cause: the keepers let a claim lapse that is not renewed for a minute, and a request may be queued for longer. Change: the entry renews a claim until its run begins, takes watcher.View in place of a struct of its own, and queues again what an agent refused as NotReady.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -9,8 +9,13 @@
 	"bramleyshunt/messenger"
 )
 
-// claimLimit bounds the settling of a claim after its request has ended.
-const claimLimit = 5 * time.Second
+const (
+	// claimLimit bounds the settling of a claim after its request has ended.
+	claimLimit = 5 * time.Second
+	// claimRenewal is the time between renewals while a request is queued. The
+	// keepers let a claim lapse that is not renewed for a minute.
+	claimRenewal = 15 * time.Second
+)
 
 // claim keeps a request that is not idempotent to one run, and answers a resend
 // with what was kept. Idempotent requests pass without a keeper.
@@ -31,12 +36,28 @@
 			e.meter.count("replayed")
 			return r.Answer.Reply(answer)
 		}
+		stop := e.renew(ctx, cl)
 		err = next(ctx, r)
+		stop()
 		e.settle(r, cl, err)
 		return err
 	}
 }
 
+// renew keeps a claim alive until the returned function is called or its run
+// has begun.
+func (e *Entry) renew(ctx context.Context, cl messenger.Claim) (stop func()) {
+	ctx, stop = context.WithCancel(ctx)
+	e.wg.Go(func() {
+		for sleep(ctx, claimRenewal) == nil {
+			if _, err := e.claims.Hold(ctx, cl); coder.Of(err) != nil && coder.Of(err).Code != coder.NoQuorum {
+				return
+			}
+		}
+	})
+	return stop
+}
+
 func claimOf(r *chainer.Request) messenger.Claim {
 	return messenger.Claim{
 		Account: r.Account, Service: r.Service, Key: r.Key, Digest: r.Fingerprint, Owner: r.ID,
--- a/entry/control.go
+++ b/entry/control.go
@@ -12,6 +12,7 @@
 	"bramleyshunt/retrier"
 	"bramleyshunt/router"
 	"bramleyshunt/scheduler"
+	"bramleyshunt/watcher"
 )
 
 const (
@@ -26,7 +27,7 @@
 	events chan func()
 	done   chan struct{}
 
-	view      *View
+	view      *watcher.View
 	measurer  measurer.Measurer
 	limiter   limiter.Limiter
 	retrier   retrier.Retrier
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,12 +22,13 @@
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
 	"bramleyshunt/setter"
+	"bramleyshunt/watcher"
 )
 
 // Config is what an Entry needs. Nil functions and zero fields take defaults.
 type Config struct {
 	Settings *setter.Setter
-	View     func() *View                                                     // nil View: nothing is confirmed yet
+	View     func() *watcher.View                                             // nil: nothing is confirmed yet
 	Ready    func() error                                                     // code Stale when the view can't be confirmed
 	Pool     *pooler.Pooler                                                   // connections to agents
 	Call     func(ctx context.Context, kind messenger.Kind, v, out any) error // asks the leading keeper
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -18,6 +18,7 @@
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
 	"bramleyshunt/pooler"
+	"bramleyshunt/watcher"
 )
 
 // bench is an Entry behind an HTTP server, with one engine and one plain service.
@@ -27,7 +28,7 @@
 	engine *fake
 	plain  *fake
 	keeper *keeper
-	view   atomic.Pointer[entry.View]
+	view   atomic.Pointer[watcher.View]
 	stale  atomic.Bool
 }
 
@@ -55,7 +56,7 @@
 	b.plain = newFake("p1", "portal", "")
 	packs := b.engine.target
 	packs.ID, packs.Service, packs.Model = "e2", "packs", "once"
-	b.view.Store(&entry.View{Config: config(), Targets: []messenger.Target{b.engine.target, packs, b.plain.target}})
+	b.view.Store(&watcher.View{Config: config(), Targets: []messenger.Target{b.engine.target, packs, b.plain.target}})
 	pool, closer := pooler.New(muxer.Config{Node: "entry"})
 	e, stop, err := entry.New(entry.Config{
 		View: b.view.Load, Pool: pool, Call: b.keeper.call, Seed: 1,
--- a/entry/run.go
+++ b/entry/run.go
@@ -226,7 +226,7 @@
 // refusal reports whether a code is a target's answer that it can't take the
 // request now, which costs no retry budget.
 func refusal(c coder.Code) bool {
-	return slices.Contains([]coder.Code{coder.Busy, coder.MemoryFull, coder.Leaving, coder.Overloaded}, c)
+	return slices.Contains([]coder.Code{coder.Busy, coder.MemoryFull, coder.Leaving, coder.Overloaded, coder.NotReady}, c)
 }
 
 // aside returns how long a target is left alone that did not take a request.
