Don't count long prompts in the wait of short ones

Cause: a target with a long prompt waiting was taken as busy for short ones, though its engine prefills those first. Change: agents report waiting tokens by length class (messenger.Load.ByClass); the router predicts a wait from the prompt's class and shorter ones, plus own sends. A long ticket that fits nowhere is held apart with a target left to drain for it, so that those behind it go on.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -109,6 +109,8 @@
 	Memory  int    `msgpack:"memory"`  // total engine memory
 	Speed   int    `msgpack:"speed"`   // prefill tokens a second, measured
 	Pace    int    `msgpack:"pace"`    // decode tokens a second and request, measured
+
+	ByClass [Classes]int `msgpack:"byclass"` // Waiting by length class
 }
 
 // Target describes one back end as its agent announces it.
--- a/reserver/load.go
+++ b/reserver/load.go
@@ -79,10 +79,18 @@
 	r.seq++
 	return messenger.Load{
 		Seq: r.seq, Waiting: r.queued, Running: len(r.live), Used: r.used, Memory: r.Memory,
-		Speed: r.meter.speed(), Pace: r.meter.pace(),
+		Speed: r.meter.speed(), Pace: r.meter.pace(), ByClass: r.byClass(),
 	}
 }
 
+// byClass returns the waiting tokens by length class of their prompts.
+func (r *Reserver) byClass() (n [messenger.Classes]int) {
+	for _, rec := range r.live {
+		n[messenger.ClassOf(rec.prompt)] += rec.waiting()
+	}
+	return n
+}
+
 // ahead returns the waiting tokens that go before an attempt of a priority.
 func (r *Reserver) ahead(priority int) int {
 	n := 0
--- a/router/router.go
+++ b/router/router.go
@@ -42,7 +42,7 @@
 	Prefix  []uint64 // hashes of the prompt's beginnings, shortest first
 	Text    int      // bytes of prompt text
 	Exclude []string // targets that failed or refused it
-	Any     bool     // take a target however long the wait is
+	Spare   string   // target that is left to drain
 }
 
 // Pick is a chosen target and what is expected of it.
@@ -75,124 +75,7 @@
 	Own    bool // own sends
 	Cached bool
 	Gate   bool // the bound on the wait
-}
-
-// index holds one service's targets by lane, so that a draw costs the same in
-// a large service as in a small one.
-type index struct {
-	all   []*state
-	short []*state // may take short prompts by lane
-	long  []*state // may take long prompts
-	spare []*state // long lane, open to short prompts while idle
-	sums  [2]Sum   // of short and long
-}
-
-// Sum adds up the targets that a request may be sent to.
-type Sum struct {
-	Targets int
-	Speed   int // prefill tokens a second of all
-	Pace    int // decode tokens a second and request, mean
-	Memory  int // tokens, of the largest
-}
-
-// state is what is known of one target.
-type state struct {
-	target messenger.Target
-	others int // prompt tokens waiting there that this entry did not send
-	own    int // prompt tokens sent by this entry and not yet prefilled
-	held   int // memory taken by this entry's sends since the report
-	until  time.Time
-}
-
-// Update takes the targets of a view. Reports older than the known ones are left out.
-func (r *Router) Update(targets []messenger.Target) {
-	byID := make(map[string]*state, len(targets))
-	byName := map[string]*index{}
-	for _, t := range targets {
-		s := r.byID[t.ID]
-		if s == nil || s.target.Incarnation != t.Incarnation {
-			s = &state{target: t, others: t.Load.Waiting}
-		}
-		s.adopt(t)
-		byID[t.ID] = s
-		if !t.Leaving {
-			x := byName[t.Service]
-			if x == nil {
-				x = &index{}
-				byName[t.Service] = x
-			}
-			x.add(s)
-		}
-	}
-	for _, x := range byName {
-		x.sums = [2]Sum{sum(x.short), sum(x.long)}
-	}
-	r.byID, r.byName = byID, byName
-}
-
-func sum(set []*state) Sum {
-	var n Sum
-	for _, s := range set {
-		n.Targets++
-		n.Speed += first(s.target.Load.Speed, DefaultSpeed)
-		n.Pace += first(s.target.Load.Pace, DefaultPace)
-		n.Memory = max(n.Memory, s.target.Load.Memory)
-	}
-	n.Pace /= max(1, n.Targets)
-	return n
-}
-
-func first(v, otherwise int) int {
-	if v > 0 {
-		return v
-	}
-	return otherwise
-}
-
-// Sum returns the sum of the targets open to short or long prompts of a service.
-func (r *Router) Sum(service string, long bool) Sum {
-	x := r.byName[service]
-	switch {
-	case x == nil:
-		return Sum{}
-	case long:
-		return x.sums[1]
-	default:
-		return x.sums[0]
-	}
-}
-
-// IsLong reports whether a prompt is kept off the short lane.
-func (r *Router) IsLong(prompt int) bool { return prompt > r.long() }
-
-func (s *state) adopt(t messenger.Target) {
-	known := s.target.Load
-	s.target = t
-	if t.Load.Seq <= known.Seq {
-		s.target.Load = known
-		return
-	}
-	s.report(t.Load)
-}
-
-func (s *state) report(l messenger.Load) {
-	s.target.Load = l
-	s.others = max(0, l.Waiting-s.own)
-	s.held = 0
-}
-
-func (x *index) add(s *state) {
-	x.all = append(x.all, s)
-	lane := s.target.Lane
-	if lane != LaneLong {
-		x.short = append(x.short, s)
-	}
-	if lane != LaneShort {
-		x.long = append(x.long, s)
-	}
-	if lane == LaneLong {
-		x.spare = append(x.spare, s)
-	}
+	Class  bool // long prompts don't count in the wait of short ones
 }
 
 // Report takes the load that a target's agent sent with an answer.
@@ -209,7 +92,7 @@
 	if s == nil {
 		return
 	}
-	s.own += c.Prompt - p.Cached
+	s.own[messenger.ClassOf(c.Prompt)] += c.Prompt - p.Cached
 	s.held += c.Prompt + c.Output
 	r.history.add(now, c.Prefix, s.target)
 }
@@ -219,7 +102,8 @@
 func (r *Router) Started(p Pick, c Case) {
 	s := r.byID[p.Target.ID]
 	if s != nil && s.target.Incarnation == p.Target.Incarnation {
-		s.own = max(0, s.own-(c.Prompt-p.Cached))
+		n := &s.own[messenger.ClassOf(c.Prompt)]
+		*n = max(0, *n-(c.Prompt-p.Cached))
 	}
 }
 
@@ -275,15 +159,10 @@
 
 // draw scores random targets of a set until two can take the request.
 func (r *Router) draw(now time.Time, set []*state, c Case) (Pick, bool) {
-	if r.rnd == nil {
-		r.rnd = rand.New(rand.NewPCG(r.Seed, seedStream))
-	}
 	var best Pick
 	n, found := len(set), 0
-	for i := range min(n, 2*bits.Len(uint(n))+extraDraws) {
-		j := i + r.rnd.IntN(n-i)
-		set[i], set[j] = set[j], set[i]
-		p, ok := r.weigh(now, set[i], c)
+	for i := range min(n, draws(n)) {
+		p, ok := r.weigh(now, r.swap(set, i), c)
 		if !ok {
 			continue
 		}
@@ -298,6 +177,38 @@
 	return best, found > 0
 }
 
+// Freest returns the target with the most free memory among random ones that
+// may take the request by lane.
+func (r *Router) Freest(c Case) string {
+	x := r.byName[c.Service]
+	if x == nil {
+		return ""
+	}
+	best, most := "", -1
+	set := r.lanes(x, c)[0]
+	for i := range min(len(set), draws(len(set))) {
+		s := r.swap(set, i)
+		free := max(0, s.target.Load.Memory-s.target.Load.Used-s.held)
+		if free > most && !slices.Contains(c.Exclude, s.target.ID) {
+			best, most = s.target.ID, free
+		}
+	}
+	return best
+}
+
+// draws is how many random targets of n are looked at.
+func draws(n int) int { return 2*bits.Len(uint(n)) + extraDraws }
+
+// swap moves a random one of a set's later targets to position i.
+func (r *Router) swap(set []*state, i int) *state {
+	if r.rnd == nil {
+		r.rnd = rand.New(rand.NewPCG(r.Seed, seedStream))
+	}
+	j := i + r.rnd.IntN(len(set)-i)
+	set[i], set[j] = set[j], set[i]
+	return set[i]
+}
+
 // remembered weighs the target that last got the longest beginning of the prompt.
 func (r *Router) remembered(now time.Time, c Case) (Pick, bool) {
 	if r.Off.Cached {
@@ -319,7 +230,7 @@
 	if long {
 		return s.target.Lane != LaneShort
 	}
-	return s.target.Lane != LaneLong || s.others+s.own == 0
+	return s.target.Lane != LaneLong || s.all() == 0
 }
 
 // weigh predicts the wait at one target and reports whether it may be sent to.
@@ -330,23 +241,28 @@
 	if !r.Off.Cached {
 		p.Cached = r.cached(now, s, c)
 	}
-	p.Wait = Span(r.waiting(s), p.Speed)
-	if slices.Contains(c.Exclude, s.target.ID) {
+	p.Wait = Span(r.waiting(s, messenger.ClassOf(c.Prompt)), p.Speed)
+	if s.target.ID == c.Spare || slices.Contains(c.Exclude, s.target.ID) {
 		return p, false
 	}
-	if c.Any {
-		return p, true
-	}
 	return p, r.fits(now, s, c, p)
 }
 
-func (r *Router) waiting(s *state) int {
+// waiting returns the tokens that are prefilled before a prompt of a class.
+func (r *Router) waiting(s *state, c messenger.Class) int {
+	if r.Off.Class {
+		c = messenger.Huge
+	}
 	if r.Off.Own {
-		return s.target.Load.Waiting
+		known := classes(s.target.Load.ByClass)
+		return known.upTo(c)
 	}
-	return s.others + s.own
+	return s.others.upTo(c) + s.own.upTo(c)
 }
 
+// all returns the tokens of every class.
+func (s *state) all() int { return s.others.upTo(messenger.Huge) + s.own.upTo(messenger.Huge) }
+
 // fits applies memory, refusals, the bound on the wait, and the rule that short
 // prompts enter the long lane only while it is idle.
 func (r *Router) fits(now time.Time, s *state, c Case, p Pick) bool {
@@ -360,7 +276,7 @@
 	if r.Off.Gate {
 		return true
 	}
-	if !r.Off.Lanes && s.target.Lane == LaneLong && c.Prompt <= r.long() && r.waiting(s) > 0 {
+	if !r.Off.Lanes && s.target.Lane == LaneLong && c.Prompt <= r.long() && s.all() > 0 {
 		return false
 	}
 	return p.Wait <= r.wait()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -43,6 +43,15 @@
 		Expect(pick(&r, router.Case{Prompt: 100000})).To(BeEmpty())
 	})
 
+	It("doesn't count long prompts in the wait of short ones, which engines prefill first", func() {
+		r := router.Router{}
+		ts := fleet(1, "")
+		ts[0].Load.ByClass[messenger.Long] = 90000
+		r.Update(ts)
+		Expect(pick(&r, router.Case{Prompt: 100000})).To(BeEmpty())
+		Expect(pick(&r, router.Case{Prompt: 3000})).To(Equal("0"))
+	})
+
 	It("lets short prompts use a long lane only while it is idle", func() {
 		r := router.Router{}
 		r.Update(append(fleet(1, router.LaneShort), fleet(1, router.LaneLong)...))
@@ -86,7 +95,7 @@
 	It("takes no report older than the one it has", func() {
 		r := router.Router{}
 		r.Update(fleet(1, ""))
-		r.Report("0", 1, messenger.Load{Seq: 5, Waiting: 100000, Speed: 10000})
+		r.Report("0", 1, messenger.Load{Seq: 5, ByClass: [4]int{100000}, Speed: 10000})
 		r.Report("0", 1, messenger.Load{Seq: 4})
 		r.Update(fleet(1, ""))
 		Expect(pick(&r, router.Case{Prompt: 10})).To(BeEmpty())
@@ -112,7 +121,7 @@
 			r := router.Router{}
 			ts := fleet(n, "")
 			for i := range ts {
-				ts[i].Load.Waiting = 1 << 20
+				ts[i].Load.ByClass[0] = 1 << 20
 			}
 			r.Update(ts)
 			pick(&r, router.Case{Prompt: 100})
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,11 +39,20 @@
 type Scheduler struct {
 	Admitter admitter.Admitter
 	Router   router.Router
+	Off      bool // no long ticket is held apart; for measurements
 
 	queues  map[lane]*queuer.Queuer
 	order   []lane // of queues, as they came into being
 	waiting map[string]*Ticket
 	stretch map[lane]*stretch
+	held    map[lane]*held
+}
+
+// held is a long ticket that fits nowhere yet, and the target that is left to
+// drain for it while those behind it go on elsewhere.
+type held struct {
+	t      *Ticket
+	target string
 }
 
 // lane names one queue.
@@ -115,6 +124,7 @@
 func (s *Scheduler) Enqueue(t *Ticket) {
 	if s.waiting == nil {
 		s.waiting, s.queues, s.stretch = map[string]*Ticket{}, map[lane]*queuer.Queuer{}, map[lane]*stretch{}
+		s.held = map[lane]*held{}
 	}
 	s.waiting[t.ID] = t
 	l := s.lane(t)
@@ -136,31 +146,67 @@
 		return false
 	}
 	delete(s.waiting, t.ID)
-	return s.queues[s.lane(t)].Remove(t.ID)
+	l := s.lane(t)
+	if h := s.held[l]; h != nil && h.t == t {
+		delete(s.held, l)
+		return true
+	}
+	return s.queues[l].Remove(t.ID)
 }
 
-// Pump places as many waiting tickets as targets can take now. A queue whose
-// first ticket fits nowhere waits, so that a large request isn't overtaken for ever.
+// Pump places as many waiting tickets as targets can take now.
 func (s *Scheduler) Pump(now time.Time) []Placement {
 	var out []Placement
 	for _, l := range s.order {
-		q := s.queues[l]
-		for it := q.Peek(); it != nil; it = q.Peek() {
-			p, ok := s.place(now, s.waiting[it.ID])
-			if !ok {
-				break
+		if h := s.held[l]; h != nil {
+			p, ok := s.place(now, h.t, "")
+			if ok {
+				delete(s.held, l)
+				out = append(out, s.leave(p))
 			}
-			q.Pop()
-			delete(s.waiting, it.ID)
-			out = append(out, p)
 		}
+		out = append(out, s.pump(now, l)...)
+	}
+	return out
+}
+
+// pump works on one queue. The first ticket that fits nowhere ends it; a long
+// one is held apart first, so that it neither idles the targets nor is
+// overtaken for ever.
+func (s *Scheduler) pump(now time.Time, l lane) []Placement {
+	var out []Placement
+	q := s.queues[l]
+	for it := q.Peek(); it != nil; it = q.Peek() {
+		t := s.waiting[it.ID]
+		h := s.held[l]
+		target := ""
+		if h != nil {
+			target = h.target
+		}
+		p, ok := s.place(now, t, target)
+		switch {
+		case ok:
+			out = append(out, s.leave(p))
+		case h == nil && l.long && !s.Off:
+			s.held[l] = &held{t: t, target: s.Router.Freest(ask(t))}
+		default:
+			return out
+		}
+		q.Pop()
 	}
 	return out
 }
 
-// place reports whether a ticket leaves its queue, with a target or without.
-func (s *Scheduler) place(now time.Time, t *Ticket) (Placement, bool) {
+func (s *Scheduler) leave(p Placement) Placement {
+	delete(s.waiting, p.Ticket.ID)
+	return p
+}
+
+// place reports whether a ticket leaves its queue, with a target or without. It
+// spares one target.
+func (s *Scheduler) place(now time.Time, t *Ticket, spare string) (Placement, bool) {
 	c := ask(t)
+	c.Spare = spare
 	if pick, ok := s.Router.Pick(now, c); ok {
 		s.Router.Sent(now, pick, c)
 		return Placement{Ticket: t, Pick: pick}, true
