Measure how fast a queue is worked off, and place long tickets in turn again

Change: the scheduler measures each queue's rate while it is not empty; the ticket held apart is taken out.

--- a/router/router.go
+++ b/router/router.go
@@ -42,7 +42,6 @@
 	Prefix  []uint64 // hashes of the prompt's beginnings, shortest first
 	Text    int      // bytes of prompt text
 	Exclude []string // targets that failed or refused it
-	Spare   string   // target that is left to drain
 }
 
 // Pick is a chosen target and what is expected of it.
@@ -76,6 +75,7 @@
 	Cached bool
 	Gate   bool // the bound on the wait
 	Class  bool // long prompts don't count in the wait of short ones
+	Edge   bool // targets that report no room are not asked
 }
 
 // Report takes the load that a target's agent sent with an answer.
@@ -177,25 +177,6 @@
 	return best, found > 0
 }
 
-// Freest returns the target with the most free memory among random ones that
-// may take the request by lane.
-func (r *Router) Freest(c Case) string {
-	x := r.byName[c.Service]
-	if x == nil {
-		return ""
-	}
-	best, most := "", -1
-	set := r.lanes(x, c)[0]
-	for i := range min(len(set), draws(len(set))) {
-		s := r.swap(set, i)
-		free := max(0, s.target.Load.Memory-s.target.Load.Used-s.held)
-		if free > most && !slices.Contains(c.Exclude, s.target.ID) {
-			best, most = s.target.ID, free
-		}
-	}
-	return best
-}
-
 // draws is how many random targets of n are looked at.
 func draws(n int) int { return 2*bits.Len(uint(n)) + extraDraws }
 
@@ -242,7 +223,7 @@
 		p.Cached = r.cached(now, s, c)
 	}
 	p.Wait = Span(r.waiting(s, messenger.ClassOf(c.Prompt)), p.Speed)
-	if s.target.ID == c.Spare || slices.Contains(c.Exclude, s.target.ID) {
+	if slices.Contains(c.Exclude, s.target.ID) {
 		return p, false
 	}
 	return p, r.fits(now, s, c, p)
@@ -270,9 +251,12 @@
 	if now.Before(s.until) {
 		return false
 	}
-	if l.Memory > 0 && l.Used+s.held+c.Prompt+c.Output > l.Memory {
+	if !r.Off.Edge && l.Memory > 0 && l.Used+s.held+c.Prompt+c.Output > l.Memory {
 		return false
 	}
+	if r.Off.Edge {
+		return true
+	}
 	if r.Off.Gate {
 		return true
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,20 +39,12 @@
 type Scheduler struct {
 	Admitter admitter.Admitter
 	Router   router.Router
-	Off      bool // no long ticket is held apart; for measurements
 
 	queues  map[lane]*queuer.Queuer
 	order   []lane // of queues, as they came into being
 	waiting map[string]*Ticket
 	stretch map[lane]*stretch
-	held    map[lane]*held
-}
-
-// held is a long ticket that fits nowhere yet, and the target that is left to
-// drain for it while those behind it go on elsewhere.
-type held struct {
-	t      *Ticket
-	target string
+	backlog map[lane]*backlog
 }
 
 // lane names one queue.
@@ -77,7 +69,7 @@
 	}
 	c := s.request(t, sum)
 	c.Left = t.Deadline.Sub(now)
-	c.Wait = s.wait(t, l, sum)
+	c.Wait = s.wait(now, t, l, sum)
 	return s.Admitter.Admit(c)
 }
 
@@ -96,12 +88,12 @@
 
 // wait predicts how long a new request waits for its prefill to start. While
 // others wait, every target is filled up to the router's bound.
-func (s *Scheduler) wait(t *Ticket, l lane, sum router.Sum) time.Duration {
+func (s *Scheduler) wait(now time.Time, t *Ticket, l lane, sum router.Sum) time.Duration {
 	q := s.queues[l]
 	if q == nil || q.Len() == 0 || sum.Speed == 0 {
 		return 0
 	}
-	return router.DefaultWait + router.Span(q.Ahead(t.Account, t.Share), sum.Speed)
+	return router.DefaultWait + router.Span(q.Ahead(t.Account, t.Share), s.backlog[l].rate(now, sum.Speed))
 }
 
 // Needs returns the time from a ticket's placement to its last token.
@@ -115,23 +107,23 @@
 }
 
 // Backoff returns when a request that could not be placed should come back.
-func (s *Scheduler) Backoff(t *Ticket) time.Duration {
+func (s *Scheduler) Backoff(now time.Time, t *Ticket) time.Duration {
 	l := s.lane(t)
-	return s.Admitter.Retry(s.wait(t, l, s.Router.Sum(l.service, l.long)))
+	return s.Admitter.Retry(s.wait(now, t, l, s.Router.Sum(l.service, l.long)))
 }
 
 // Enqueue adds a ticket. Its placement comes from a later Pump.
 func (s *Scheduler) Enqueue(t *Ticket) {
 	if s.waiting == nil {
 		s.waiting, s.queues, s.stretch = map[string]*Ticket{}, map[lane]*queuer.Queuer{}, map[lane]*stretch{}
-		s.held = map[lane]*held{}
+		s.backlog = map[lane]*backlog{}
 	}
 	s.waiting[t.ID] = t
 	l := s.lane(t)
 	q := s.queues[l]
 	if q == nil {
 		q = &queuer.Queuer{}
-		s.queues[l], s.stretch[l] = q, &stretch{}
+		s.queues[l], s.stretch[l], s.backlog[l] = q, &stretch{}, &backlog{}
 		s.order = append(s.order, l)
 	}
 	q.Push(&queuer.Item{
@@ -146,67 +138,39 @@
 		return false
 	}
 	delete(s.waiting, t.ID)
-	l := s.lane(t)
-	if h := s.held[l]; h != nil && h.t == t {
-		delete(s.held, l)
-		return true
-	}
-	return s.queues[l].Remove(t.ID)
+	return s.queues[s.lane(t)].Remove(t.ID)
 }
 
-// Pump places as many waiting tickets as targets can take now.
+// Pump places as many waiting tickets as targets can take now. A queue whose
+// first ticket fits nowhere waits, so that a large request isn't overtaken for ever.
 func (s *Scheduler) Pump(now time.Time) []Placement {
 	var out []Placement
 	for _, l := range s.order {
-		if h := s.held[l]; h != nil {
-			p, ok := s.place(now, h.t, "")
-			if ok {
-				delete(s.held, l)
-				out = append(out, s.leave(p))
-			}
-		}
-		out = append(out, s.pump(now, l)...)
+		placed := s.pump(now, l)
+		s.note(now, l, placed)
+		out = append(out, placed...)
 	}
 	return out
 }
 
-// pump works on one queue. The first ticket that fits nowhere ends it; a long
-// one is held apart first, so that it neither idles the targets nor is
-// overtaken for ever.
 func (s *Scheduler) pump(now time.Time, l lane) []Placement {
 	var out []Placement
 	q := s.queues[l]
 	for it := q.Peek(); it != nil; it = q.Peek() {
-		t := s.waiting[it.ID]
-		h := s.held[l]
-		target := ""
-		if h != nil {
-			target = h.target
-		}
-		p, ok := s.place(now, t, target)
-		switch {
-		case ok:
-			out = append(out, s.leave(p))
-		case h == nil && l.long && !s.Off:
-			s.held[l] = &held{t: t, target: s.Router.Freest(ask(t))}
-		default:
-			return out
+		p, ok := s.place(now, s.waiting[it.ID])
+		if !ok {
+			break
 		}
 		q.Pop()
+		delete(s.waiting, it.ID)
+		out = append(out, p)
 	}
 	return out
 }
 
-func (s *Scheduler) leave(p Placement) Placement {
-	delete(s.waiting, p.Ticket.ID)
-	return p
-}
-
-// place reports whether a ticket leaves its queue, with a target or without. It
-// spares one target.
-func (s *Scheduler) place(now time.Time, t *Ticket, spare string) (Placement, bool) {
+// place reports whether a ticket leaves its queue, with a target or without.
+func (s *Scheduler) place(now time.Time, t *Ticket) (Placement, bool) {
 	c := ask(t)
-	c.Spare = spare
 	if pick, ok := s.Router.Pick(now, c); ok {
 		s.Router.Sent(now, pick, c)
 		return Placement{Ticket: t, Pick: pick}, true
@@ -218,6 +182,15 @@
 	return Placement{Ticket: t, Err: s.none(t)}, true
 }
 
+// note measures the backlog of a queue after it was pumped.
+func (s *Scheduler) note(now time.Time, l lane, placed []Placement) {
+	tokens := 0
+	for _, p := range placed {
+		tokens += p.Ticket.Prompt + p.Ticket.Output
+	}
+	s.backlog[l].note(now, s.queues[l].Len() > 0, tokens)
+}
+
 // Started tells that the first piece of an answer came, a time after the
 // placement that is zero if the request ended without one.
 func (s *Scheduler) Started(t *Ticket, p router.Pick, after time.Duration) {
