--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"time"
+
+	"bramleyshunt/admitter"
+	"bramleyshunt/chainer"
+	"bramleyshunt/configurer"
+	"bramleyshunt/limiter"
+	"bramleyshunt/measurer"
+	"bramleyshunt/messenger"
+	"bramleyshunt/retrier"
+	"bramleyshunt/router"
+	"bramleyshunt/scheduler"
+	"bramleyshunt/watcher"
+)
+
+const (
+	tick    = 10 * time.Millisecond // between looks at the queue without an event
+	backlog = 1024                  // events waiting for the control goroutine
+)
+
+// control owns the deciders. All its fields belong to its own goroutine, which
+// runs the functions it is sent one at a time.
+type control struct {
+	cfg    Config
+	events chan func()
+	done   chan struct{}
+
+	view      *watcher.View
+	measurer  measurer.Measurer
+	limiter   limiter.Limiter
+	retrier   retrier.Retrier
+	scheduler scheduler.Scheduler
+	waiting   map[string]chan scheduler.Placement
+}
+
+func newControl(cfg Config) (*control, func()) {
+	c := &control{
+		cfg:     cfg,
+		events:  make(chan func(), backlog),
+		done:    make(chan struct{}),
+		retrier: retrier.Retrier{Seed: cfg.Seed},
+		waiting: map[string]chan scheduler.Placement{},
+		scheduler: scheduler.Scheduler{
+			Admitter: admitter.Admitter{Seed: cfg.Seed},
+			Router:   router.Router{Seed: cfg.Seed},
+		},
+	}
+	stop := make(chan struct{})
+	go c.run(stop)
+	return c, func() {
+		close(stop)
+		<-c.done
+	}
+}
+
+func (c *control) run(stop chan struct{}) {
+	defer close(c.done)
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case f := <-c.events:
+			f()
+		case <-t.C:
+			c.look()
+			c.pump()
+		}
+	}
+}
+
+// do runs f on the control goroutine and waits for it.
+func (c *control) do(f func()) {
+	ended := make(chan struct{})
+	select {
+	case c.events <- func() { f(); close(ended) }:
+	case <-c.done:
+		return
+	}
+	select {
+	case <-ended:
+	case <-c.done:
+	}
+}
+
+// look takes over a new view.
+func (c *control) look() {
+	if v := c.cfg.View(); v != nil && v != c.view {
+		c.view = v
+		c.scheduler.Router.Update(v.Targets)
+	}
+}
+
+func (c *control) queued() (n int) {
+	c.do(func() { n = len(c.waiting) })
+	return n
+}
+
+// measure predicts tokens. A plain call has none; it counts as one in limits.
+func (c *control) measure(r *chainer.Request) {
+	if r.Model == "" {
+		r.Prompt, r.Output = 1, 0
+		return
+	}
+	c.do(func() {
+		s := c.measurer.Predict(r.Model, r.Config.Models[r.Model], r.Text, r.Bound)
+		r.Prompt, r.Output = s.Prompt, s.Output
+	})
+}
+
+func (c *control) learn(r *chainer.Request, u messenger.Usage) {
+	c.do(func() { c.measurer.Learn(r.Model, r.Text, u) })
+}
+
+func (c *control) take(r *chainer.Request, a configurer.Account) (err error) {
+	c.do(func() { err = c.limiter.Take(c.cfg.Now(), r.Account, a, r.Prompt+r.Output) })
+	return err
+}
+
+func (c *control) give(r *chainer.Request, spare int) {
+	c.do(func() { c.limiter.Done(r.Account, spare) })
+}
+
+// admit decides on a new request and counts it towards the retry budget.
+func (c *control) admit(r *chainer.Request) (err error) {
+	c.do(func() {
+		c.look()
+		err = c.scheduler.Admit(c.cfg.Now(), ticket(r, nil))
+		if err == nil {
+			c.retrier.First(r.Service, r.Config.Limits.Retries)
+		}
+	})
+	return err
+}
+
+func ticket(r *chainer.Request, exclude []string) *scheduler.Ticket {
+	return &scheduler.Ticket{
+		ID: r.ID, Service: r.Service, Account: r.Account, Share: r.Config.Accounts[r.Account].Share,
+		Priority: r.Priority, Prompt: r.Prompt, Output: r.Output, Text: r.Text, Prefix: r.Prefix,
+		Deadline: r.Deadline, Exclude: exclude,
+	}
+}
+
+// enqueue puts a ticket in its queue; its placement comes on the channel.
+func (c *control) enqueue(t *scheduler.Ticket) chan scheduler.Placement {
+	placed := make(chan scheduler.Placement, 1)
+	c.do(func() {
+		c.waiting[t.ID] = placed
+		c.scheduler.Enqueue(t)
+		c.look()
+		c.pump()
+	})
+	return placed
+}
+
+// abandon takes a ticket out of its queue. A placement made meanwhile is undone.
+func (c *control) abandon(t *scheduler.Ticket, placed chan scheduler.Placement) {
+	c.do(func() {
+		delete(c.waiting, t.ID)
+		if c.scheduler.Abandon(t) {
+			return
+		}
+		select {
+		case p := <-placed:
+			if p.Err == nil {
+				c.scheduler.Started(t, p.Pick, 0)
+			}
+		default:
+		}
+	})
+}
+
+// pump hands out the placements that can be made now.
+func (c *control) pump() {
+	for _, p := range c.scheduler.Pump(c.cfg.Now()) {
+		c.waiting[p.Ticket.ID] <- p
+		delete(c.waiting, p.Ticket.ID)
+	}
+}
+
+// report takes a load that came with an answer.
+func (c *control) report(pick router.Pick, l messenger.Load) {
+	c.do(func() {
+		c.scheduler.Report(pick, l)
+		c.pump()
+	})
+}
+
+// started ends the count of a request's prompt against its target.
+func (c *control) started(t *scheduler.Ticket, pick router.Pick, after time.Duration) {
+	c.do(func() {
+		c.scheduler.Started(t, pick, after)
+		c.pump()
+	})
+}
+
+// again decides on another attempt after a failed one.
+func (c *control) again(k retrier.Case) (delay time.Duration, err error) {
+	c.do(func() { delay, err = c.retrier.Again(k) })
+	return delay, err
+}
+
+// refused leaves a target alone for as long as it asked, and at least a tick.
+func (c *control) refused(pick router.Pick, after time.Duration) {
+	c.do(func() {
+		c.scheduler.Router.Refused(pick.Target.ID, c.cfg.Now().Add(max(after, tick)))
+	})
+}
+
+// needs returns the time from a ticket's placement to its last token.
+func (c *control) needs(t *scheduler.Ticket) (d time.Duration) {
+	c.do(func() { d = c.scheduler.Needs(t) })
+	return d
+}
+
+// backoff returns when a request that could not be placed should come back.
+func (c *control) backoff(t *scheduler.Ticket) (d time.Duration) {
+	c.do(func() { d = c.scheduler.Backoff(t) })
+	return d
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -51,6 +51,15 @@
 	KindOrdered
 	// Quarantine reports of entries to keepers.
 	KindSuspect
+	// Keeper to keeper: joining a group, read barriers.
+	KindProbe
+	KindProbed
+	KindFound
+	KindConfirm
+	KindConfirmed
+	// Keepers on behalf of operators.
+	KindNodes
+	KindNodesListed
 )
 
 // Class is the length class of a prompt.
