--- /dev/null
+++ b/ganger/ganger_test.go
@@ -0,0 +1,179 @@
+package ganger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/ganger"
+)
+
+func TestGanger(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ganger")
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// targets returns n idle candidates of 1,000 tokens named t0, t1, ….
+func targets(n int) []ganger.Candidate {
+	out := make([]ganger.Candidate, n)
+	for i := range out {
+		out[i] = ganger.Candidate{ID: fmt.Sprint("t", i), Incarnation: 1, Memory: 1000, Free: 1000, Speed: 1000, Pace: 100}
+	}
+	return out
+}
+
+func job(id string, prompt int) ganger.Job {
+	return ganger.Job{ID: id, Model: "m", Text: 4 * prompt, Prompt: prompt, Output: 100, Deadline: at(60)}
+}
+
+// offered returns a Ganger that knows n targets.
+func offered(n int) *ganger.Ganger {
+	g := &ganger.Ganger{}
+	g.Step(at(0), ganger.Event{Kind: ganger.Offer, Model: "m", Candidates: targets(n)})
+	return g
+}
+
+func begin(g *ganger.Ganger, j ganger.Job) []ganger.Action {
+	return g.Step(at(0), ganger.Event{Kind: ganger.Begin, Job: j})
+}
+
+// brief renders actions as "kind attempt target".
+func brief(acts []ganger.Action) []string {
+	out := make([]string, len(acts))
+	for i, a := range acts {
+		out[i] = fmt.Sprint(a.Kind, " ", a.Attempt, " ", a.Target)
+		if a.Kind == ganger.Failed {
+			out[i] = fmt.Sprint(a.Kind, " ", a.ID, " ", a.Err.Code, " ", a.Err.Run)
+		}
+		if a.Kind == ganger.Done {
+			out[i] = fmt.Sprint(a.Kind, " ", a.ID)
+		}
+	}
+	return out
+}
+
+func event(kind ganger.EventKind, attempt string) ganger.Event {
+	return ganger.Event{Kind: kind, Attempt: attempt, Export: []byte(attempt), Err: coder.Errorf(coder.TargetLost, "test")}
+}
+
+func expectSteps(g *ganger.Ganger, seconds float64, e ganger.Event, want ...string) []ganger.Action {
+	GinkgoHelper()
+	acts := g.Step(at(seconds), e)
+	if len(want) == 0 {
+		Expect(brief(acts)).To(BeEmpty())
+		return acts
+	}
+	Expect(brief(acts)).To(Equal(want))
+	return acts
+}
+
+// reserved returns a Ganger with gang g of three members, all granted at 0 s,
+// and the first segment started.
+func reserved() *ganger.Ganger {
+	GinkgoHelper()
+	g := offered(4)
+	Expect(brief(begin(g, job("g", 2400)))).To(Equal([]string{"Reserve g.1.0 t0"}))
+	expectSteps(g, 0, event(ganger.Granted, "g.1.0"), "Reserve g.1.1 t1")
+	expectSteps(g, 0, event(ganger.Granted, "g.1.1"), "Reserve g.1.2 t2")
+	expectSteps(g, 0, event(ganger.Granted, "g.1.2"), "Run g.1.0 t0")
+	return g
+}
+
+var _ = Describe("a gang", func() {
+	It("reserves all in order of ids, then runs segment by segment", func() {
+		g := reserved()
+		acts := expectSteps(g, 0.1, event(ganger.Exported, "g.1.0"), "Run g.1.1 t1")
+		Expect(acts[0].Import).To(Equal([]byte("g.1.0")))
+		Expect(acts[0].Prefill).To(BeTrue())
+		Expect([]int{acts[0].Start, acts[0].End}).To(Equal([]int{3310, 6620}))
+		acts = expectSteps(g, 0.2, event(ganger.Exported, "g.1.1"), "Run g.1.2 t2")
+		Expect(acts[0].Import).To(Equal([]byte("g.1.1")))
+		Expect(acts[0].Prefill).To(BeFalse())
+		Expect(acts[0].End).To(Equal(9600))
+		expectSteps(g, 0.3, event(ganger.First, "g.1.2"))
+		expectSteps(g, 0.4, event(ganger.Ended, "g.1.2"), "Done g", "Free g.1.0 t0", "Free g.1.1 t1", "Free g.1.2 t2")
+		for i := range 3 {
+			expectSteps(g, 0.5, event(ganger.Freed, fmt.Sprint("g.1.", i)))
+		}
+		Expect(g.Idle()).To(BeTrue())
+	})
+
+	It("renews what it reserved until it runs", func() {
+		g := reserved()
+		expectSteps(g, 0.4, ganger.Event{})
+		expectSteps(g, 0.5, ganger.Event{}, "Renew g.1.1 t1", "Renew g.1.2 t2")
+		expectSteps(g, 0.6, event(ganger.Granted, "g.1.1"))
+	})
+
+	It("gives all back when one is refused, and tries again with others", func() {
+		g := offered(4)
+		begin(g, job("g", 2400))
+		expectSteps(g, 0, event(ganger.Granted, "g.1.0"), "Reserve g.1.1 t1")
+		expectSteps(g, 0, event(ganger.Refused, "g.1.1"), "Free g.1.0 t0", "Free g.1.1 t1")
+		expectSteps(g, 0.1, event(ganger.Freed, "g.1.0"))
+		expectSteps(g, 0.1, event(ganger.Freed, "g.1.1"))
+		g.Step(at(0.1), ganger.Event{Kind: ganger.Offer, Model: "m", Candidates: targets(4)[1:]})
+		expectSteps(g, 0.3, event(ganger.Granted, "g.2.0"), "Reserve g.2.1 t2")
+	})
+
+	It("starts anew without a member that it lost", func() {
+		g := reserved()
+		expectSteps(g, 0.1, event(ganger.Exported, "g.1.0"), "Run g.1.1 t1")
+		expectSteps(g, 0.2, event(ganger.Lost, "g.1.0"), "Free g.1.0 t0", "Free g.1.1 t1", "Free g.1.2 t2")
+		expectSteps(g, 0.3, event(ganger.Exported, "g.1.1"))
+		expectSteps(g, 0.4, ganger.Event{})
+		g.Step(at(0.5), ganger.Event{Kind: ganger.Offer, Model: "m", Candidates: targets(4)})
+		expectSteps(g, 2.3, ganger.Event{}, "Free g.1.0 t0", "Free g.1.1 t1", "Free g.1.2 t2", "Reserve g.2.0 t1")
+	})
+
+	It("fails when a member is lost after a part of the answer was passed on", func() {
+		g := reserved()
+		expectSteps(g, 0.1, event(ganger.Exported, "g.1.0"), "Run g.1.1 t1")
+		expectSteps(g, 0.2, event(ganger.Exported, "g.1.1"), "Run g.1.2 t2")
+		expectSteps(g, 0.3, event(ganger.First, "g.1.2"))
+		expectSteps(g, 0.4, event(ganger.Lost, "g.1.1"), "Failed g GangLost Ran", "Free g.1.0 t0", "Free g.1.1 t1", "Free g.1.2 t2")
+	})
+
+	It("frees what it asked for when no answer comes, however late the grant", func() {
+		g := offered(4)
+		begin(g, job("g", 2400))
+		expectSteps(g, 0.5, ganger.Event{}, "Free g.1.0 t0")
+		expectSteps(g, 0.55, event(ganger.Granted, "g.1.0"))
+		expectSteps(g, 1, ganger.Event{}, "Free g.1.0 t0")
+		expectSteps(g, 1.1, event(ganger.Freed, "g.1.0"), "Reserve g.2.0 t0")
+	})
+
+	It("is cancelled by its caller", func() {
+		g := reserved()
+		expectSteps(g, 0.1, ganger.Event{Kind: ganger.Cancel, ID: "g"}, "Failed g Cancelled Unknown", "Free g.1.0 t0", "Free g.1.1 t1", "Free g.1.2 t2")
+	})
+
+	It("waits while as many as allowed are under way", func() {
+		g := offered(9)
+		g.Most = 1
+		begin(g, job("g", 2400))
+		Expect(begin(g, job("h", 2400))).To(BeEmpty())
+		Expect(brief(g.Step(at(0), ganger.Event{Kind: ganger.Cancel, ID: "g"}))).To(Equal([]string{"Failed g Cancelled NotRun", "Free g.1.0 t0", "Reserve h.1.0 t0"}))
+	})
+
+	DescribeTable("is refused at once when nothing can serve it",
+		func(n, prompt int, seconds float64, want string) {
+			j := job("g", prompt)
+			j.Deadline = at(seconds)
+			Expect(brief(begin(offered(n), j))).To(Equal([]string{want}))
+		},
+		Entry("no target", 0, 2400, 60.0, "Failed g NoTarget NotRun"),
+		Entry("beyond all memory", 3, 2900, 60.0, "Failed g PromptTooLong NotRun"),
+		Entry("too late", 3, 2400, 3.0, "Failed g Overloaded NotRun"),
+	)
+})
