Run attempts over connections that are cut

32 attempts of four entries through a relay that cuts each connection after 300 to 4,300 bytes: at most one run each, whole answers, none reported as not run that had run.

--- /dev/null
+++ b/agent/cuts_test.go
@@ -0,0 +1,147 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/dispatcher"
+	"bramleyshunt/messenger"
+	"bramleyshunt/muxer"
+	"bramleyshunt/pooler"
+)
+
+// relay forwards connections and cuts each after as many bytes as limit says.
+type relay struct {
+	to    string
+	limit func() int64
+}
+
+func (r *relay) listen() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			context.AfterFunc(ctx, func() { _ = conn.Close() })
+			wg.Go(func() { r.forward(conn) })
+		}
+	})
+	DeferCleanup(func() {
+		_ = l.Close()
+		cancel()
+		wg.Wait()
+	})
+	return l.Addr().String()
+}
+
+func (r *relay) forward(in net.Conn) {
+	defer func() { _ = in.Close() }()
+	out, err := net.Dial("tcp", r.to)
+	if err != nil {
+		return
+	}
+	defer func() { _ = out.Close() }()
+	var wg sync.WaitGroup
+	pass := func(dst, src net.Conn, limit int64) {
+		_, _ = io.CopyN(dst, src, limit)
+		_ = dst.Close()
+		_ = src.Close()
+	}
+	limit := r.limit()
+	wg.Go(func() { pass(out, in, limit) })
+	pass(in, out, limit)
+	wg.Wait()
+}
+
+// outcome is what an entry was told of one attempt.
+type outcome struct {
+	id   string
+	text string
+	err  error
+}
+
+const pieces = 100
+
+func whole() string {
+	var b strings.Builder
+	for i := range pieces {
+		fmt.Fprint(&b, i+1)
+	}
+	return b.String()
+}
+
+// send carries attempts over connections that are cut, from several entries.
+func send(n *node, r *relay, entries, each int) []outcome {
+	out := make([]outcome, entries*each)
+	var wg sync.WaitGroup
+	for i := range entries {
+		pool, closer := pooler.New(muxer.Config{Node: fmt.Sprint("entry", i), Key: key.Key})
+		DeferCleanup(closer)
+		d := &dispatcher.Dispatcher{Pool: pool}
+		DeferCleanup(d.Wait)
+		addr := r.listen()
+		for k := range each {
+			o := &out[i*each+k]
+			o.id = fmt.Sprintf("%d-%d", i, k)
+			wg.Go(func() { o.err = do(n, d, addr, o) })
+		}
+	}
+	wg.Wait()
+	return out
+}
+
+func do(n *node, d *dispatcher.Dispatcher, addr string, o *outcome) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	_, err := d.Do(ctx, dispatcher.Job{
+		Address: addr,
+		Reserve: *n.reserve(o.id),
+		Run:     *n.runMessage(o.id, fmt.Sprint(pieces)),
+		Emit: func(c messenger.Chunk) error {
+			o.text += string(c.Data)
+			return nil
+		},
+	})
+	return err
+}
+
+var _ = Describe("an agent behind connections that are cut", func() {
+	It("runs each attempt at most once and whole, and is right about those not run", func() {
+		e := newStub()
+		n := start(e, nil)
+		rng := rand.New(rand.NewPCG(20261203, 1))
+		var mu sync.Mutex
+		r := &relay{to: n.addr, limit: func() int64 {
+			mu.Lock()
+			defer mu.Unlock()
+			return 300 + rng.Int64N(4000)
+		}}
+		ran := 0
+		for _, o := range send(n, r, 4, 8) {
+			Expect(e.started(o.id)).To(BeNumerically("<=", 1))
+			if o.err == nil {
+				ran++
+				Expect(o.text).To(Equal(whole()))
+			} else if coder.Of(o.err).Run == coder.NotRun {
+				Expect(e.started(o.id)).To(BeZero(), "%v", o.err)
+			}
+		}
+		Expect(ran).To(BeNumerically(">", 0))
+		n.expectIdle()
+	})
+})
