--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"bramleyshunt/announcer"
 	"bramleyshunt/messenger"
@@ -114,3 +115,26 @@
 		g.Expect(learned).To(Equal([]uint64{3, 3, 3}))
 	})
 }
+
+// BenchmarkAnnounce reports the bytes of one renewal and its answer, without frames.
+func BenchmarkAnnounce(b *testing.B) {
+	m := &messenger.Announce{Lease: announcer.DefaultLease, Target: messenger.Target{
+		ID: "erzaehler-halle-gar-01", Service: "erzaehler", Model: "erzaehler-large", Version: "2026-11-30",
+		Adapters: []string{"checkpoint", "digest"}, Address: "10.1.2.3:7001", Zone: "halle-gar", Lane: "short",
+		Incarnation: 1796330433728541553, Fence: 1 << 40, Config: 1000,
+		Load: messenger.Load{Seq: 1 << 20, Waiting: 1 << 17, Running: 32, Used: 1 << 18, Memory: 1 << 19, Speed: 50000, Pace: 40},
+	}}
+	answer := &messenger.Announced{Fence: 1 << 40, Leader: "eingang-gar", Version: 1000, Confirmed: true}
+	for b.Loop() {
+		p, err := msgpack.Marshal(m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		q, err := msgpack.Marshal(answer)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(p)), "bytes-sent")
+		b.ReportMetric(float64(len(q)), "bytes-answered")
+	}
+}
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -285,3 +286,20 @@
 		})
 	}
 }
+
+// BenchmarkRecords reports the heap that a full set of tombstones takes.
+func BenchmarkRecords(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		r := &reserver.Reserver{Incarnation: 1}
+		for i := range reserver.MaxRecords {
+			r.Void(start, void(strconv.Itoa(i), 1))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
+		runtime.KeepAlive(r)
+	}
+}
