--- a/agent/answer_test.go
+++ b/agent/answer_test.go
@@ -60,10 +60,12 @@
 	})
 
 	It("starts a doubled run once", func() {
+		e.steps = make(chan struct{})
 		n := start(e, nil)
 		m, _ := n.dial()
 		s := n.begin(m, "a", "3")
 		Expect(s.Send(messenger.KindRun, n.runMessage("a", "3"))).To(Succeed())
+		close(e.steps)
 		expectRest(s, 1, 3)
 		other, _ := n.dial()
 		late, err := other.Open(messenger.KindRun, n.runMessage("a", "3"))
