--- a/agent/handle.go
+++ b/agent/handle.go
@@ -165,7 +165,7 @@
 	over := a.send(ctx, s, at, r)
 	at.leave(r, a.cfg.Now())
 	if over && at.hold {
-		a.wg.Go(func() { a.guard(s, at.id) })
+		_ = a.step(func(time.Time) { a.wg.Go(func() { a.guard(s, at.id) }) })
 	}
 	cancel()
 	wg.Wait()
--- a/reserver/ending.go
+++ b/reserver/ending.go
@@ -133,13 +133,13 @@
 	}
 }
 
-// Tick ends leases and returns the attempts, in order, whose hold has ended and
-// which the engine must free.
+// Tick ends leases and returns the attempts, in order, that the engine must free:
+// those whose hold has ended, and runs that nobody ended in their time.
 func (r *Reserver) Tick(now time.Time) []string {
 	r.advance(now)
 	var free []string
 	for _, rec := range r.sorted() {
-		if rec.phase == Holding && (!rec.lease.After(now) || !rec.deadline.After(now)) {
+		if rec.over(now) {
 			r.drop(rec, Ended)
 			free = append(free, rec.attempt)
 		}
@@ -147,6 +147,17 @@
 	return free
 }
 
+func (r *record) over(now time.Time) bool {
+	switch r.phase {
+	case Holding:
+		return !r.lease.After(now) || !r.deadline.After(now)
+	case Running:
+		return now.Sub(r.deadline) >= overdue
+	default:
+		return false
+	}
+}
+
 // Leave refuses every new reservation from now on. Reservations already granted
 // may still run within their lease.
 func (r *Reserver) Leave() { r.leaving = true }
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -34,6 +34,8 @@
 	// process that was frozen doesn't drop tombstones before it has read the
 	// frames that they are kept for.
 	maxStep = 2 * time.Second
+	// overdue is how long after its time a run that nobody has ended is given up.
+	overdue = 10 * time.Second
 	// slack is how far the predicted prefill may exceed the time left before an
 	// attempt is refused. The entry has admitted it with better knowledge.
 	slack = 2
