--- a/agent/engine.go
+++ b/agent/engine.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/url"
 
 	"bramleyshunt/coder"
 	"bramleyshunt/driver"
@@ -22,8 +20,7 @@
 	Call   func(ctx context.Context, r messenger.Run, emit func(messenger.Chunk) error) error
 }
 
-// or fills in the Driver's functions. A plain service has no report: whether it
-// accepts connections takes its place.
+// or fills in the Driver's functions.
 func (e Engine) or(d *driver.Driver, t *setter.Target) Engine {
 	e.Run = orFunc(e.Run, d.Run)
 	e.Resume = orFunc(e.Resume, d.Resume)
@@ -35,27 +32,21 @@
 	}
 	e.Report = d.Report
 	if t.Kind != kindEngine {
-		e.Report = func(ctx context.Context) (driver.Report, error) { return probe(ctx, d.Base) }
+		e.Report = tolerant(d.Report)
 	}
 	return e
 }
 
-// probe connects to a plain service and reports no figures.
-func probe(ctx context.Context, base string) (driver.Report, error) {
-	u, err := url.Parse(base)
-	if err != nil {
-		return driver.Report{}, coder.Errorf(coder.Invalid, "target.url: %v", err)
+// tolerant reports a plain service that has no report of its own as alive,
+// without figures.
+func tolerant(report func(context.Context) (driver.Report, error)) func(context.Context) (driver.Report, error) {
+	return func(ctx context.Context) (driver.Report, error) {
+		rep, err := report(ctx)
+		if err != nil && coder.Of(err).Code == coder.EngineFailed {
+			return driver.Report{}, nil
+		}
+		return rep, err
 	}
-	addr := u.Host
-	if u.Port() == "" {
-		addr = net.JoinHostPort(u.Hostname(), "80")
-	}
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return driver.Report{}, &coder.Error{Code: coder.TargetLost, Run: coder.NotRun, Cause: err}
-	}
-	return driver.Report{}, conn.Close()
 }
 
 func orFunc[F func(context.Context, driver.Request, func([]byte) error) (driver.Result, error) |
--- a/agent/stub_test.go
+++ b/agent/stub_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"bramleyshunt/agent"
 	"bramleyshunt/coder"
@@ -175,3 +176,40 @@
 	defer e.mu.Unlock()
 	return append([]uint64{}, e.orders...)
 }
+
+// plug cuts an agent off from its engine and stops its work, as a kill would.
+type plug struct {
+	pulled atomic.Bool
+	stop   context.CancelFunc
+}
+
+// cut puts the plug between an agent and its target.
+func (p *plug) cut(cfg *agent.Config) {
+	d := cfg.Driver
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	dead := coder.Errorf(coder.TargetLost, "the agent is dead")
+	cfg.Engine.Run = func(_ context.Context, r driver.Request, emit func([]byte) error) (driver.Result, error) {
+		return d.Run(ctx, r, emit)
+	}
+	cfg.Engine.Resume = func(context.Context, string, uint64, func([]byte) error) (driver.Result, error) {
+		return driver.Result{}, dead
+	}
+	cfg.Engine.Cancel = func(ctx context.Context, id string) error {
+		if p.pulled.Load() {
+			return dead
+		}
+		return d.Cancel(ctx, id)
+	}
+	cfg.Engine.Report = func(ctx context.Context) (driver.Report, error) {
+		if p.pulled.Load() {
+			return driver.Report{}, dead
+		}
+		return d.Report(ctx)
+	}
+}
+
+func (p *plug) pull() {
+	p.pulled.Store(true)
+	p.stop()
+}
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -114,7 +114,7 @@
 		a.kick()
 	}
 	a.lost(out.Lost)
-	if !a.owner(now) {
+	if a.plain() || !a.owner(now) {
 		return nil
 	}
 	return out.Free
