Renew gang reservations, and end runs whose imported prefix is lost

An engine that held an imported segment could die without the importer noticing, so that an answer would have come from a prefix that no longer existed: the stand-in now ends such a run with GangLost, and ganger does not avoid the member that only passed the news on.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -58,6 +58,7 @@
 	ID      string
 	Request Request
 	Order   messenger.Order
+	Err     *coder.Error // why ID is given up; Cancelled if nil
 }
 
 // Request is one prompt, measured and hashed.
@@ -152,7 +153,7 @@
 	case Submit:
 		b.submit(now, e.Request)
 	case Cancel:
-		b.cancel(now, e.ID)
+		b.cancel(now, e)
 	case Order:
 		b.order(now, e.Order)
 	case Beat:
--- a/batcher/work.go
+++ b/batcher/work.go
@@ -87,8 +87,8 @@
 
 // cancel frees what a request or hold has. Its id stays known like that of any
 // ended request.
-func (b *Batcher) cancel(now time.Time, id string) {
-	w := b.known[id]
+func (b *Batcher) cancel(now time.Time, e Event) {
+	w := b.known[e.ID]
 	if w == nil || !b.live(w) {
 		return
 	}
@@ -96,7 +96,11 @@
 		b.release(now, w)
 		return
 	}
-	b.finish(now, w, coder.Errorf(coder.Cancelled, "by request"))
+	err := e.Err
+	if err == nil {
+		err = coder.Errorf(coder.Cancelled, "by request")
+	}
+	b.finish(now, w, err)
 }
 
 func (b *Batcher) live(w *work) bool { return slices.Contains(b.works, w) }
--- a/faker/faker_test.go
+++ b/faker/faker_test.go
@@ -232,6 +232,28 @@
 	})
 })
 
+var _ = Describe("a run on an imported prefix", func() {
+	It("ends with a code when the engine that holds the prefix is lost", func() {
+		first, d := begin(faker.Config{})
+		res, err := d.Run(ctx, driver.Request{ID: "s", Body: body("beginning", 1), Prefill: true}, nil)
+		Expect(err).NotTo(HaveOccurred())
+		last, d := begin(faker.Config{})
+		out := make(chan error, 1)
+		r := driver.Request{ID: "r", Body: body("end", 100_000), Import: res.Export}
+		go func() {
+			_, err := d.Run(ctx, r, (&reader{}).emit)
+			out <- err
+		}()
+		Eventually(func() int { return last.Report().Running }).Should(Equal(1))
+		first.Kill()
+		expectOutcome(out, coder.GangLost)
+		eventuallyUsed(last, 0)
+		r.ID = "again"
+		_, err = d.Run(ctx, r, nil)
+		expectCode(err, coder.GangLost)
+	})
+})
+
 var _ = Describe("failures", func() {
 	It("a kill ends streams at once, refuses dials and loses memory", func() {
 		f, d := begin(faker.Config{})
--- a/faker/record.go
+++ b/faker/record.go
@@ -12,6 +12,7 @@
 	seed    uint64
 	prefix  handle // the chain up to the end of this prompt
 	prefill bool   // the end exports prefix
+	sources []hold // of the imported prefix
 
 	mu      sync.Mutex
 	made    int
--- a/faker/routes.go
+++ b/faker/routes.go
@@ -145,6 +145,10 @@
 	if err != nil {
 		return nil, err
 	}
+	sources := prefix.Holds
+	if err := e.present(r.Context(), sources); err != nil {
+		return nil, err
+	}
 	text := b.text()
 	crash := e.f.cfg.Crash
 	req.Model, req.Output, req.Prompt = b.Model, b.Output, tokens(text)
@@ -155,6 +159,7 @@
 		prefix.Holds = append(prefix.Holds, hold{ID: req.ID, URL: e.f.URL(), Incarnation: e.incarnation})
 	}
 	rec := newRecord(prefix, req.Prefill)
+	rec.sources = sources
 	return rec, e.enter(r.Context(), req, rec)
 }
 
@@ -168,6 +173,9 @@
 				refused = a.Err
 			case batcher.Accepted:
 				e.records[req.ID] = rec
+				if len(rec.sources) > 0 {
+					e.wg.Go(func() { e.attend(rec, req.ID) })
+				}
 			}
 		}
 	})
--- a/ganger/gang.go
+++ b/ganger/gang.go
@@ -41,6 +41,7 @@
 	ran     bool      // a segment was started
 	first   bool      // a piece of the answer was passed on
 	over    bool
+	losses  int
 	avoid   []lost
 }
 
@@ -170,9 +171,17 @@
 	case e.Kind == Ended && m.phase == running && last:
 		g.finish(x)
 	case e.Kind == Lost && m.phase != unasked:
+		g.lose(x, i, coder.Of(e.Err))
+	}
+}
+
+// lose handles the loss of member i. Code GangLost says that it lost another.
+func (g *Ganger) lose(x *gang, i int, err *coder.Error) {
+	x.losses++
+	if m := &x.members[i]; err == nil || err.Code != coder.GangLost {
 		x.avoid = append(x.avoid, lost{m.ID, m.Incarnation})
-		g.restart(x, i, coder.Of(e.Err))
 	}
+	g.restart(x, i, err)
 }
 
 // adjust changes what is thought free at a target until the next Offer.
@@ -212,7 +221,7 @@
 // restart frees all members after one failed, and lets the gang start anew
 // unless a part of the answer has been passed on or too many were lost.
 func (g *Ganger) restart(x *gang, i int, err *coder.Error) {
-	if x.first || len(x.avoid) >= maxLost {
+	if x.first || x.losses >= maxLost {
 		g.end(x, &coder.Error{Code: coder.GangLost, Text: "target " + x.members[i].ID, Cause: err})
 		return
 	}
--- a/ganger/ganger.go
+++ b/ganger/ganger.go
@@ -7,12 +7,12 @@
 // A shell gives each answer of the agents to Step as an event and carries out
 // the actions: Reserve and Renew send messenger.Reserve with Gang set, Run sends
 // messenger.Run on the stream of the reservation, which stays open until Free
-// because the agent renews a hold while it lives, and Free sends
+// because the agent renews a hold while its connection lives, and Free sends
 // messenger.Cancel on any connection and closes the stream. Lost is given when
-// a member's stream or run fails for good, also that of a held one; First when
-// the first piece of the answer is passed on; Tick several times a second.
-// Bounds of segments are bytes of the prompt's text; the shell moves each back
-// to the start of a character.
+// a member's stream or run fails for good, also that of a held one, with the
+// code the agent gave; First when the first piece of the answer is passed on;
+// Tick several times a second. Bounds of segments are bytes of the prompt's
+// text; the shell moves each back to the start of a character.
 package ganger
 
 import (
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"bramleyshunt/coder"
@@ -54,7 +55,7 @@
 
 	records   map[string]*record
 	live      map[string]*record
-	leases    []*record // in order of grant, hence of lease end
+	leases    []*record // in order of their end
 	kept      kept
 	forgot    bool // a record of an attempt that ran has been dropped
 	leaving   bool
@@ -70,7 +71,7 @@
 }
 
 // Reserve grants memory and a slot until the lease ends. A repeated message
-// gets the first answer. Errors carry codes WrongIncarnation, Leaving, Busy,
+// gets the first answer; that of a gang member renews its lease as well. Errors carry codes WrongIncarnation, Leaving, Busy,
 // MemoryFull, Overloaded, DeadlineExceeded, Voided, LeaseExpired or AlreadyRan;
 // all but the last say that the attempt did not run.
 func (r *Reserver) Reserve(now time.Time, m *messenger.Reserve) (messenger.Reserved, error) {
@@ -101,6 +102,9 @@
 func (r *Reserver) again(rec *record) (messenger.Reserved, error) {
 	switch rec.phase {
 	case Reserved:
+		if rec.gang {
+			r.extend(rec)
+		}
 		return r.grant(rec), nil
 	case Withdrawn:
 		return messenger.Reserved{}, rec.refusal()
@@ -109,6 +113,18 @@
 	}
 }
 
+// extend renews the lease of a gang member, whose turn may come late, though not
+// beyond the time of its attempt. It keeps the leases in order of their end.
+func (r *Reserver) extend(rec *record) {
+	rec.lease = r.now.Add(r.lease())
+	if rec.lease.After(rec.deadline) {
+		rec.lease = rec.deadline
+	}
+	r.leases = slices.DeleteFunc(r.leases, func(x *record) bool { return x == rec })
+	i, _ := slices.BinarySearchFunc(r.leases, rec, func(x, y *record) int { return x.lease.Compare(y.lease) })
+	r.leases = slices.Insert(r.leases, i, rec)
+}
+
 func (r *Reserver) grant(rec *record) messenger.Reserved {
 	return messenger.Reserved{
 		Attempt: rec.attempt, Incarnation: rec.incarnation,
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -168,6 +168,20 @@
 		Expect(r.Idle(at(1))).To(BeTrue())
 	})
 
+	It("renews a gang member's reservation when asked again, up to its time", func() {
+		gang := reserve("a", 10)
+		gang.Gang, gang.Remaining = true, 4*time.Second
+		expectGranted(r, at(0), gang)
+		expectGranted(r, at(0.5), reserve("b", 10))
+		expectGranted(r, at(1.5), gang)
+		expectGranted(r, at(1.5), reserve("b", 10))
+		Expect(r.Load(at(2.5)).Used).To(Equal(10), "only a is renewed")
+		expectGranted(r, at(3.4), gang)
+		Expect(r.Load(at(3.9)).Used).To(Equal(10))
+		expectReserveRefused(r, at(4), gang, coder.LeaseExpired)
+		Expect(r.Load(at(4)).Used).To(BeZero())
+	})
+
 	It("holds a gang member's cache under a lease", func() {
 		expectGranted(r, at(0), reserve("a", 10))
 		expectStarted(r, at(0), "a")
