--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -122,7 +122,7 @@
 		f := a.expectFailure(coder.Invalid, http.MethodPost, "/v1/configuration", administrator.Token(key),
 			proposal(0, "1", "{\"limits\": {\"body\": -1,\n\"crashes\": -2}}"))
 		Expect(f.Faults).To(Equal([]string{
-			"a.json:1:21: limits.body: -1 is not within 0 and 16777216",
+			"a.json:1:21: limits.body: -1 is not within 0 and 15728640",
 			"a.json:2:12: limits.crashes: -2 is not within 0 and 100",
 		}))
 		Expect(a.index).To(BeZero())
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -25,7 +25,7 @@
 const (
 	tokenBytes  = 32
 	maxSeconds  = 7 * 24 * 3600.0
-	maxBody     = 16 << 20 // bytes; a request travels in one frame
+	maxBody     = 15 << 20 // bytes; a request and its headers travel in one frame
 	maxPriority = 1000
 	maxShare    = 10000
 	maxWindow   = 16 << 20 // tokens
