--- a/entry/control.go
+++ b/entry/control.go
@@ -12,6 +12,7 @@
 	"bramleyshunt/retrier"
 	"bramleyshunt/router"
 	"bramleyshunt/scheduler"
+	"bramleyshunt/watcher"
 )
 
 const (
@@ -26,7 +27,7 @@
 	events chan func()
 	done   chan struct{}
 
-	view      *View
+	view      *watcher.View
 	measurer  measurer.Measurer
 	limiter   limiter.Limiter
 	retrier   retrier.Retrier
@@ -98,7 +99,12 @@
 	return n
 }
 
+// measure predicts tokens. A plain call has none; it counts as one in limits.
 func (c *control) measure(r *chainer.Request) {
+	if r.Model == "" {
+		r.Prompt, r.Output = 1, 0
+		return
+	}
 	c.do(func() {
 		s := c.measurer.Predict(r.Model, r.Config.Models[r.Model], r.Text, r.Bound)
 		r.Prompt, r.Output = s.Prompt, s.Output
