--- /dev/null
+++ b/publisher/spread_test.go
@@ -0,0 +1,139 @@
+package publisher_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/announcer"
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+	"bramleyshunt/proposer"
+	"bramleyshunt/setter"
+	"bramleyshunt/watcher"
+)
+
+const (
+	spreadChanges = 20
+	idleTime      = 5 * time.Second
+)
+
+// BenchmarkSpread gives, for a number of nodes that watch three keepers, the
+// time from accepted to in force on all of them, and the bytes and frames of one
+// node for one change and for one idle second. Bytes are those of the streams,
+// without the headers of TCP and IP.
+//
+//	go test ./publisher -run - -bench Spread -benchtime 1x
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{10, 100, 300} {
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) { spread(b, n, true, 0) })
+	}
+	for _, n := range []int{10, 100, 300} {
+		b.Run(fmt.Sprintf("entries=%d/targets=0", n), func(b *testing.B) { spread(b, n, false, 0) })
+	}
+	for _, n := range []int{10, 100, 300} {
+		b.Run(fmt.Sprintf("entries=10/targets=%d", n), func(b *testing.B) { spread(b, 10, false, n) })
+	}
+}
+
+// spread measures agents, which watch the configuration alone and announce a
+// target each, or entries, which watch the given number of targets too. These
+// report another load each second; their own traffic is not counted.
+func spread(b *testing.B, nodes int, agents bool, targets int) {
+	RegisterFailHandler(func(message string, _ ...int) { b.Fatal(message) })
+	f := newFleet(b)
+	p := f.proposer("op")
+	Expect(apply(p, "1", 0, 1, folder(1)).Code).To(Equal(coder.OK))
+	for i := range targets {
+		f.announce(fmt.Sprintf("target-%d", i), f.peers, busy(uint64(i)))
+	}
+	var watchers []*watcher.Watcher
+	for i := range nodes {
+		node := fmt.Sprintf("node-%d", i)
+		watchers = append(watchers, f.watch(node, agents))
+		if agents {
+			f.announce(node, f.nodes, func() int { return 0 })
+		}
+	}
+	expectVersion(1, watchers...)
+	version := uint64(1)
+	for b.Loop() {
+		idle := f.meter.during(func() { <-time.After(idleTime) }).per(float64(nodes))
+		idle.report(b, "idle-s")
+		var slowest time.Duration
+		moved := f.meter.during(func() { slowest = f.change(p, &version, watchers) }).per(float64(nodes))
+		moved.minus(idle).per(spreadChanges / moved.seconds).report(b, "change")
+		b.ReportMetric(float64(slowest.Milliseconds()), "ms/slowest-change")
+	}
+}
+
+// change puts a number of versions in force one after the other, and returns
+// the longest time from an accepted answer to the last watcher.
+func (f *fleet) change(p *proposer.Proposer, version *uint64, watchers []*watcher.Watcher) time.Duration {
+	var slowest time.Duration
+	for range spreadChanges {
+		*version++
+		Expect(apply(p, fmt.Sprint(*version), *version-1, *version, folder(*version)).Code).To(Equal(coder.OK))
+		accepted := time.Now()
+		expectVersion(*version, watchers...)
+		slowest = max(slowest, time.Since(accepted))
+	}
+	return slowest
+}
+
+// busy returns a load that wanders.
+func busy(seed uint64) func() int {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	return func() int { return rnd.IntN(100000) }
+}
+
+// announce keeps a target announced; load is asked for at each renewal.
+func (f *fleet) announce(id string, keepers []setter.Keeper, load func() int) {
+	var waiting atomic.Int64
+	_, stop := announcer.New(announcer.Config{
+		Keepers: keepers, Pool: f.pool(id),
+		Learned: func(time.Time, messenger.Announced) { waiting.Store(int64(load())) },
+		Target: func() messenger.Target {
+			return messenger.Target{
+				ID: id, Service: "erzaehler", Model: "erzaehler", Version: "2026-11", Address: "127.0.0.1:7200", Zone: "halle-gar",
+				Incarnation: 1, Load: messenger.Load{Waiting: int(waiting.Load()), Memory: 1 << 20, Speed: 8000, Pace: 40},
+			}
+		},
+	})
+	f.tb.Cleanup(stop)
+}
+
+// traffic is what a meter counted in a time, each figure a second.
+type traffic struct {
+	in, out, frames float64
+	seconds         float64
+}
+
+func (m *meter) during(f func()) traffic {
+	in, out, frames, start := m.in.Load(), m.out.Load(), m.messages.Load(), time.Now()
+	f()
+	s := time.Since(start).Seconds()
+	return traffic{
+		in: float64(m.in.Load()-in) / s, out: float64(m.out.Load()-out) / s,
+		frames: float64(m.messages.Load()-frames) / s, seconds: s,
+	}
+}
+
+func (t traffic) per(n float64) traffic {
+	return traffic{in: t.in / n, out: t.out / n, frames: t.frames / n, seconds: t.seconds}
+}
+
+func (t traffic) minus(o traffic) traffic {
+	return traffic{in: t.in - o.in, out: t.out - o.out, frames: t.frames - o.frames, seconds: t.seconds}
+}
+
+// report gives the figures of one node; sent and received are the node's view.
+func (t traffic) report(b *testing.B, unit string) {
+	b.ReportMetric(t.in, "B-sent/"+unit)
+	b.ReportMetric(t.out, "B-received/"+unit)
+	b.ReportMetric(t.frames, "frames/"+unit)
+}
