Tell loads apart from targets, in turns within 6 KB a second

A load that moved a step had its whole target sent again: an entry received 72.8 KB an idle second at 300 targets that change their load each second (243 B a target). Loads now travel as digests of six numbers, twice a second at most, and beyond 6 KB a second the targets take turns.

TestDigests caught both halves broken by hand: without turns the targets beyond the budget were never told, without the budget its bytes were exceeded.

--- a/messenger/keeper.go
+++ b/messenger/keeper.go
@@ -56,6 +56,31 @@
 	// confirmed Version. Its age bounds the age of what the watcher holds, however
 	// long the Update was on its way.
 	Seq uint64 `msgpack:"seq"`
+	// Loads tells of targets whose load alone has changed.
+	Loads []Digest `msgpack:"loads,omitempty"`
+}
+
+// Digest is the load of one target, without its memory, which Target tells.
+type Digest struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       string
+	Seq      uint64
+	Waiting  int
+	Running  int
+	Used     int
+	Speed    int
+	Pace     int
+}
+
+// DigestOf returns the digest of a target's load.
+func DigestOf(t *Target) Digest {
+	l := t.Load
+	return Digest{ID: t.ID, Seq: l.Seq, Waiting: l.Waiting, Running: l.Running, Used: l.Used, Speed: l.Speed, Pace: l.Pace}
+}
+
+// Load returns the load that the digest tells, for a target of the given memory.
+func (d *Digest) Load(memory int) Load {
+	return Load{Seq: d.Seq, Waiting: d.Waiting, Running: d.Running, Used: d.Used, Memory: memory, Speed: d.Speed, Pace: d.Pace}
 }
 
 // State is the state of an idempotency claim.
--- a/publisher/board.go
+++ b/publisher/board.go
@@ -1,6 +1,7 @@
 package publisher
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,16 @@
 // idleGap is the longest time between two updates of a stream.
 const idleGap = 900 * time.Millisecond
 
+const (
+	// loadRate bounds what one stream tells of loads, in bytes a second. Beyond
+	// it the targets take turns.
+	loadRate = 6 << 10
+	// loadGap is the shortest time between two tellings of loads.
+	loadGap = 450 * time.Millisecond
+	// digestBytes is the size of a digest without the target's id.
+	digestBytes = 24
+)
+
 // maxProofs bounds the Seqs that wait; the oldest go first.
 const maxProofs = 64
 
@@ -39,6 +50,9 @@
 	round   uint64
 	sent    time.Time
 	proofs  proofs
+	loads   map[string]uint64 // Loaded of each target as told
+	told    time.Time         // when loads were told
+	turn    string            // id of the last target whose load was told
 }
 
 // update returns what the stream must be told now, nil if nothing. A stream
@@ -50,9 +64,10 @@
 	}
 	if !c.lean {
 		c.targets(u, b)
+		c.digests(u, b, now)
 		c.quarantine(u, b)
 	}
-	empty := !u.Full && len(u.Files)+len(u.Targets)+len(u.Gone)+len(u.Blocked)+len(u.Freed) == 0
+	empty := !u.Full && len(u.Files)+len(u.Targets)+len(u.Gone)+len(u.Blocked)+len(u.Freed)+len(u.Loads) == 0
 	first := !c.proved && b.confirmed && c.proofs.ready(b.round)
 	if empty && c.begun && !first && now.Sub(c.sent) < idleGap {
 		return nil
@@ -114,15 +129,44 @@
 }
 
 func (c *cursor) targets(u *messenger.Update, b *board) {
+	if c.loads == nil {
+		c.loads = map[string]uint64{}
+	}
 	for _, e := range b.live {
 		if e.Rev > c.rev || !c.begun {
 			u.Targets = append(u.Targets, e.Target)
+			c.loads[e.Target.ID] = e.Loaded
 		}
 	}
 	for _, g := range b.gone {
 		if g.Rev > c.rev && c.begun {
 			u.Gone = append(u.Gone, g.ID)
+			delete(c.loads, g.ID)
+		}
+	}
+}
+
+// digests tells the loads that changed, as many as loadRate allows, beginning
+// after the target that was told last.
+func (c *cursor) digests(u *messenger.Update, b *board, now time.Time) {
+	since := now.Sub(c.told)
+	if since < loadGap || len(b.live) == 0 {
+		return
+	}
+	left := int(loadRate * min(since, time.Second).Seconds())
+	first, _ := slices.BinarySearchFunc(b.live, c.turn, func(e registrar.Entry, id string) int {
+		return cmp.Or(cmp.Compare(e.Target.ID, id), -1)
+	})
+	for i := range b.live {
+		e := &b.live[(first+i)%len(b.live)]
+		if e.Loaded <= c.loads[e.Target.ID] {
+			continue
+		}
+		if left -= digestBytes + len(e.Target.ID); left < 0 {
+			break
 		}
+		u.Loads = append(u.Loads, messenger.DigestOf(&e.Target))
+		c.loads[e.Target.ID], c.turn, c.told = e.Loaded, e.Target.ID, now
 	}
 }
 
--- /dev/null
+++ b/publisher/board_test.go
@@ -0,0 +1,47 @@
+package publisher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramleyshunt/applier"
+	"bramleyshunt/messenger"
+	"bramleyshunt/registrar"
+)
+
+// TestDigests has more targets change their load each second than one stream
+// may tell, and checks that all get their turn within the stream's bytes.
+func TestDigests(t *testing.T) {
+	const targets, seconds = 1000, 10
+	var r registrar.Registrar
+	c := cursor{}
+	now := time.Unix(1000, 0)
+	told, bytes := map[string]int{}, 0
+	for half := range 2 * seconds {
+		for i := range targets {
+			load := messenger.Load{Waiting: 1000 * (half + 1)}
+			target := messenger.Target{ID: fmt.Sprintf("target-%04d", i), Incarnation: 1, Load: load}
+			if _, err := r.Announce(now, messenger.Announce{Target: target}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		u := c.update(&board{view: &applier.View{}, live: r.Live(), rev: r.Rev()}, now)
+		for _, d := range u.Loads {
+			told[d.ID]++
+			bytes += digestBytes + len(d.ID)
+		}
+		now = now.Add(500 * time.Millisecond)
+	}
+	if len(told) != targets {
+		t.Errorf("%d of %d targets had their turn", len(told), targets)
+	}
+	if bytes > (seconds+1)*loadRate {
+		t.Errorf("%d bytes in %d seconds", bytes, seconds)
+	}
+	for id, n := range told {
+		if n < 1 || n > 3 {
+			t.Errorf("%s told %d times", id, n)
+		}
+	}
+}
--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	if p.leases.Rev() != before {
+	if e.Rev > before {
 		p.stir()
 	}
 	if e.Since.Equal(now) {
--- a/publisher/spread_test.go
+++ b/publisher/spread_test.go
@@ -66,7 +66,7 @@
 		idle.report(b, "idle-s")
 		var slowest time.Duration
 		moved := f.meter.during(func() { slowest = f.change(p, &version, watchers) }).per(float64(nodes))
-		moved.minus(idle).per(spreadChanges / moved.seconds).report(b, "change")
+		moved.minus(idle).per(spreadChanges/moved.seconds).report(b, "change")
 		b.ReportMetric(float64(slowest.Milliseconds()), "ms/slowest-change")
 	}
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -33,7 +33,8 @@
 	Target messenger.Target
 	Since  time.Time // first announcement of this incarnation
 	Until  time.Time // end of the lease
-	Rev    uint64    // of the last change that watchers must see
+	Rev    uint64    // of the last change but those of the load
+	Loaded uint64    // rev of the last change of the load that watchers should see
 }
 
 // Gone is a target whose lease ended.
@@ -71,8 +72,11 @@
 	}
 	if e.Rev == 0 || differs(e.Target, t) {
 		r.rev++
-		e.Rev = r.rev
-		e.Target = t
+		e.Rev, e.Loaded, e.Target = r.rev, r.rev, t
+	}
+	if step(e.Target.Load) != step(t.Load) {
+		r.rev++
+		e.Loaded, e.Target = r.rev, t
 	}
 	e.Until = now.Add(lease(a.Lease))
 	return *e, nil
@@ -103,10 +107,9 @@
 	return e
 }
 
-// differs reports whether watchers must see the new figures: any change but a
-// load figure that stays within its step.
+// differs reports any change but one of the load and of the configuration held.
 func differs(old, t messenger.Target) bool {
-	if step(old.Load) != step(t.Load) {
+	if old.Load.Memory != t.Load.Memory {
 		return true
 	}
 	old.Load, t.Load = messenger.Load{}, messenger.Load{}
@@ -114,11 +117,11 @@
 	return !reflect.DeepEqual(old, t)
 }
 
-// step maps each load figure to its step.
+// step maps each load figure that changes to its step.
 func step(l messenger.Load) messenger.Load {
 	return messenger.Load{
 		Waiting: level(l.Waiting), Running: level(l.Running), Used: level(l.Used),
-		Memory: l.Memory, Speed: level(l.Speed), Pace: level(l.Pace),
+		Speed: level(l.Speed), Pace: level(l.Pace),
 	}
 }
 
@@ -157,7 +160,7 @@
 	}
 }
 
-// Rev returns the number of the last change that watchers must see.
+// Rev returns the number of the last change of any kind.
 func (r *Registrar) Rev() uint64 { return r.rev }
 
 // Live returns the live targets in order of their ids.
--- a/watcher/state.go
+++ b/watcher/state.go
@@ -80,31 +80,46 @@
 		s.targets, s.until = map[string]messenger.Target{}, map[string]time.Time{}
 	}
 	if s.fresh {
-		for id := range s.targets {
-			if _, waiting := s.until[id]; !waiting {
-				s.until[id] = now.Add(targetGrace)
-			}
-		}
+		s.doubt(now)
 	}
-	changed := len(u.Targets)+len(u.Gone) > 0
 	for _, t := range u.Targets {
 		delete(s.until, t.ID)
 		if old, held := s.targets[t.ID]; !held || old.Incarnation <= t.Incarnation {
 			s.targets[t.ID] = t
 		}
 	}
-	gone := slices.Clone(u.Gone)
-	for id, end := range s.until {
-		if !now.Before(end) {
-			gone = append(gone, id)
-			changed = true
+	for _, d := range u.Loads {
+		if t, held := s.targets[d.ID]; held {
+			t.Load = d.Load(t.Load.Memory)
+			s.targets[d.ID] = t
 		}
 	}
+	gone := append(s.lapsed(now), u.Gone...)
 	for _, id := range gone {
 		delete(s.targets, id)
 		delete(s.until, id)
 	}
-	return changed
+	return len(u.Targets)+len(u.Loads)+len(gone) > 0
+}
+
+// doubt gives every target a time by which the new keeper must list it.
+func (s *state) doubt(now time.Time) {
+	for id := range s.targets {
+		if _, waiting := s.until[id]; !waiting {
+			s.until[id] = now.Add(targetGrace)
+		}
+	}
+}
+
+// lapsed returns the targets that were not listed in time.
+func (s *state) lapsed(now time.Time) []string {
+	var out []string
+	for id, end := range s.until {
+		if !now.Before(end) {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 func (s *state) applyBlocked(u *messenger.Update) bool {
