--- /dev/null
+++ b/proposer/proposer_test.go
@@ -0,0 +1,134 @@
+package proposer_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+	"bramleyshunt/muxer"
+	"bramleyshunt/pooler"
+	"bramleyshunt/proposer"
+	"bramleyshunt/setter"
+)
+
+func TestProposer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proposer")
+}
+
+// fake is a keeper that answers as told.
+type fake struct {
+	addr   string
+	asked  atomic.Int64
+	answer func(s *muxer.Stream)
+}
+
+func start(answer func(s *muxer.Stream)) *fake {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	f := &fake{addr: l.Addr().String(), answer: answer}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = muxer.Serve(ctx, l, muxer.Config{Node: "k"}, f.serve)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		<-done
+	})
+	return f
+}
+
+func (f *fake) serve(ctx context.Context, s *muxer.Stream) {
+	if _, err := s.Receive(ctx); err != nil {
+		return
+	}
+	f.asked.Add(1)
+	f.answer(s)
+}
+
+func accept(s *muxer.Stream) {
+	_ = s.Send(messenger.KindProposed, &messenger.Proposed{Index: 7})
+}
+
+// refuse answers with a code and, if given, who leads.
+func refuse(c coder.Code, leader func() string) func(*muxer.Stream) {
+	return func(s *muxer.Stream) {
+		m := messenger.FailedOf("", coder.Errorf(c, ""))
+		if leader != nil {
+			m.Leader = leader()
+		}
+		_ = s.Send(messenger.KindFailed, m)
+	}
+}
+
+func hang(s *muxer.Stream) { <-s.Done() }
+
+func proposerOf(fakes ...*fake) *proposer.Proposer {
+	pool, end := pooler.New(muxer.Config{Node: "test"})
+	DeferCleanup(end)
+	p := &proposer.Proposer{Pool: pool, Limit: 200 * time.Millisecond}
+	for _, f := range fakes {
+		p.Keepers = append(p.Keepers, setter.Keeper{Address: f.addr})
+	}
+	return p
+}
+
+func call(p *proposer.Proposer, limit time.Duration) (uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var out messenger.Proposed
+	err := p.Call(ctx, messenger.KindPropose, &messenger.Propose{}, &out)
+	return out.Index, err
+}
+
+func expectAnswer(p *proposer.Proposer) {
+	GinkgoHelper()
+	index, err := call(p, 20*time.Second)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(index).To(BeEquivalentTo(7))
+}
+
+var _ = Describe("a proposer", func() {
+	It("follows the hint to the leader and asks it first the next time", func() {
+		leader := start(accept)
+		follower := start(refuse(coder.NotLeader, func() string { return leader.addr }))
+		p := proposerOf(follower, start(hang), leader)
+		expectAnswer(p)
+		expectAnswer(p)
+		Expect(follower.asked.Load()).To(BeEquivalentTo(1))
+		Expect(leader.asked.Load()).To(BeEquivalentTo(2))
+	})
+
+	DescribeTable("goes on to the next keeper past one that", func(answer func(*muxer.Stream)) {
+		expectAnswer(proposerOf(start(answer), start(accept)))
+	},
+		Entry("doesn't know the leader", refuse(coder.NotLeader, nil)),
+		Entry("lost its leadership", refuse(coder.Unconfirmed, nil)),
+		Entry("is ending", refuse(coder.NotReady, nil)),
+		Entry("hangs", hang),
+		Entry("closes", func(s *muxer.Stream) { s.Close() }),
+		Entry("hints in a circle", refuse(coder.NotLeader, func() string { return "127.0.0.1:1" })),
+	)
+
+	It("gives up with NoQuorum, not run, when its time is over", func() {
+		_, err := call(proposerOf(start(refuse(coder.NotLeader, nil)), start(hang)), 500*time.Millisecond)
+		Expect(coder.Of(err).Code).To(Equal(coder.NoQuorum))
+		Expect(coder.Of(err).Run).To(Equal(coder.NotRun))
+	})
+
+	It("returns a refusal that others would give too at once", func() {
+		f := start(refuse(coder.Malformed, nil))
+		_, err := call(proposerOf(f, start(accept)), 20*time.Second)
+		Expect(coder.Of(err).Code).To(Equal(coder.Malformed))
+		Expect(f.asked.Load()).To(BeEquivalentTo(1))
+	})
+})
--- a/publisher/board_test.go
+++ b/publisher/board_test.go
@@ -10,6 +10,14 @@
 	"bramleyshunt/registrar"
 )
 
+func renew(t *testing.T, r *registrar.Registrar, now time.Time, id string, waiting int) {
+	t.Helper()
+	target := messenger.Target{ID: id, Incarnation: 1, Load: messenger.Load{Waiting: waiting}}
+	if _, err := r.Announce(now, messenger.Announce{Target: target}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestDigests has more targets change their load each second than one stream
 // may tell, and checks that all get their turn within the stream's bytes.
 func TestDigests(t *testing.T) {
@@ -20,11 +28,7 @@
 	told, bytes := map[string]int{}, 0
 	for half := range 2 * seconds {
 		for i := range targets {
-			load := messenger.Load{Waiting: 1000 << (half % 2)}
-			target := messenger.Target{ID: fmt.Sprintf("target-%04d", i), Incarnation: 1, Load: load}
-			if _, err := r.Announce(now, messenger.Announce{Target: target}); err != nil {
-				t.Fatal(err)
-			}
+			renew(t, &r, now, fmt.Sprintf("target-%04d", i), 1000<<(half%2))
 		}
 		u := c.update(&board{view: &applier.View{}, live: r.Live(), rev: r.Rev()}, now)
 		now = now.Add(500 * time.Millisecond)
--- a/publisher/spread_test.go
+++ b/publisher/spread_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,7 +26,8 @@
 // BenchmarkSpread gives, for a number of nodes that watch three keepers, the
 // time from accepted to in force on all of them, and the bytes and frames of one
 // node for one change and for one idle second. Bytes are those of the streams,
-// without the headers of TCP and IP.
+// without the headers of TCP and IP. Processor time is that of the whole process,
+// keepers included, divided by the nodes.
 //
 //	go test ./publisher -run - -bench Spread -benchtime 1x
 func BenchmarkSpread(b *testing.B) {
@@ -110,25 +112,35 @@
 // traffic is what a meter counted in a time, each figure a second.
 type traffic struct {
 	in, out, frames float64
+	processor       float64 // microseconds of this process, all nodes and keepers in it
 	seconds         float64
 }
 
+// processor returns the processor time that this process has used.
+func processor() time.Duration {
+	var u syscall.Rusage
+	Expect(syscall.Getrusage(syscall.RUSAGE_SELF, &u)).To(Succeed())
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func (m *meter) during(f func()) traffic {
 	in, out, frames, start := m.in.Load(), m.out.Load(), m.messages.Load(), time.Now()
+	used := processor()
 	f()
 	s := time.Since(start).Seconds()
 	return traffic{
 		in: float64(m.in.Load()-in) / s, out: float64(m.out.Load()-out) / s,
 		frames: float64(m.messages.Load()-frames) / s, seconds: s,
+		processor: float64((processor() - used).Microseconds()) / s,
 	}
 }
 
 func (t traffic) per(n float64) traffic {
-	return traffic{in: t.in / n, out: t.out / n, frames: t.frames / n, seconds: t.seconds}
+	return traffic{in: t.in / n, out: t.out / n, frames: t.frames / n, processor: t.processor / n, seconds: t.seconds}
 }
 
 func (t traffic) minus(o traffic) traffic {
-	return traffic{in: t.in - o.in, out: t.out - o.out, frames: t.frames - o.frames, seconds: t.seconds}
+	return traffic{in: t.in - o.in, out: t.out - o.out, frames: t.frames - o.frames, processor: t.processor - o.processor, seconds: t.seconds}
 }
 
 // report gives the figures of one node; sent and received are the node's view.
@@ -136,4 +148,5 @@
 	b.ReportMetric(t.in, "B-sent/"+unit)
 	b.ReportMetric(t.out, "B-received/"+unit)
 	b.ReportMetric(t.frames, "frames/"+unit)
+	b.ReportMetric(t.processor, "processor-us/"+unit)
 }
