Let a stream's inbox grow with what waits in it

Each end of each exchange allocated a channel of 4,096 messages, 131 KB, to carry one. Clearing that memory was a third of the processor time of an idle fleet. The inbox is now a list with the same bound and order.

--- a/muxer/stream.go
+++ b/muxer/stream.go
@@ -37,7 +37,7 @@
 type Stream struct {
 	m    *Muxer
 	id   uint64
-	in   chan Message
+	in   *inbox
 	ctx  context.Context
 	stop context.CancelCauseFunc
 	once sync.Once
@@ -45,7 +45,7 @@
 
 func newStream(m *Muxer, id uint64) *Stream {
 	ctx, stop := context.WithCancelCause(m.ctx)
-	return &Stream{m: m, id: id, in: make(chan Message, inboxFrames), ctx: ctx, stop: stop}
+	return &Stream{m: m, id: id, in: newInbox(), ctx: ctx, stop: stop}
 }
 
 // Peer returns the identity that the other end proved.
@@ -77,29 +77,26 @@
 // Receive returns the next message, in the order sent. Messages that arrived
 // before the stream ended are still returned. A lost connection gives code Silent.
 func (s *Stream) Receive(ctx context.Context) (Message, error) {
-	select {
-	case msg := <-s.in:
-		return msg, nil
-	default:
-	}
-	select {
-	case msg := <-s.in:
-		return msg, nil
-	case <-s.ctx.Done():
-		return s.last()
-	case <-ctx.Done():
-		return Message{}, ctx.Err()
+	for {
+		if msg, ok := s.in.take(); ok {
+			return msg, nil
+		}
+		select {
+		case <-s.in.ready:
+		case <-s.ctx.Done():
+			return s.last()
+		case <-ctx.Done():
+			return Message{}, ctx.Err()
+		}
 	}
 }
 
-// last drains what arrived in the moment the stream ended.
+// last returns what arrived in the moment the stream ended.
 func (s *Stream) last() (Message, error) {
-	select {
-	case msg := <-s.in:
+	if msg, ok := s.in.take(); ok {
 		return msg, nil
-	default:
-		return Message{}, s.lost()
 	}
+	return Message{}, s.lost()
 }
 
 func (s *Stream) lost() error {
@@ -123,9 +120,7 @@
 		s.stop(errEnded)
 		return
 	}
-	select {
-	case s.in <- Message{Kind: e.Kind, Body: e.Body}:
-	default:
+	if !s.in.put(Message{Kind: e.Kind, Body: e.Body}) {
 		s.m.drop(s.id)
 		s.stop(coder.Errorf(coder.Overloaded, "stream reader is %d frames behind", inboxFrames))
 	}
