--- a/operator/operator.go
+++ b/operator/operator.go
@@ -122,7 +122,8 @@
 	err := error(coder.Errorf(coder.Malformed, "no administration listener is named"))
 	for i := 0; len(o.Bases) > 0; i++ {
 		err = o.once(ctx, o.Bases[i%len(o.Bases)], method, path, data, out)
-		if err == nil || !again(err) {
+		asked := i + 1
+		if err == nil || !again(err, asked < len(o.Bases)) {
 			return err
 		}
 		select {
@@ -134,11 +135,14 @@
 	return err
 }
 
-// again reports whether the same request may get another answer.
-func again(err error) bool {
+// again reports whether the same request may get another answer. A target is
+// unknown for good once all listeners have said so.
+func again(err error, more bool) bool {
 	switch coder.Of(err).Code {
-	case coder.NoQuorum, coder.Unconfirmed, coder.NotLeader, coder.NotReady, coder.TargetLost, coder.NoTarget:
+	case coder.NoQuorum, coder.Unconfirmed, coder.NotLeader, coder.NotReady, coder.TargetLost:
 		return true
+	case coder.NoTarget:
+		return more
 	default:
 		return false
 	}
--- a/publisher/fleet_test.go
+++ b/publisher/fleet_test.go
@@ -77,6 +77,11 @@
 
 // serve listens for a host, whether its keeper runs or not.
 func (f *fleet) serve(h *host, m *meter) string {
+	return f.listen(m, muxer.Config{Node: h.node}, h.handle)
+}
+
+// listen serves connections on loopback and returns the address.
+func (f *fleet) listen(m *meter, cfg muxer.Config, handle func(context.Context, *muxer.Stream)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	addr := l.Addr().String()
@@ -87,7 +92,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = muxer.Serve(ctx, l, muxer.Config{Node: h.node}, h.handle)
+		_ = muxer.Serve(ctx, l, cfg, handle)
 	}()
 	f.tb.Cleanup(func() {
 		cancel()
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -264,6 +264,29 @@
 		expectVersion(w, 4)
 	})
 
+	It("leaves a keeper that says nothing", func() {
+		f := newFleet(1)
+		f.change(1)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		mute, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+		go func() {
+			defer close(done)
+			_ = muxer.Serve(mute, l, muxer.Config{}, func(ctx context.Context, _ *muxer.Stream) { <-ctx.Done() })
+		}()
+		w := f.watch("n", func(c *watcher.Config) {
+			c.Silence = 100 * time.Millisecond
+			silent := setter.Keeper{Address: l.Addr().String()}
+			c.Keepers = []setter.Keeper{silent, silent, silent, c.Keepers[0]}
+		})
+		expectVersion(w, 1)
+	})
+
 	It("finds itself stale when it wakes after a freeze", func() {
 		f := newFleet(1)
 		f.change(1)
