--- a/agent/watch.go
+++ b/agent/watch.go
@@ -14,6 +14,8 @@
 	// deadRefusals is how many connections in a row a target must refuse before
 	// its incarnation is taken for ended.
 	deadRefusals = 2
+	// reportTimeout bounds the wait for one report.
+	reportTimeout = time.Second
 	// downMisses is how many reports in a row may be missed before the target
 	// gets no new work.
 	downMisses = 3
@@ -64,7 +66,7 @@
 
 func (a *Agent) look() {
 	asked := a.cfg.Now()
-	ctx, cancel := context.WithTimeout(a.ctx, a.cfg.Every)
+	ctx, cancel := context.WithTimeout(a.ctx, reportTimeout)
 	defer cancel()
 	rep, err := a.engine.Report(ctx)
 	var free []string
