Count what the engine uses beyond the reservations

Predictions may be too low and an earlier agent may have left requests; both now keep memory from being granted twice until the next report. The specs with a keeper answer by the registrar, so that the refusal of a replaced agent is the real one; broken by hand and caught: a lapsed lease that keeps the number, a replaced agent that goes on.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -226,17 +226,24 @@
 	Expect(end.Load.Used).To(Equal(15))
 }
 
-// beside starts an agent that announces itself to a keeper which answers as told.
-func beside(e *stub, answer func(*muxer.Stream)) *node {
+// beside starts an agent that announces itself to a keeper.
+func beside(e *stub, l *leases, change func(*agent.Config)) *node {
 	addr := listen(func(ctx context.Context, s *muxer.Stream) {
-		if _, err := s.Receive(ctx); err == nil {
-			answer(s)
+		msg, err := s.Receive(ctx)
+		if err != nil {
+			return
 		}
+		var m messenger.Announce
+		Expect(msg.Decode(&m)).To(Succeed())
+		l.answer(s, m)
 	})
 	pool, closer := pooler.New(key)
 	DeferCleanup(closer)
 	return start(e, func(cfg *agent.Config) {
 		cfg.Settings.Keepers = []setter.Keeper{{Node: "k", Address: addr}}
 		cfg.Pool = pool
+		if change != nil {
+			change(cfg)
+		}
 	})
 }
--- a/agent/answer_test.go
+++ b/agent/answer_test.go
@@ -10,7 +10,6 @@
 	"bramleyshunt/agent"
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
-	"bramleyshunt/muxer"
 	"bramleyshunt/reserver"
 )
 
@@ -189,57 +188,6 @@
 	})
 })
 
-var _ = Describe("an agent with a keeper", func() {
-	order := func(m *muxer.Muxer, fence uint64, verb string) error {
-		return ask(m, messenger.KindOrder, &messenger.Order{Fence: fence, Verb: verb}, &messenger.Ordered{})
-	}
-	announced := func(confirmed bool) func(*muxer.Stream) {
-		return func(s *muxer.Stream) {
-			_ = s.Send(messenger.KindAnnounced, &messenger.Announced{Fence: 5, Confirmed: confirmed})
-		}
-	}
-	var e *stub
-
-	BeforeEach(func() { e = newStub() })
-
-	It("executes orders from the confirmed number on", func() {
-		n := beside(e, announced(true))
-		m, _ := n.dial()
-		Eventually(func() uint64 { return n.agent.Target().Fence }).Should(Equal(uint64(5)))
-		Expect(coder.Of(order(m, 4, "load")).Code).To(Equal(coder.Fenced))
-		Expect(order(m, 7, "load")).To(Succeed())
-		Expect(order(m, 7, "load")).To(Succeed())
-		Expect(coder.Of(order(m, 6, "unload")).Code).To(Equal(coder.Fenced))
-		Expect(e.executed()).To(Equal([]uint64{7}))
-		Expect(order(m, 8, agent.VerbDrain)).To(Succeed())
-		Expect(n.agent.Target().Leaving).To(BeTrue())
-	})
-
-	It("executes no order on an unconfirmed number", func() {
-		n := beside(e, announced(false))
-		m, _ := n.dial()
-		Expect(coder.Of(order(m, 7, "load")).Code).To(Equal(coder.NotReady))
-		Expect(e.executed()).To(BeEmpty())
-	})
-
-	It("leaves and frees nothing once another agent holds the target", func() {
-		e.leave("of the successor")
-		refusing := make(chan struct{})
-		n := beside(e, func(s *muxer.Stream) {
-			<-refusing
-			_ = s.Fail("", coder.Errorf(coder.WrongIncarnation, "a newer agent"))
-		})
-		close(refusing)
-		Eventually(func() bool { return n.agent.Target().Leaving }).Should(BeTrue())
-		Expect(e.cancelled("of the successor")).To(BeZero())
-		m, _ := n.dial()
-		s, err := m.Open(messenger.KindReserve, n.reserve("a"))
-		Expect(err).NotTo(HaveOccurred())
-		expectFailed(s, coder.Leaving, coder.NotRun)
-		Expect(coder.Of(order(m, 7, "load")).Code).To(Equal(coder.NotReady))
-	})
-})
-
 var _ = Describe("an agent whose engine dies", func() {
 	It("fails what ran, reports it as suspect and takes work after the restart", func() {
 		e := newStub()
--- /dev/null
+++ b/agent/keeper_test.go
@@ -0,0 +1,117 @@
+package agent_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/agent"
+	"bramleyshunt/announcer"
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+	"bramleyshunt/muxer"
+	"bramleyshunt/registrar"
+)
+
+// leases answers announcements as a keeper with a registrar does.
+type leases struct {
+	silent    atomic.Bool
+	confirmed atomic.Bool
+	answered  atomic.Int64
+
+	mu    sync.Mutex
+	known registrar.Registrar
+}
+
+func (l *leases) answer(s *muxer.Stream, m messenger.Announce) {
+	if l.silent.Load() {
+		return
+	}
+	l.mu.Lock()
+	_, err := l.known.Announce(time.Now(), m)
+	l.mu.Unlock()
+	if err != nil {
+		_ = s.Fail("", err)
+		return
+	}
+	l.answered.Add(1)
+	_ = s.Send(messenger.KindAnnounced, &messenger.Announced{Fence: 5, Confirmed: l.confirmed.Load()})
+}
+
+var _ = Describe("an agent with a keeper", func() {
+	order := func(m *muxer.Muxer, fence uint64, verb string) error {
+		return ask(m, messenger.KindOrder, &messenger.Order{Fence: fence, Verb: verb}, &messenger.Ordered{})
+	}
+	expectOrder := func(m *muxer.Muxer, fence uint64, want coder.Code) {
+		GinkgoHelper()
+		Expect(coder.Of(order(m, fence, "load"))).To(HaveField("Code", want))
+	}
+	var e *stub
+	var l *leases
+
+	BeforeEach(func() {
+		e, l = newStub(), &leases{}
+		l.confirmed.Store(true)
+	})
+
+	It("executes orders from the confirmed number on", func() {
+		n := beside(e, l, nil)
+		m, _ := n.dial()
+		Eventually(func() uint64 { return n.agent.Target().Fence }).Should(Equal(uint64(5)))
+		expectOrder(m, 4, coder.Fenced)
+		Expect(order(m, 7, "load")).To(Succeed())
+		Expect(order(m, 7, "load")).To(Succeed())
+		expectOrder(m, 6, coder.Fenced)
+		Expect(e.executed()).To(Equal([]uint64{7}))
+		Expect(order(m, 8, agent.VerbDrain)).To(Succeed())
+		Expect(n.agent.Target().Leaving).To(BeTrue())
+	})
+
+	It("executes no order on an unconfirmed number", func() {
+		l.confirmed.Store(false)
+		n := beside(e, l, nil)
+		m, _ := n.dial()
+		expectOrder(m, 7, coder.NotReady)
+		Expect(e.executed()).To(BeEmpty())
+	})
+
+	It("executes no order after its lease until it has learned the number anew", func() {
+		clock := &clock{}
+		n := beside(e, l, func(cfg *agent.Config) { cfg.Now = clock.now })
+		m, _ := n.dial()
+		Eventually(func() error { return order(m, 7, "load") }).Should(Succeed())
+		l.silent.Store(true)
+		clock.pass(announcer.DefaultLease)
+		expectOrder(m, 8, coder.NotReady)
+		l.confirmed.Store(false)
+		l.silent.Store(false)
+		answered := l.answered.Load()
+		Eventually(l.answered.Load).Should(BeNumerically(">", answered))
+		expectOrder(m, 8, coder.NotReady)
+		l.confirmed.Store(true)
+		Eventually(func() error { return order(m, 8, "load") }).Should(Succeed())
+		Expect(e.executed()).To(Equal([]uint64{7, 8}))
+	})
+
+	It("leaves once another agent holds the target, and frees nothing of it", func() {
+		old := beside(e, l, nil)
+		m, _ := old.dial()
+		Eventually(func() uint64 { return old.agent.Target().Fence }).Should(Equal(uint64(5)))
+		next := beside(e, l, nil)
+		Eventually(func() bool { return old.agent.Target().Leaving }).Should(BeTrue())
+		e.steps = make(chan struct{})
+		other, _ := next.dial()
+		s := next.begin(other, "a", "1")
+		Eventually(func() int { return e.started("a") }).Should(Equal(1))
+		refused, err := m.Open(messenger.KindReserve, old.reserve("b"))
+		Expect(err).NotTo(HaveOccurred())
+		expectFailed(refused, coder.Leaving, coder.NotRun)
+		expectOrder(m, 7, coder.NotReady)
+		close(e.steps)
+		expectRest(s, 1, 1)
+		Expect(e.cancelled("a")).To(BeZero())
+	})
+})
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"bramleyshunt/coder"
 	"bramleyshunt/driver"
 	"bramleyshunt/messenger"
@@ -105,7 +107,7 @@
 	}
 	a.health = health{}
 	a.report = rep
-	r := reserver.Report{Asked: asked, Incarnation: rep.Incarnation, Speed: rep.Speed, Pace: rep.Pace, Live: rep.Live}
+	r := reserver.Report{Asked: asked, Incarnation: rep.Incarnation, Used: rep.Used, Speed: rep.Speed, Pace: rep.Pace, Live: rep.Live}
 	if a.cfg.Settings.Target.Memory <= 0 {
 		r.Memory = rep.Memory
 	}
@@ -135,6 +137,13 @@
 		}
 	}
 	a.sweep(now)
+	a.gauge(a.reserver.Load(now))
+}
+
+func (a *Agent) gauge(l messenger.Load) {
+	for name, n := range map[string]int{"waiting": l.Waiting, "running": l.Running, "used": l.Used, "memory": l.Memory} {
+		metrics.GetOrRegisterGauge("agent."+name, a.cfg.Metrics).Update(int64(n))
+	}
 }
 
 // lost fails the attempts that ended with the target's incarnation and reports
--- a/reserver/load.go
+++ b/reserver/load.go
@@ -50,8 +50,8 @@
 	if need > r.Memory {
 		return coder.Errorf(coder.MemoryFull, "%d tokens, memory for %d", need, r.Memory)
 	}
-	if need > r.Memory-r.used {
-		return r.refuse(coder.MemoryFull, r.queued, "%d tokens, %d of %d used", need, r.used, r.Memory)
+	if need > r.Memory-r.used-r.extra {
+		return r.refuse(coder.MemoryFull, r.queued, "%d tokens, %d of %d used", need, r.used+r.extra, r.Memory)
 	}
 	if messenger.ClassOf(m.Prompt) < messenger.Long {
 		return nil
@@ -78,7 +78,7 @@
 func (r *Reserver) load() messenger.Load {
 	r.seq++
 	return messenger.Load{
-		Seq: r.seq, Waiting: r.queued, Running: len(r.live), Used: r.used, Memory: r.Memory,
+		Seq: r.seq, Waiting: r.queued, Running: len(r.live), Used: r.used + r.extra, Memory: r.Memory,
 		Speed: r.meter.speed(), Pace: r.meter.pace(),
 	}
 }
--- a/reserver/reconcile.go
+++ b/reserver/reconcile.go
@@ -13,6 +13,7 @@
 	Asked       time.Time // when the report was asked for
 	Incarnation uint64    // of the engine
 	Memory      int       // tokens; zero if not told
+	Used        int       // tokens that requests and holds take; zero if not told
 	Speed       int       // prefill tokens a second; zero if not told
 	Pace        int       // decode tokens a second and request; zero if not told
 	Live        []string  // attempts that the engine runs or holds KV cache for
@@ -41,6 +42,7 @@
 	if rep.Memory > 0 {
 		r.Memory = rep.Memory
 	}
+	r.extra = max(rep.Used-r.inside(), 0)
 	r.meter.told, r.meter.toldFor = rep.Speed, rep.Pace
 	out := Reconciled{Restarted: r.engine != 0 && rep.Incarnation != r.engine}
 	r.engine = rep.Incarnation
@@ -58,6 +60,17 @@
 	return out
 }
 
+// inside returns the tokens that the engine should have in use.
+func (r *Reserver) inside() int {
+	n := 0
+	for _, rec := range r.live {
+		if rec.phase != Reserved {
+			n += rec.tokens
+		}
+	}
+	return n
+}
+
 // Dead tells that the target refuses connections: its incarnation ends, and runs
 // that have ended by a lost connection since the last report are returned. A run
 // whose stream is still open goes on, as a target that shuts down gracefully
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -59,6 +59,7 @@
 	forgot    bool // a record of an attempt that ran has been dropped
 	leaving   bool
 	used      int
+	extra     int    // tokens that the engine uses beyond what is accounted for
 	queued    int    // prompt tokens of live attempts not yet prefilled
 	engine    uint64 // incarnation of the engine
 	dead      bool   // the target refuses connections
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -223,6 +223,17 @@
 		Expect(out.Lost).To(BeEmpty())
 	})
 
+	It("counts what the engine uses beyond the reservations", func() {
+		expectGranted(r, at(0), reserve("a", 10))
+		expectStarted(r, at(0), "a")
+		r.Reconcile(at(1), &reserver.Report{Asked: at(1), Incarnation: 7, Used: 399960})
+		Expect(r.Load(at(1)).Used).To(Equal(399960))
+		expectReserveRefused(r, at(1), reserve("b", 41), coder.MemoryFull)
+		expectGranted(r, at(1), reserve("b", 40))
+		r.Reconcile(at(2), &reserver.Report{Asked: at(2), Incarnation: 7, Used: 10})
+		expectGranted(r, at(2), reserve("c", 41))
+	})
+
 	It("measures speed and pace", func() {
 		r = &reserver.Reserver{}
 		m := reserve("a", 1000)
