Let a stream's inbox grow with its messages; drop late frames

Each stream allocated an inbox for 4,096 messages at both ends. It now grows with what arrives, to the same bound.

The new spec for the bound found that frames arriving after an exchange had ended opened it again at the accepting end, so that its handler ran twice. The first frame of a stream is now marked, and frames without the mark open nothing. Broken by hand and caught.

--- /dev/null
+++ b/agent/idle_test.go
@@ -0,0 +1,88 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/agent"
+	"bramleyshunt/faker"
+	"bramleyshunt/messenger"
+	"bramleyshunt/muxer"
+	"bramleyshunt/pooler"
+	"bramleyshunt/setter"
+)
+
+const (
+	idleAgents  = 100
+	idleKeepers = 3
+	idleTime    = 5 * time.Second
+)
+
+// BenchmarkIdle reports the processor time and memory that idle agents take, with the other
+// ends of their exchanges: announcements to three keepers and reports of the
+// target each second.
+func BenchmarkIdle(b *testing.B) {
+	RegisterTestingT(b)
+	target, closer, err := faker.New(faker.Config{Kind: faker.KindPlain})
+	Expect(err).NotTo(HaveOccurred())
+	b.Cleanup(closer)
+	var keepers []setter.Keeper
+	for i := range idleKeepers {
+		keepers = append(keepers, setter.Keeper{Node: fmt.Sprint("k", i), Address: idleKeeper(b)})
+	}
+	for i := range idleAgents {
+		idleAgent(b, fmt.Sprint("n", i), target.URL(), keepers)
+	}
+	for b.Loop() {
+		before := processorTime()
+		<-time.After(idleTime)
+		spent := processorTime() - before
+		var mem runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&mem)
+		b.ReportMetric(float64(mem.HeapAlloc+mem.StackInuse)/1024/idleAgents, "KB/agent")
+		b.ReportMetric(float64(spent.Microseconds())/idleAgents/idleTime.Seconds(), "µs/agent-second")
+	}
+}
+
+func idleKeeper(b *testing.B) string {
+	l := &leases{}
+	l.confirmed.Store(true)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	go func() {
+		_ = muxer.Serve(ctx, ln, key, func(ctx context.Context, s *muxer.Stream) {
+			var m messenger.Announce
+			if msg, err := s.Receive(ctx); err == nil && msg.Decode(&m) == nil {
+				l.answer(s, m)
+			}
+		})
+	}()
+	return ln.Addr().String()
+}
+
+func idleAgent(b *testing.B, node, url string, keepers []setter.Keeper) {
+	pool, closer := pooler.New(muxer.Config{Node: node, Key: key.Key})
+	b.Cleanup(closer)
+	_, stop, err := agent.New(agent.Config{
+		Settings: &setter.Setter{Node: node, Keepers: keepers, Target: setter.Target{Kind: "plain", Service: "s", URL: url}},
+		Pool:     pool,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	b.Cleanup(stop)
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	Expect(syscall.Getrusage(syscall.RUSAGE_SELF, &u)).To(Succeed())
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/muxer/muxer.go
+++ b/muxer/muxer.go
@@ -56,13 +56,15 @@
 }
 
 // envelope is one frame. Stream zero is the connection itself; its frames are
-// heartbeats. Close ends the sender's half of the stream.
+// heartbeats. Close ends the sender's half of the stream. Open marks a stream's
+// first frame: without it, a late frame of a stream that has ended is dropped.
 type envelope struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Stream   uint64
 	Kind     messenger.Kind
 	Close    bool
 	Body     msgpack.RawMessage
+	Open     bool
 }
 
 // Muxer is one authenticated connection.
@@ -168,7 +170,7 @@
 	s := newStream(m, id)
 	m.streams[id] = s
 	m.mu.Unlock()
-	if err := s.Send(kind, v); err != nil {
+	if err := s.send(kind, v, true); err != nil {
 		s.Close()
 		return nil, err
 	}
@@ -267,7 +269,7 @@
 
 // accepts reports whether e opens a stream: the peer's ids have the other parity.
 func (m *Muxer) accepts(e *envelope) bool {
-	return m.handle != nil && !e.Close && e.Stream%streamStride != m.next%streamStride
+	return m.handle != nil && e.Open && !e.Close && e.Stream%streamStride != m.next%streamStride
 }
 
 func (m *Muxer) drop(id uint64) {
--- a/muxer/muxer_test.go
+++ b/muxer/muxer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,6 +86,30 @@
 		closer()
 	})
 
+	It("ends an exchange that nobody reads, and none beside it", func() {
+		ended := make(chan struct{}, 1)
+		var opened atomic.Int32
+		m, closer, err := muxer.Dial(context.Background(), serve(key, func(ctx context.Context, s *muxer.Stream) {
+			msg, err := s.Receive(ctx)
+			if err != nil || msg.Kind == messenger.KindCancel {
+				_ = s.Send(messenger.KindCancelled, &messenger.Cancelled{})
+				return
+			}
+			opened.Add(1)
+			<-ctx.Done()
+			ended <- struct{}{}
+		}), key)
+		Expect(err).NotTo(HaveOccurred())
+		defer closer()
+		s, err := m.Open(messenger.KindRun, &messenger.Run{})
+		Expect(err).NotTo(HaveOccurred())
+		for s.Send(messenger.KindRun, &messenger.Run{}) == nil {
+		}
+		Eventually(ended).Should(Receive())
+		Expect(m.Call(context.Background(), messenger.KindCancel, &messenger.Cancel{}, &messenger.Cancelled{})).To(Succeed())
+		Expect(opened.Load()).To(Equal(int32(1)), "late frames opened the exchange again")
+	})
+
 	It("ends its exchanges when the peer goes silent", func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -106,3 +131,27 @@
 		Expect(errors.Is(err, context.Canceled)).To(BeFalse())
 	})
 })
+
+// BenchmarkExchange reports what one exchange costs, both ends together.
+func BenchmarkExchange(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	cfg := muxer.Config{Node: "a", Key: []byte("fleet")}
+	go func() { _ = muxer.Serve(ctx, l, cfg, echo) }()
+	m, closer, err := muxer.Dial(ctx, l.Addr().String(), cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer closer()
+	b.ReportAllocs()
+	for b.Loop() {
+		var out messenger.Cancelled
+		if err := m.Call(ctx, messenger.KindCancel, &messenger.Cancel{Attempt: "x"}, &out); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/muxer/stream.go
+++ b/muxer/stream.go
@@ -35,17 +35,20 @@
 // Stream is one exchange on a connection. A stream whose reader falls
 // inboxFrames behind is ended, so that it can't hold up the others.
 type Stream struct {
-	m    *Muxer
-	id   uint64
-	in   chan Message
-	ctx  context.Context
-	stop context.CancelCauseFunc
-	once sync.Once
+	m     *Muxer
+	id    uint64
+	ctx   context.Context
+	stop  context.CancelCauseFunc
+	once  sync.Once
+	ready chan struct{} // holds a token while the inbox may hold a message
+
+	mu sync.Mutex
+	in []Message // received, not yet returned
 }
 
 func newStream(m *Muxer, id uint64) *Stream {
 	ctx, stop := context.WithCancelCause(m.ctx)
-	return &Stream{m: m, id: id, in: make(chan Message, inboxFrames), ctx: ctx, stop: stop}
+	return &Stream{m: m, id: id, ready: make(chan struct{}, 1), ctx: ctx, stop: stop}
 }
 
 // Peer returns the identity that the other end proved.
@@ -58,7 +61,9 @@
 func (s *Stream) Gone() <-chan struct{} { return s.m.ctx.Done() }
 
 // Send sends one message.
-func (s *Stream) Send(kind messenger.Kind, v any) error {
+func (s *Stream) Send(kind messenger.Kind, v any) error { return s.send(kind, v, false) }
+
+func (s *Stream) send(kind messenger.Kind, v any, first bool) error {
 	if s.ctx.Err() != nil {
 		return s.lost()
 	}
@@ -66,7 +71,7 @@
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", kind, err)
 	}
-	return s.m.send(&envelope{Stream: s.id, Kind: kind, Body: body})
+	return s.m.send(&envelope{Stream: s.id, Kind: kind, Body: body, Open: first})
 }
 
 // Fail sends err as a Failed message for an attempt.
@@ -77,28 +82,60 @@
 // Receive returns the next message, in the order sent. Messages that arrived
 // before the stream ended are still returned. A lost connection gives code Silent.
 func (s *Stream) Receive(ctx context.Context) (Message, error) {
-	select {
-	case msg := <-s.in:
-		return msg, nil
-	default:
-	}
-	select {
-	case msg := <-s.in:
-		return msg, nil
-	case <-s.ctx.Done():
-		return s.last()
-	case <-ctx.Done():
-		return Message{}, ctx.Err()
+	for {
+		if msg, ok := s.pop(); ok {
+			return msg, nil
+		}
+		select {
+		case <-s.ready:
+		case <-s.ctx.Done():
+			return s.last()
+		case <-ctx.Done():
+			return Message{}, ctx.Err()
+		}
 	}
 }
 
 // last drains what arrived in the moment the stream ended.
 func (s *Stream) last() (Message, error) {
-	select {
-	case msg := <-s.in:
+	if msg, ok := s.pop(); ok {
 		return msg, nil
+	}
+	return Message{}, s.lost()
+}
+
+// pop takes the oldest message out of the inbox.
+func (s *Stream) pop() (Message, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.in) == 0 {
+		return Message{}, false
+	}
+	msg := s.in[0]
+	s.in[0] = Message{}
+	s.in = s.in[1:]
+	if len(s.in) > 0 {
+		s.signal()
+	}
+	return msg, true
+}
+
+// add puts a message into the inbox; it returns false if that is full.
+func (s *Stream) add(msg Message) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.in) >= inboxFrames {
+		return false
+	}
+	s.in = append(s.in, msg)
+	s.signal()
+	return true
+}
+
+func (s *Stream) signal() {
+	select {
+	case s.ready <- struct{}{}:
 	default:
-		return Message{}, s.lost()
 	}
 }
 
@@ -123,9 +160,7 @@
 		s.stop(errEnded)
 		return
 	}
-	select {
-	case s.in <- Message{Kind: e.Kind, Body: e.Body}:
-	default:
+	if !s.add(Message{Kind: e.Kind, Body: e.Body}) {
 		s.m.drop(s.id)
 		s.stop(coder.Errorf(coder.Overloaded, "stream reader is %d frames behind", inboxFrames))
 	}
