--- a/agent/watch.go
+++ b/agent/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"bramleyshunt/coder"
 	"bramleyshunt/driver"
 	"bramleyshunt/messenger"
@@ -14,6 +16,8 @@
 	// deadRefusals is how many connections in a row a target must refuse before
 	// its incarnation is taken for ended.
 	deadRefusals = 2
+	// reportTimeout bounds the wait for one report.
+	reportTimeout = time.Second
 	// downMisses is how many reports in a row may be missed before the target
 	// gets no new work.
 	downMisses = 3
@@ -64,7 +68,7 @@
 
 func (a *Agent) look() {
 	asked := a.cfg.Now()
-	ctx, cancel := context.WithTimeout(a.ctx, a.cfg.Every)
+	ctx, cancel := context.WithTimeout(a.ctx, reportTimeout)
 	defer cancel()
 	rep, err := a.engine.Report(ctx)
 	var free []string
@@ -103,7 +107,7 @@
 	}
 	a.health = health{}
 	a.report = rep
-	r := reserver.Report{Asked: asked, Incarnation: rep.Incarnation, Speed: rep.Speed, Pace: rep.Pace, Live: rep.Live}
+	r := reserver.Report{Asked: asked, Incarnation: rep.Incarnation, Used: rep.Used, Speed: rep.Speed, Pace: rep.Pace, Live: rep.Live}
 	if a.cfg.Settings.Target.Memory <= 0 {
 		r.Memory = rep.Memory
 	}
@@ -133,6 +137,13 @@
 		}
 	}
 	a.sweep(now)
+	a.gauge(a.reserver.Load(now))
+}
+
+func (a *Agent) gauge(l messenger.Load) {
+	for name, n := range map[string]int{"waiting": l.Waiting, "running": l.Running, "used": l.Used, "memory": l.Memory} {
+		metrics.GetOrRegisterGauge("agent."+name, a.cfg.Metrics).Update(int64(n))
+	}
 }
 
 // lost fails the attempts that ended with the target's incarnation and reports
