Run replicas at random against a lossy network and disks that forget

One leader per term, one leader inside a lease, applied sequences equal, read barriers not older than what was accepted, repaired means synced on every voter, and progress within a bounded time after the faults end. Seed 1 is fixed; -rapid.seed on the command line overrides it.

--- /dev/null
+++ b/replicator/replicator_test.go
@@ -0,0 +1,112 @@
+package replicator_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed and the length of the random runs, so that the verdict
+// is the same each time. A long run sets the flags on the command line.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{
+		"rapid.seed": "1", "rapid.checks": "200", "rapid.steps": "120", "rapid.nofailfile": "true",
+	} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func anyNode(t *rapid.T, w *world) *node {
+	return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
+}
+
+func newRandomWorld(t *rapid.T) *world {
+	n := rapid.SampledFrom([]int{3, 3, 3, 5}).Draw(t, "nodes")
+	return newWorld(rapid.Uint64().Draw(t, "seed"), n, t.Fatalf)
+}
+
+// actions are the faults and the work that every random run draws from.
+func actions(w *world) map[string]func(*rapid.T) {
+	run := func(t *rapid.T) {
+		w.run(time.Duration(rapid.IntRange(1, 80).Draw(t, "ticks")) * tick)
+	}
+	work := func(t *rapid.T) {
+		for range rapid.IntRange(1, 12).Draw(t, "count") {
+			anyNode(t, w).propose()
+			anyNode(t, w).confirm()
+			w.run(2 * tick)
+		}
+	}
+	return map[string]func(*rapid.T){
+		"run": run, "run2": run, "work": work, "work2": work,
+		"faults": func(t *rapid.T) {
+			w.faults = faults{
+				lose: rapid.IntRange(0, 300).Draw(t, "lose"), double: rapid.IntRange(0, 300).Draw(t, "double"),
+				unsynced: rapid.IntRange(0, 700).Draw(t, "unsynced"),
+				delay:    time.Duration(rapid.IntRange(0, 40).Draw(t, "delay")) * tick,
+			}
+		},
+		"cut": func(t *rapid.T) { w.cut[[2]int{anyNode(t, w).at, anyNode(t, w).at}] = true },
+		"isolate": func(t *rapid.T) {
+			n := anyNode(t, w)
+			for _, o := range w.nodes {
+				w.cut[[2]int{n.at, o.at}], w.cut[[2]int{o.at, n.at}] = true, true
+			}
+		},
+		"calm": func(*rapid.T) {
+			w.heal()
+			w.run(5 * election)
+		},
+		"mend": func(*rapid.T) { w.cut = map[[2]int]bool{} },
+		"kill": func(t *rapid.T) { anyNode(t, w).kill() },
+		"start": func(t *rapid.T) {
+			if n := anyNode(t, w); n.rep == nil {
+				n.start()
+			}
+		},
+		"freeze":  func(t *rapid.T) { anyNode(t, w).frozen = true },
+		"thaw":    func(t *rapid.T) { anyNode(t, w).frozen = false },
+		"compact": func(t *rapid.T) { anyNode(t, w).compact() },
+	}
+}
+
+func TestGroupKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newRandomWorld(t)
+		w.run(10 * election)
+		all := actions(w)
+		all["wipe"] = func(t *rapid.T) {
+			if w.repaired() {
+				n := anyNode(t, w)
+				n.wipe()
+				n.start()
+			}
+		}
+		t.Repeat(all)
+		w.expectProgress()
+	})
+}
+
+func TestFoundingMakesOneGroup(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newRandomWorld(t)
+		all := actions(w)
+		all["wipe"] = func(t *rapid.T) {
+			if len(w.groups) == 0 {
+				n := anyNode(t, w)
+				n.wipe()
+				n.start()
+			}
+		}
+		t.Repeat(all)
+	})
+}
