--- a/keeper/control.go
+++ b/keeper/control.go
@@ -95,13 +95,13 @@
 func (k *Keeper) step(ev replicator.Event) error {
 	act := k.rep.Step(k.now(), ev)
 	k.sendAll(act.Send)
-	if act.Install != nil {
-		if err := k.install(act.Install); err != nil {
+	if act.State != nil {
+		if err := k.rec.SaveState(*act.State); err != nil {
 			return err
 		}
 	}
-	if act.State != nil {
-		if err := k.rec.SaveState(*act.State); err != nil {
+	if act.Install != nil {
+		if err := k.install(act.Install); err != nil {
 			return err
 		}
 	}
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -13,6 +13,8 @@
 }
 
 // follow starts an election when no leader was heard for the election timeout.
+// It probes as well: the member set it knows may be an old one, in which nobody
+// reaches the leader.
 func (r *Replicator) follow() {
 	if r.founding() {
 		r.probe()
@@ -20,11 +22,10 @@
 	if r.now < r.deadline {
 		return
 	}
-	if !r.voter(r.cfg.Self.Disk) {
-		r.probe()
-		return
+	r.probe()
+	if r.voter(r.cfg.Self.Disk) {
+		r.campaign()
 	}
-	r.campaign()
 }
 
 // campaign asks whether a majority would vote, before it touches the term.
--- a/replicator/node_test.go
+++ b/replicator/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"bramleyshunt/messenger"
 	"bramleyshunt/replicator"
@@ -39,6 +40,8 @@
 	disk   uint64
 	rep    *replicator.Replicator // nil while killed
 	frozen bool
+	lag    time.Duration // of its clock
+	drawer []spare       // disks that were taken out
 
 	synced  store // survives a kill
 	written store // what the process sees
@@ -51,9 +54,27 @@
 	hash    uint64
 }
 
+// spare is a disk in a drawer.
+type spare struct {
+	disk  uint64
+	store store
+}
+
+// swap puts a disk back that was taken out before.
+func (n *node) swap(i int) {
+	n.kill()
+	old := n.drawer[i%len(n.drawer)]
+	n.drawer[i%len(n.drawer)] = spare{disk: n.disk, store: n.synced}
+	n.disk, n.synced = old.disk, old.store
+}
+
 // wipe puts an empty disk into the node.
 func (n *node) wipe() {
 	n.kill()
+	if n.disk != 0 {
+		n.drawer = append(n.drawer, spare{disk: n.disk, store: n.synced})
+	}
+	n.w.lost = n.at
 	n.w.disks++
 	n.disk = n.w.disks<<8 | uint64(n.at)
 	n.synced = store{}
@@ -66,7 +87,7 @@
 	}
 	n.written = n.synced.clone()
 	saved := n.synced.clone()
-	n.rep = replicator.New(n.w.now, replicator.Config{
+	n.rep = replicator.New(n.w.now-n.lag, replicator.Config{
 		Self:  messenger.Member{Node: n.name, Address: n.name, Disk: n.disk},
 		Peers: peers, Heartbeat: heartbeat, Election: election, Seed: n.w.rng.Uint64(), Trail: 4,
 	}, replicator.Saved{State: saved.state, Snapshot: saved.snap, Entries: saved.entries})
@@ -100,16 +121,18 @@
 	if n.rep == nil || n.frozen {
 		return
 	}
-	act := n.rep.Step(n.w.now, ev)
+	act := n.rep.Step(n.w.now-n.lag, ev)
 	n.w.send(n, act.Send)
 	if act.Install != nil {
 		n.sync()
-		n.written.snap, n.written.entries = *act.Install, nil
-		n.restore(*act.Install)
 	}
 	if act.State != nil {
 		n.written.state = *act.State
 	}
+	if act.Install != nil {
+		n.written.snap, n.written.entries = *act.Install, nil
+		n.restore(*act.Install)
+	}
 	if len(act.Append) > 0 {
 		n.written.put(act.Append)
 	}
@@ -150,6 +173,11 @@
 	if n.rep == nil || n.frozen || n.w.chance(n.w.faults.unsynced) {
 		return
 	}
+	if n.w.chance(n.w.faults.crash) {
+		n.kill()
+		n.start()
+		return
+	}
 	n.sync()
 	for len(n.own) > 0 {
 		own := n.own
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -16,7 +16,7 @@
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
 	for name, value := range map[string]string{
-		"rapid.seed": "1", "rapid.checks": "200", "rapid.steps": "120", "rapid.nofailfile": "true",
+		"rapid.seed": "1", "rapid.checks": "200", "rapid.steps": "120", "rapid.nofailfile": "true", "rapid.shrinktime": "5s",
 	} {
 		if !given[name] {
 			_ = flag.Set(name, value)
@@ -52,10 +52,15 @@
 			w.faults = faults{
 				lose: rapid.IntRange(0, 300).Draw(t, "lose"), double: rapid.IntRange(0, 300).Draw(t, "double"),
 				unsynced: rapid.IntRange(0, 700).Draw(t, "unsynced"),
+				crash:    rapid.SampledFrom([]int{0, 0, 5, 30}).Draw(t, "crash"),
 				delay:    time.Duration(rapid.IntRange(0, 40).Draw(t, "delay")) * tick,
 			}
 		},
 		"cut": func(t *rapid.T) { w.cut[[2]int{anyNode(t, w).at, anyNode(t, w).at}] = true },
+		"part": func(t *rapid.T) {
+			a, b := anyNode(t, w).at, anyNode(t, w).at
+			w.cut[[2]int{a, b}], w.cut[[2]int{b, a}] = true, true
+		},
 		"isolate": func(t *rapid.T) {
 			n := anyNode(t, w)
 			for _, o := range w.nodes {
@@ -79,23 +84,41 @@
 	}
 }
 
-func TestGroupKeepsItsPromises(t *testing.T) {
+// disks lets a node lose its disk when a leader has reported all repaired, and
+// the node that lost its last change between its disks at any time.
+func disks(w *world, all map[string]func(*rapid.T)) {
+	all["wipe"] = func(t *rapid.T) {
+		if w.repaired() {
+			n := anyNode(t, w)
+			n.wipe()
+			n.start()
+		}
+	}
+	all["swap"] = func(t *rapid.T) {
+		if n := w.nodes[w.lost]; len(n.drawer) > 0 {
+			n.swap(rapid.IntRange(0, len(n.drawer)-1).Draw(t, "disk"))
+			n.start()
+		}
+	}
+}
+
+func checkGroup(t *testing.T, stopped bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newRandomWorld(t)
+		w.stopped = stopped
 		w.run(10 * election)
 		all := actions(w)
-		all["wipe"] = func(t *rapid.T) {
-			if w.repaired() {
-				n := anyNode(t, w)
-				n.wipe()
-				n.start()
-			}
-		}
+		disks(w, all)
 		t.Repeat(all)
 		w.expectProgress()
 	})
 }
 
+func TestGroupKeepsItsPromises(t *testing.T) { checkGroup(t, false) }
+
+// Clocks that stop break leases, and must break nothing else.
+func TestGroupOutlivesStoppedClocks(t *testing.T) { checkGroup(t, true) }
+
 func TestFoundingMakesOneGroup(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newRandomWorld(t)
--- a/replicator/voters.go
+++ b/replicator/voters.go
@@ -112,6 +112,9 @@
 		return
 	}
 	next, ok := r.promote()
+	if !ok {
+		next, ok = r.dismiss()
+	}
 	if !ok {
 		next, ok = r.admit()
 	}
@@ -145,6 +148,20 @@
 	return messenger.Members{}, false
 }
 
+// dismiss removes a silent learner whose node has its voter's disk back.
+func (r *Replicator) dismiss() (messenger.Members, bool) {
+	for i, l := range r.members.Learners {
+		v := named(r.members.Voters, l.Node)
+		if v < 0 || r.live(l) || !r.live(r.members.Voters[v]) {
+			continue
+		}
+		next := r.copied()
+		next.Learners = slices.Delete(next.Learners, i, i+1)
+		return next, true
+	}
+	return messenger.Members{}, false
+}
+
 // admit makes a new disk of a member's node a learner.
 func (r *Replicator) admit() (messenger.Members, bool) {
 	for _, s := range r.absent {
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -22,6 +22,7 @@
 type faults struct {
 	lose, double int
 	unsynced     int           // a step's writes are not synced before the next one
+	crash        int           // a node is killed before its sync and starts again
 	delay        time.Duration // longest; messages overtake each other
 }
 
@@ -42,6 +43,8 @@
 	nodes   []*node
 	packets []packet
 	cut     map[[2]int]bool // from, to
+	stopped bool            // clocks of frozen nodes stop; then leases promise nothing
+	lost    int             // node whose disk was lost last
 	disks   uint64
 	count   map[string]int // messages sent, by type
 
@@ -98,6 +101,9 @@
 		w.now += tick
 		w.deliver()
 		for _, n := range w.nodes {
+			if n.frozen && w.stopped {
+				n.lag += tick
+			}
 			n.step(replicator.Event{})
 			n.settle()
 		}
@@ -145,7 +151,7 @@
 		if s.Lease > w.now {
 			leased[s.State.Group]++
 		}
-		if leased[s.State.Group] > 1 {
+		if leased[s.State.Group] > 1 && !w.stopped {
 			w.fail("two leaders inside their leases at %v", w.now)
 		}
 		if s.Repaired {
