--- /dev/null
+++ b/entry/claim.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"bramleyshunt/chainer"
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+)
+
+const (
+	// claimLimit bounds the settling of a claim after its request has ended.
+	claimLimit = 5 * time.Second
+	// claimRenewal is the time between renewals while a request is queued. The
+	// keepers let a claim lapse that is not renewed for a minute.
+	claimRenewal = 15 * time.Second
+)
+
+// claim keeps a request that is not idempotent to one run, and answers a resend
+// with what was kept. Idempotent requests pass without a keeper.
+func (e *Entry) claim(next chainer.Handler) chainer.Handler {
+	return func(ctx context.Context, r *chainer.Request) error {
+		if !r.Once {
+			return next(ctx, r)
+		}
+		if r.Key == "" {
+			return coder.Errorf(coder.KeyRequired, "")
+		}
+		cl := claimOf(r)
+		answer, err := e.claims.Hold(ctx, cl)
+		if err != nil {
+			return e.unclaimed(cl, err)
+		}
+		if answer != nil {
+			e.meter.count("replayed")
+			return r.Answer.Reply(answer)
+		}
+		stop := e.renew(ctx, cl)
+		err = next(ctx, r)
+		stop()
+		e.settle(r, cl, err)
+		return err
+	}
+}
+
+// renew keeps a claim alive until the returned function is called or its run
+// has begun.
+func (e *Entry) renew(ctx context.Context, cl messenger.Claim) (stop func()) {
+	ctx, stop = context.WithCancel(ctx)
+	e.wg.Go(func() {
+		for sleep(ctx, claimRenewal) == nil {
+			if _, err := e.claims.Hold(ctx, cl); coder.Of(err) != nil && coder.Of(err).Code != coder.NoQuorum {
+				return
+			}
+		}
+	})
+	return stop
+}
+
+func claimOf(r *chainer.Request) messenger.Claim {
+	return messenger.Claim{
+		Account: r.Account, Service: r.Service, Key: r.Key, Digest: r.Fingerprint, Owner: r.ID,
+	}
+}
+
+// unclaimed gives back a claim that may have been recorded though no answer came.
+func (e *Entry) unclaimed(cl messenger.Claim, err error) error {
+	c := coder.Of(err)
+	if c.Code == coder.NoQuorum {
+		e.later(func(ctx context.Context) error { return e.claims.Void(ctx, cl) })
+	}
+	if c.Code == coder.NoQuorum || c.Code == coder.ClaimHeld {
+		return retry(c, time.Second)
+	}
+	return c
+}
+
+// settle records the outcome. An unknown one leaves the claim as it is, so that
+// no resend runs.
+func (e *Entry) settle(r *chainer.Request, cl messenger.Claim, err error) {
+	switch {
+	case err == nil:
+		answer := r.Answer.Kept()
+		e.later(func(ctx context.Context) error { return e.claims.Done(ctx, cl, answer) })
+	case coder.Of(err).Run == coder.NotRun:
+		e.later(func(ctx context.Context) error { return e.claims.Void(ctx, cl) })
+	case coder.Of(err).Run == coder.Ran:
+		e.later(func(ctx context.Context) error { return e.claims.Done(ctx, cl, nil) })
+	}
+}
+
+// later runs f until it succeeds, its time is up or the Entry ends, after the
+// caller's answer.
+func (e *Entry) later(f func(context.Context) error) {
+	e.wg.Go(func() {
+		ctx, stop := context.WithTimeout(e.ctx, claimLimit)
+		defer stop()
+		for f(ctx) != nil && sleep(ctx, tick) == nil {
+		}
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
