--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"path/filepath"
@@ -18,6 +19,7 @@
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
 	"bramleyshunt/pooler"
+	"bramleyshunt/recorder"
 	"bramleyshunt/replicator"
 	"bramleyshunt/setter"
 )
@@ -61,6 +63,9 @@
 	folder   string
 	keeper   atomic.Pointer[keeper.Keeper]
 	register *register
+	failSync atomic.Bool // of the disk
+	syncs    atomic.Int64
+	fatal    atomic.Pointer[error]
 	deaf     atomic.Bool // nothing arrives
 	mute     atomic.Bool // nothing leaves
 	stop     func()
@@ -108,6 +113,7 @@
 		Node: h.node, Peers: c.peers, Folder: h.folder, Pool: pool, Every: c.every,
 		Apply: h.register.apply, Snapshot: h.register.snapshot, Restore: h.register.restore,
 		Heartbeat: 30 * time.Millisecond, Election: 300 * time.Millisecond,
+		Files: recorder.Files{Open: h.open}, Fatal: func(err error) { h.fatal.Store(&err) },
 		Drop: func(to messenger.Member, _ any) bool { return h.mute.Load() || c.isDeaf(to.Node) },
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -118,6 +124,22 @@
 	}
 }
 
+// open opens a file whose sync fails on demand.
+func (h *host) open(path string) (*recorder.File, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	sync := func() error {
+		if h.failSync.Load() {
+			return errors.New("input/output error")
+		}
+		h.syncs.Add(1)
+		return f.Sync()
+	}
+	return &recorder.File{Write: f.Write, Truncate: f.Truncate, Sync: sync, Close: f.Close}, nil
+}
+
 func (c *cluster) isDeaf(node string) bool {
 	for _, h := range c.hosts {
 		if h.node == node {
@@ -280,6 +302,47 @@
 		Expect(c.hosts[c.leader()].keeper.Load().Status().Term).To(Equal(term))
 	})
 
+	It("end a keeper whose sync fails, and go on without it", func() {
+		c.propose("x")
+		l := c.leader()
+		h := c.hosts[l]
+		h.failSync.Store(true)
+		_, _, err := h.keeper.Load().Propose(context.Background(), []byte("y"))
+		expectCode(err, coder.Unconfirmed)
+		Expect(coder.Of(err).Run).To(Equal(coder.Unknown))
+		Eventually(h.fatal.Load, patience).ShouldNot(BeNil())
+		expectCode(*h.fatal.Load(), coder.DiskFailed)
+		h.kill()
+		c.propose("z")
+		h.failSync.Store(false)
+		c.start(l)
+		c.expectData(l, string(c.hosts[c.leader()].register.snapshot()))
+	})
+
+	It("bring a follower up to date that missed hundreds of entries", func() {
+		c.propose("x")
+		late := (c.leader() + 1) % 3
+		c.hosts[late].kill()
+		for range 300 {
+			c.propose("x")
+		}
+		c.start(late)
+		c.expectData(late, string(c.hosts[c.leader()].register.snapshot()))
+	})
+
+	It("take a new node in as learner, then voter, and let one go", func() {
+		l := c.leader()
+		out := c.hosts[(l+1)%3].node
+		Eventually(func() error {
+			return c.hosts[c.leader()].keeper.Load().Change(context.Background(), replicator.Remove, out)
+		}, patience).Should(Succeed())
+		Expect(c.hosts[c.leader()].keeper.Load().Status().Voters).To(HaveLen(2))
+		Eventually(func() error {
+			return c.hosts[c.leader()].keeper.Load().Change(context.Background(), replicator.Add, out)
+		}, patience).Should(Succeed())
+		c.expectRepaired()
+	})
+
 	It("restart from snapshots after hundreds of entries", func() {
 		for range 300 {
 			c.propose("x")
--- /dev/null
+++ b/replicator/bench_test.go
@@ -0,0 +1,94 @@
+package replicator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"bramleyshunt/replicator"
+)
+
+const envelopeBytes = 13 // frame head and envelope around a message
+
+// traffic counts messages and bytes by the nodes that send them.
+type traffic struct {
+	messages, bytes int
+}
+
+func (w *world) meter(t *traffic) {
+	w.sent = func(body any) {
+		p, err := msgpack.Marshal(body)
+		if err != nil {
+			w.fail("%v", err)
+		}
+		t.messages++
+		t.bytes += len(p) + envelopeBytes
+	}
+}
+
+// BenchmarkIdle counts what keepers send each other in a second without work, with
+// the default heartbeat.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{3, 5, 7} {
+		b.Run(fmt.Sprint("keepers=", n), func(b *testing.B) {
+			w := newWorld(3, n, b.Fatalf)
+			w.beat, w.timeout = replicator.DefaultHeartbeat, replicator.DefaultElection
+			for _, o := range w.nodes {
+				o.kill()
+				o.start()
+			}
+			w.run(20 * w.timeout)
+			var t traffic
+			w.meter(&t)
+			for b.Loop() {
+				w.run(time.Second)
+			}
+			b.ReportMetric(float64(t.messages)/float64(b.N), "messages/s")
+			b.ReportMetric(float64(t.bytes)/float64(b.N), "bytes/s")
+		})
+	}
+}
+
+// BenchmarkCatchUp brings a follower up to date that missed entries of 8 bytes,
+// over the log or over a snapshot of 8 bytes.
+func BenchmarkCatchUp(b *testing.B) {
+	for _, missed := range []int{100, 500} {
+		for _, snapshot := range []bool{false, true} {
+			b.Run(fmt.Sprintf("missed=%d/snapshot=%v", missed, snapshot), func(b *testing.B) {
+				var t traffic
+				var took time.Duration
+				for b.Loop() {
+					took += catchUp(b, &t, missed, snapshot)
+				}
+				b.ReportMetric(float64(t.messages)/float64(b.N), "messages")
+				b.ReportMetric(float64(t.bytes)/float64(b.N), "bytes")
+				b.ReportMetric(float64(took.Milliseconds())/float64(b.N), "ms-simulated")
+			})
+		}
+	}
+}
+
+func catchUp(b *testing.B, t *traffic, missed int, snapshot bool) time.Duration {
+	w := newWorld(4, 3, b.Fatalf)
+	w.run(20 * election)
+	leader := w.leader()
+	late := w.nodes[(leader.at+1)%3]
+	late.kill()
+	for range missed {
+		leader.propose()
+		w.run(tick)
+	}
+	w.run(election)
+	if snapshot {
+		leader.compact()
+	}
+	late.start()
+	w.meter(t)
+	start := w.now
+	for late.applied < leader.applied {
+		w.run(tick)
+	}
+	return w.now - start
+}
--- a/replicator/node_test.go
+++ b/replicator/node_test.go
@@ -89,7 +89,7 @@
 	saved := n.synced.clone()
 	n.rep = replicator.New(n.w.now-n.lag, replicator.Config{
 		Self:  messenger.Member{Node: n.name, Address: n.name, Disk: n.disk},
-		Peers: peers, Heartbeat: heartbeat, Election: election, Seed: n.w.rng.Uint64(), Trail: 4,
+		Peers: peers, Heartbeat: n.w.beat, Election: n.w.timeout, Seed: n.w.rng.Uint64(), Trail: 4,
 	}, replicator.Saved{State: saved.state, Snapshot: saved.snap, Entries: saved.entries})
 	n.restore(saved.snap)
 }
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -40,13 +40,15 @@
 	rng     *rand.Rand
 	now     time.Duration
 	faults  faults
+	beat    time.Duration // heartbeat of replicas that start
+	timeout time.Duration // election timeout of replicas that start
 	nodes   []*node
 	packets []packet
 	cut     map[[2]int]bool // from, to
 	stopped bool            // clocks of frozen nodes stop; then leases promise nothing
 	lost    int             // node whose disk was lost last
 	disks   uint64
-	count   map[string]int // messages sent, by type
+	sent    func(body any) // sees each message sent; may be nil
 
 	leaders map[[2]uint64]uint64 // group and term: disk
 	history map[[2]uint64]uint64 // group and index: hash of all that was applied up to it
@@ -59,7 +61,7 @@
 
 func newWorld(seed uint64, n int, fail func(string, ...any)) *world {
 	w := &world{
-		fail: fail, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]int]bool{}, count: map[string]int{},
+		fail: fail, beat: heartbeat, timeout: election, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]int]bool{},
 		leaders: map[[2]uint64]uint64{}, history: map[[2]uint64]uint64{}, groups: map[uint64]bool{}, asked: map[uint64]uint64{},
 	}
 	for i := range n {
@@ -80,7 +82,9 @@
 			from.own = append(from.own, s.Body)
 			continue
 		}
-		w.count[fmt.Sprintf("%T", s.Body)]++
+		if w.sent != nil {
+			w.sent(s.Body)
+		}
 		to := slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == s.To.Address })
 		copies := 1
 		if w.chance(w.faults.lose) || w.cut[[2]int{from.at, to}] {
