--- a/keeper/control.go
+++ b/keeper/control.go
@@ -113,7 +113,7 @@
 		}
 	}
 	if s := act.Snapshot; s != nil {
-		k.snapshot = s.Index
+		k.snapshot, k.size, k.span = s.Index, len(s.Data), 0
 		if err := k.rec.Compact(*s, s.Index-min(s.Index, trailCount)); err != nil {
 			return err
 		}
@@ -136,7 +136,7 @@
 	if err := k.cfg.Restore(s.Data); err != nil {
 		return &coder.Error{Code: coder.Damaged, Text: "restore snapshot", Cause: err}
 	}
-	k.applied, k.snapshot = s.Index, s.Index
+	k.applied, k.snapshot, k.size, k.span = s.Index, s.Index, len(s.Data), 0
 	return nil
 }
 
@@ -147,7 +147,7 @@
 		if err := k.finish(); err != nil {
 			return err
 		}
-		if k.applied >= k.snapshot+k.cfg.Every {
+		if k.due() {
 			s := &replicator.Snapshot{Index: k.applied, Data: k.cfg.Snapshot()}
 			if err := k.step(replicator.Event{Compact: s}); err != nil {
 				return err
@@ -167,6 +167,11 @@
 	}
 }
 
+// due reports whether the log since the last snapshot has grown long.
+func (k *Keeper) due() bool {
+	return k.applied >= k.snapshot+k.cfg.Every || k.span > max(spanBytes, k.size)
+}
+
 func (k *Keeper) finish() error {
 	if k.dirty {
 		if err := k.rec.Sync(); err != nil {
@@ -193,6 +198,7 @@
 		k.gauges.applied.Inc(1)
 	}
 	k.applied = e.Index
+	k.span += len(e.Data)
 	p := k.pending[e.Index]
 	if p == nil {
 		return
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -26,7 +26,8 @@
 	// DefaultEvery is the number of entries between snapshots when Config.Every is zero.
 	DefaultEvery = 1024
 
-	trailCount = 256 // entries kept behind a snapshot for slow followers
+	trailCount = 256     // entries kept behind a snapshot for slow followers
+	spanBytes  = 8 << 20 // of commands between snapshots, if the last snapshot is smaller
 	inputCount = 1024
 	tickParts  = 3 // ticks in a heartbeat
 )
@@ -94,6 +95,8 @@
 	own      []any // messages to itself
 	applied  uint64
 	snapshot uint64
+	span     int                 // bytes of commands applied since the snapshot
+	size     int                 // bytes of the snapshot
 	next     uint64              // number of the next call
 	calls    map[uint64][]*call  // taken, by number
 	pending  map[uint64]*promise // accepted, by index
@@ -173,7 +176,7 @@
 			return errors.Join(errors.New("restore snapshot"), err)
 		}
 	}
-	k.applied, k.snapshot = saved.Snapshot.Index, saved.Snapshot.Index
+	k.applied, k.snapshot, k.size = saved.Snapshot.Index, saved.Snapshot.Index, len(saved.Snapshot.Data)
 	self := messenger.Member{Node: k.cfg.Node, Disk: k.rec.Disk()}
 	peers := make([]messenger.Member, 0, len(k.cfg.Peers))
 	for _, p := range k.cfg.Peers {
@@ -184,7 +187,7 @@
 	}
 	k.rep = replicator.New(k.now(), replicator.Config{
 		Self: self, Peers: peers, Heartbeat: k.cfg.Heartbeat, Election: k.cfg.Election,
-		Seed: k.cfg.Seed, Trail: trailCount,
+		Seed: k.cfg.Seed ^ uint64(k.start.UnixNano()), Trail: trailCount,
 	}, saved)
 	return nil
 }
--- a/replicator/bench_test.go
+++ b/replicator/bench_test.go
@@ -33,13 +33,7 @@
 func BenchmarkIdle(b *testing.B) {
 	for _, n := range []int{3, 5, 7} {
 		b.Run(fmt.Sprint("keepers=", n), func(b *testing.B) {
-			w := newWorld(3, n, b.Fatalf)
-			w.beat, w.timeout = replicator.DefaultHeartbeat, replicator.DefaultElection
-			for _, o := range w.nodes {
-				o.kill()
-				o.start()
-			}
-			w.run(20 * w.timeout)
+			w := defaultWorld(3, n, b)
 			var t traffic
 			w.meter(&t)
 			for b.Loop() {
@@ -51,6 +45,42 @@
 	}
 }
 
+// defaultWorld is a settled group with the default timeouts.
+func defaultWorld(seed uint64, n int, b *testing.B) *world {
+	w := newWorld(seed, n, b.Fatalf)
+	w.beat, w.timeout = replicator.DefaultHeartbeat, replicator.DefaultElection
+	for _, o := range w.nodes {
+		o.kill()
+		o.start()
+	}
+	w.run(20 * w.timeout)
+	return w
+}
+
+// BenchmarkFailover kills the leader of three keepers with the default timeouts and
+// takes the simulated time until a proposal is accepted again. Each round has
+// another seed.
+func BenchmarkFailover(b *testing.B) {
+	var sum, most time.Duration
+	seed := uint64(0)
+	for b.Loop() {
+		seed++
+		w := defaultWorld(seed, 3, b)
+		w.leader().kill()
+		start, before := w.now, w.acked
+		for w.acked == before {
+			for _, n := range w.nodes {
+				n.propose()
+			}
+			w.run(tick)
+		}
+		sum += w.now - start
+		most = max(most, w.now-start)
+	}
+	b.ReportMetric(float64(sum.Milliseconds())/float64(b.N), "ms-simulated")
+	b.ReportMetric(float64(most.Milliseconds()), "ms-most")
+}
+
 // BenchmarkCatchUp brings a follower up to date that missed entries of 8 bytes,
 // over the log or over a snapshot of 8 bytes.
 func BenchmarkCatchUp(b *testing.B) {
