Stand again sooner after a split vote

Two survivors of three that stood at once both waited a whole election timeout before the next candidacy. A quarter of it is enough: a voter that grants its vote waits a whole one.

--- a/replicator/election.go
+++ b/replicator/election.go
@@ -7,9 +7,15 @@
 	"bramleyshunt/messenger"
 )
 
+// retryParts of an election timeout pass at least between two candidacies.
+const retryParts = 4
+
 // rest draws the next election timeout.
-func (r *Replicator) rest() {
-	r.deadline = r.now + r.cfg.Election + time.Duration(r.rng.Int64N(int64(r.cfg.Election)))
+func (r *Replicator) rest() { r.wait(r.cfg.Election) }
+
+// wait draws an election timeout that lasts at least so long.
+func (r *Replicator) wait(least time.Duration) {
+	r.deadline = r.now + least + time.Duration(r.rng.Int64N(int64(r.cfg.Election)))
 }
 
 // follow starts an election when no leader was heard for the election timeout.
@@ -32,7 +38,7 @@
 func (r *Replicator) campaign() {
 	r.role, r.pre, r.leader = Candidate, true, messenger.Member{}
 	r.votes = map[uint64]bool{r.cfg.Self.Disk: true}
-	r.rest()
+	r.wait(r.cfg.Election / retryParts)
 	for _, m := range r.members.Voters {
 		if m.Disk != r.cfg.Self.Disk {
 			r.send(m, r.ballot(m, r.state.Term+1))
