--- a/replicator/election.go
+++ b/replicator/election.go
@@ -7,12 +7,20 @@
 	"bramleyshunt/messenger"
 )
 
+// retryParts of an election timeout pass at least between two candidacies.
+const retryParts = 4
+
 // rest draws the next election timeout.
-func (r *Replicator) rest() {
-	r.deadline = r.now + r.cfg.Election + time.Duration(r.rng.Int64N(int64(r.cfg.Election)))
+func (r *Replicator) rest() { r.wait(r.cfg.Election) }
+
+// wait draws an election timeout that lasts at least so long.
+func (r *Replicator) wait(least time.Duration) {
+	r.deadline = r.now + least + time.Duration(r.rng.Int64N(int64(r.cfg.Election)))
 }
 
 // follow starts an election when no leader was heard for the election timeout.
+// It probes as well: the member set it knows may be an old one, in which nobody
+// reaches the leader.
 func (r *Replicator) follow() {
 	if r.founding() {
 		r.probe()
@@ -20,18 +28,17 @@
 	if r.now < r.deadline {
 		return
 	}
-	if !r.voter(r.cfg.Self.Disk) {
-		r.probe()
-		return
+	r.probe()
+	if r.voter(r.cfg.Self.Disk) {
+		r.campaign()
 	}
-	r.campaign()
 }
 
 // campaign asks whether a majority would vote, before it touches the term.
 func (r *Replicator) campaign() {
 	r.role, r.pre, r.leader = Candidate, true, messenger.Member{}
 	r.votes = map[uint64]bool{r.cfg.Self.Disk: true}
-	r.rest()
+	r.wait(r.cfg.Election / retryParts)
 	for _, m := range r.members.Voters {
 		if m.Disk != r.cfg.Self.Disk {
 			r.send(m, r.ballot(m, r.state.Term+1))
