Run the roles of a process, the command line and the demo

The whole path, thin: caller, entry, agent, engine stand-in, with keepers for what must survive. Package runner builds any mix of roles from settings; commander is the command line; demonstrator runs a fleet on loopback, injects seven faults and judges every answer.

--- /dev/null
+++ b/commander/commander.go
@@ -0,0 +1,117 @@
+// Package commander is the command line. Each command is declared beside the
+// function that carries it out; the work itself is done by other packages.
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/decoder"
+	"bramleyshunt/setter"
+)
+
+// Exit statuses.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1 // the work failed or a process could not be reached
+	ExitInvalid = 2 // bad usage, settings or configuration folder
+	ExitRefused = 3 // the fleet refused with a numbered code
+)
+
+// statusError carries the exit status of a command.
+type statusError struct {
+	status int
+	err    error
+}
+
+func (e *statusError) Error() string { return e.err.Error() }
+func (e *statusError) Unwrap() error { return e.err }
+
+func invalid(err error) error { return &statusError{ExitInvalid, err} }
+
+// Run runs one command line and returns its exit status.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := rootCommand()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = fmt.Fprintln(stderr, "bramleyshunt:", err)
+	return status(err)
+}
+
+func status(err error) int {
+	var s *statusError
+	if errors.As(err, &s) {
+		return s.status
+	}
+	var e *coder.Error
+	if errors.As(err, &e) {
+		return ExitRefused
+	}
+	return ExitFailed
+}
+
+func rootCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "bramleyshunt",
+		Short:         "Serve prompts of very unlike lengths on shared model engines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          exactly(0),
+		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return invalid(err) })
+	root.AddCommand(
+		runCommand(), checkCommand(), applyCommand(), showCommand(), statusCommand(),
+		drainCommand(), engineCommand(), loadCommand(), demoCommand(),
+	)
+	return root
+}
+
+// exactly is cobra.ExactArgs with the exit status of bad usage.
+func exactly(n int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := cobra.ExactArgs(n)(cmd, args); err != nil {
+			return invalid(err)
+		}
+		return nil
+	}
+}
+
+func readSettings(path string) (*setter.Setter, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, invalid(fmt.Errorf("read settings: %w", err))
+	}
+	s := &setter.Setter{}
+	if err := decoder.Decode(path, data, s); err != nil {
+		return nil, invalid(err)
+	}
+	return s, nil
+}
+
+func newLog(w io.Writer, level string) (*logrus.Entry, error) {
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetFormatter(&logrus.JSONFormatter{})
+	if level == "" {
+		level = "info"
+	}
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, invalid(fmt.Errorf("settings: log: %w", err))
+	}
+	l.SetLevel(parsed)
+	return logrus.NewEntry(l), nil
+}
--- /dev/null
+++ b/commander/run.go
@@ -0,0 +1,91 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bramleyshunt/runner"
+)
+
+const (
+	minKeyBytes = 16
+	// drainBound ends a graceful shutdown that running requests hold up.
+	drainBound = 10 * time.Minute
+)
+
+func runCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "run --settings FILE",
+		Short: "Run the roles that the settings name until SIGTERM or SIGINT",
+		Long: `Runs one process of the fleet in the roles that its settings name: entry,
+agent and keeper, in any mix. SIGTERM and SIGINT shut it down gracefully:
+new work is refused at once and running requests go on to their end.`,
+		Example: "  bramleyshunt run --settings entry-1.jsonc",
+		Args:    exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return run(cmd, path)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "settings file of this process (JSON with comments)")
+	return cmd
+}
+
+func run(cmd *cobra.Command, path string) error {
+	if path == "" {
+		return invalid(fmt.Errorf("run needs --settings FILE"))
+	}
+	s, err := readSettings(path)
+	if err != nil {
+		return err
+	}
+	key, err := readKey(s.Key)
+	if err != nil {
+		return err
+	}
+	log, err := newLog(cmd.ErrOrStderr(), s.Log)
+	if err != nil {
+		return err
+	}
+	fatal := make(chan error, 1)
+	r, closer, err := runner.New(runner.Config{
+		Settings: s, Key: key, Log: log,
+		Fatal: func(err error) {
+			select {
+			case fatal <- err:
+			default:
+			}
+		},
+	})
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	defer closer()
+	select {
+	case err := <-fatal:
+		return fmt.Errorf("stopped: %w", err)
+	case <-cmd.Context().Done():
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(cmd.Context()), drainBound)
+	defer cancel()
+	return r.Drain(ctx)
+}
+
+// readKey reads the fleet key. It comes from a file so that it shows neither
+// on a command line nor in a log.
+func readKey(path string) ([]byte, error) {
+	key, err := os.ReadFile(path)
+	if err != nil {
+		return nil, invalid(fmt.Errorf("read fleet key: %w", err))
+	}
+	key = bytes.TrimSpace(key)
+	if len(key) < minKeyBytes {
+		return nil, invalid(fmt.Errorf("fleet key of %d bytes is shorter than %d", len(key), minKeyBytes))
+	}
+	return key, nil
+}
--- /dev/null
+++ b/demonstrator/storm.go
@@ -0,0 +1,144 @@
+package demonstrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"bramleyshunt/loader"
+)
+
+// fault is one thing that goes wrong during the load.
+type fault struct {
+	after  time.Duration // since the load's start
+	title  string
+	inject func(context.Context, *Demonstrator) error
+}
+
+var faults = []fault{
+	{1500 * time.Millisecond, "engine-1 killed in mid-stream", killEngine},
+	{3 * time.Second, "leading keeper stopped", stopLeader},
+	{4 * time.Second, "configuration changed during the election", changeConfig},
+	{5 * time.Second, "engine-1 restarted with empty memory", restartEngine},
+	{6 * time.Second, "connections of engine-2 went silent", hushEngine},
+	{7 * time.Second, "agent of engine-3 stopped without warning", stopAgent},
+	{8 * time.Second, "engine-4 frozen for a second", freezeEngine},
+}
+
+const (
+	changeBound = 9 * time.Second
+	freezeTime  = time.Second
+)
+
+// storm sends the load and the pings while it injects the faults.
+func (d *Demonstrator) storm(ctx context.Context, l *loader.Loader) (*loader.Report, *pings, error) {
+	var (
+		wg     conc.WaitGroup
+		report *loader.Report
+		p      = &pings{}
+		failed error
+	)
+	wg.Go(func() {
+		report = l.Run(ctx, loader.Plan{Seed: d.Seed + seedStorm, Requests: loadRequests, Rate: loadRate, Timeout: timeout})
+	})
+	wg.Go(func() { p.send(ctx, d.fleet) })
+	wg.Go(func() { failed = d.inject(ctx) })
+	wg.Wait()
+	return report, p, failed
+}
+
+// seedStorm sets the seeds of the load apart from those of the classes alone.
+const seedStorm = 1000
+
+func (d *Demonstrator) inject(ctx context.Context) error {
+	start := time.Now()
+	var errs []error
+	for _, f := range faults {
+		t := time.NewTimer(time.Until(start.Add(f.after)))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-t.C:
+		}
+		d.say("fault: %s", f.title)
+		if err := f.inject(ctx, d); err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", f.title, err))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func killEngine(_ context.Context, d *Demonstrator) error {
+	d.fleet.engines[0].Kill()
+	return nil
+}
+
+func restartEngine(_ context.Context, d *Demonstrator) error {
+	return d.fleet.engines[0].Restart()
+}
+
+func hushEngine(_ context.Context, d *Demonstrator) error {
+	d.fleet.engines[1].Hush()
+	return nil
+}
+
+func stopAgent(_ context.Context, d *Demonstrator) error {
+	d.fleet.agents[2].stop()
+	return nil
+}
+
+func freezeEngine(ctx context.Context, d *Demonstrator) error {
+	e := d.fleet.engines[3]
+	e.Freeze()
+	defer e.Thaw()
+	select {
+	case <-ctx.Done():
+	case <-time.After(freezeTime):
+	}
+	return nil
+}
+
+func stopLeader(_ context.Context, d *Demonstrator) error {
+	k := d.fleet.leader()
+	if k == nil {
+		return errors.New("no keeper leads")
+	}
+	k.stop()
+	d.say("%s stopped", k.node)
+	return nil
+}
+
+// changeConfig applies a change while the keepers elect, and waits until it is
+// in force at both entries.
+func changeConfig(ctx context.Context, d *Demonstrator) error {
+	ctx, cancel := context.WithTimeout(ctx, changeBound)
+	defer cancel()
+	folder := filepath.Join(d.fleet.folder, "config")
+	file := filepath.Join(folder, "30-race-night.jsonc")
+	if err := os.WriteFile(file, []byte(`{"accounts": {"crews": {"share": 8}}}`), 0o600); err != nil {
+		return fmt.Errorf("write change: %w", err)
+	}
+	began := time.Now()
+	version, err := d.fleet.apply(ctx, folder, tokens["OFFICE"])
+	if err != nil {
+		return err
+	}
+	accepted := time.Since(began)
+	for _, e := range d.fleet.entries {
+		for e.runner.Version() < version {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("version %d is not in force at %s", version, e.node)
+			case <-time.After(pollEvery):
+			}
+		}
+	}
+	d.say("configuration %d accepted after %.2fs, in force everywhere after %.2fs", version, accepted.Seconds(), time.Since(began).Seconds())
+	return nil
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -137,3 +137,25 @@
 		return true
 	}
 }
+
+// aloneRequests is how many requests of each share Alone sends.
+const aloneRequests = 3
+
+// Alone sends a few requests of each share of the plan's mix one at a time, as
+// the measure that slowdowns are taken against.
+func (l *Loader) Alone(ctx context.Context, plan Plan) *Report {
+	mix := plan.Mix
+	if len(mix) == 0 {
+		mix = DefaultMix()
+	}
+	all := &Report{}
+	for i, s := range mix {
+		one := plan
+		one.Seed = plan.Seed + uint64(i) + 1
+		one.Requests, one.Rate, one.Conc, one.Mix = aloneRequests, 0, 1, []Share{s}
+		r := l.Run(ctx, one)
+		all.Outcomes = append(all.Outcomes, r.Outcomes...)
+		all.Took += r.Took
+	}
+	return all
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,17 @@
+// Command bramleyshunt serves prompts of very unlike lengths: see README.md.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"bramleyshunt/commander"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(commander.Run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/runner/admin.go
@@ -0,0 +1,53 @@
+package runner
+
+import (
+	"net/http"
+
+	"bramleyshunt/administrator"
+	"bramleyshunt/entry"
+	"bramleyshunt/keeper"
+	"bramleyshunt/messenger"
+)
+
+// status is what GET /v1/status shows of this process.
+type status struct {
+	Node    string            `json:"node"`
+	Zone    string            `json:"zone"`
+	Roles   []string          `json:"roles"`
+	Version uint64            `json:"version"` // configuration in force here
+	Keeper  *keeper.Status    `json:"keeper,omitempty"`
+	Entry   *entry.Status     `json:"entry,omitempty"`
+	Target  *messenger.Target `json:"target,omitempty"`
+}
+
+// status returns a view of this process for operators.
+func (r *Runner) status() any {
+	s := r.cfg.Settings
+	st := status{Node: s.Node, Zone: s.Zone, Roles: s.Roles, Version: r.Version()}
+	if r.Keeper != nil {
+		k := r.Keeper.Status()
+		st.Keeper = &k
+	}
+	if r.Entry != nil {
+		e := r.Entry.Status()
+		st.Entry = &e
+	}
+	if r.Agent != nil {
+		t := r.Agent.Target()
+		st.Target = &t
+	}
+	return st
+}
+
+// admin serves operators. Only keepers take changes; every process shows its
+// status and metrics.
+func (r *Runner) admin() http.Handler {
+	cfg := administrator.Config{
+		Key: r.cfg.Key, Call: r.proposer.Call, Keepers: r.cfg.Settings.Keepers, Pool: r.pool,
+		Status: r.status, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
+	}
+	if r.Keeper != nil {
+		cfg.Applier, cfg.Confirm, cfg.Targets = r.applier, r.Keeper.Confirm, r.publisher.Targets
+	}
+	return administrator.New(cfg)
+}
--- /dev/null
+++ b/runner/roles.go
@@ -0,0 +1,191 @@
+package runner
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+
+	"bramleyshunt/agent"
+	"bramleyshunt/applier"
+	"bramleyshunt/coder"
+	"bramleyshunt/entry"
+	"bramleyshunt/keeper"
+	"bramleyshunt/messenger"
+	"bramleyshunt/muxer"
+	"bramleyshunt/pooler"
+	"bramleyshunt/proposer"
+	"bramleyshunt/publisher"
+	"bramleyshunt/setter"
+	"bramleyshunt/watcher"
+)
+
+func (r *Runner) muxing() muxer.Config {
+	return muxer.Config{Node: r.cfg.Settings.Node, Key: r.cfg.Key}
+}
+
+func (r *Runner) startPool() error {
+	pool, closer := pooler.New(r.muxing())
+	r.pool = pool
+	r.own(closer)
+	r.proposer = &proposer.Proposer{Keepers: r.cfg.Settings.Keepers, Pool: pool}
+	return nil
+}
+
+func (r *Runner) startKeeper() error {
+	s := r.cfg.Settings
+	if !s.Has(setter.RoleKeeper) {
+		return nil
+	}
+	r.applier = &applier.Applier{}
+	a := r.applier
+	k, closer, err := keeper.New(keeper.Config{
+		Node: s.Node, Peers: s.Keepers, Folder: s.Folder, Pool: r.pool,
+		Apply: a.Apply, Snapshot: a.Snapshot, Restore: a.Restore,
+		Log: r.cfg.Log, Metrics: r.cfg.Metrics, Fatal: r.fatal,
+	})
+	if err != nil {
+		return fmt.Errorf("keeper: %w", err)
+	}
+	r.Keeper = k
+	r.own(closer)
+	p, closer, err := publisher.New(publisher.Config{
+		Applier: a, Propose: k.Propose, Confirm: k.Confirm,
+		Leader: func() string { return k.Status().Address },
+		Log:    r.cfg.Log, Metrics: r.cfg.Metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("publisher: %w", err)
+	}
+	r.publisher = p
+	r.own(closer)
+	r.handlers = append(r.handlers, k.Handle, p.Handle)
+	return nil
+}
+
+// startWatcher follows configuration and targets. An agent needs no targets.
+func (r *Runner) startWatcher() error {
+	s := r.cfg.Settings
+	if !s.Has(setter.RoleEntry) && !s.Has(setter.RoleAgent) {
+		return nil
+	}
+	w, closer, err := watcher.New(watcher.Config{
+		Node: s.Node, Keepers: s.Keepers, Pool: r.pool, Lean: !s.Has(setter.RoleEntry),
+		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("watcher: %w", err)
+	}
+	r.watcher = w
+	r.own(closer)
+	return nil
+}
+
+func (r *Runner) startAgent() error {
+	if !r.cfg.Settings.Has(setter.RoleAgent) {
+		return nil
+	}
+	a, closer, err := agent.New(agent.Config{
+		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call, Version: r.Version,
+		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	r.Agent = a
+	r.own(closer)
+	r.handlers = append(r.handlers, a.Handle)
+	return nil
+}
+
+func (r *Runner) startEntry() error {
+	if !r.cfg.Settings.Has(setter.RoleEntry) {
+		return nil
+	}
+	e, closer, err := entry.New(entry.Config{
+		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
+		View:  r.watcher.View,
+		Ready: r.watcher.Ready,
+		Log:   r.cfg.Log, Metrics: r.cfg.Metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
+	}
+	r.Entry = e
+	r.own(closer)
+	return nil
+}
+
+func (r *Runner) startListeners() error {
+	s, l := r.cfg.Settings, r.cfg.Listeners
+	if len(r.handlers) > 0 {
+		if err := r.servePeers(l.Peers, s.Listen); err != nil {
+			return err
+		}
+	}
+	if r.Entry != nil {
+		if err := r.listenHTTP(l.HTTP, s.HTTP, r.Entry); err != nil {
+			return err
+		}
+	}
+	if l.Admin == nil && s.Admin == "" {
+		return nil
+	}
+	return r.listenHTTP(l.Admin, s.Admin, r.admin())
+}
+
+func (r *Runner) servePeers(l net.Listener, addr string) error {
+	l, err := listen(l, addr)
+	if err != nil {
+		return err
+	}
+	r.wg.Go(func() { _ = muxer.Serve(r.ctx, l, r.muxing(), r.dispatch) })
+	return nil
+}
+
+func (r *Runner) listenHTTP(l net.Listener, addr string, h http.Handler) error {
+	l, err := listen(l, addr)
+	if err != nil {
+		return err
+	}
+	r.serveHTTP(l, h)
+	return nil
+}
+
+func listen(l net.Listener, addr string) (net.Listener, error) {
+	if l != nil {
+		return l, nil
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return l, nil
+}
+
+// Version returns the configuration version in force in this process; zero for none.
+func (r *Runner) Version() uint64 {
+	if r.watcher == nil {
+		return 0
+	}
+	v := r.watcher.View()
+	if v == nil {
+		return 0
+	}
+	return v.Version
+}
+
+// Targets returns how many live targets this process knows.
+func (r *Runner) Targets() int {
+	if r.watcher == nil {
+		return 0
+	}
+	v := r.watcher.View()
+	if v == nil {
+		return 0
+	}
+	return len(v.Targets)
+}
+
+func errUnknownKind(k messenger.Kind) error {
+	return coder.Errorf(coder.BadFrame, "no role of this process takes %s", k)
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,166 @@
+// Package runner builds the roles of one process from its settings and ties
+// them together: one listener for the system's own processes, one for callers,
+// one for operators, and one order of shutdown.
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"bramleyshunt/agent"
+	"bramleyshunt/applier"
+	"bramleyshunt/entry"
+	"bramleyshunt/keeper"
+	"bramleyshunt/muxer"
+	"bramleyshunt/pooler"
+	"bramleyshunt/proposer"
+	"bramleyshunt/publisher"
+	"bramleyshunt/setter"
+	"bramleyshunt/watcher"
+)
+
+// Config says what to run.
+type Config struct {
+	Settings  *setter.Setter
+	Key       []byte // fleet key
+	Log       *logrus.Entry
+	Metrics   metrics.Registry
+	Fatal     func(error) // a fault that ends the process; may be called more than once
+	Listeners Listeners
+}
+
+// Listeners may be opened beforehand; those left nil are opened at the
+// addresses in the settings.
+type Listeners struct {
+	Peers net.Listener // the system's own processes
+	HTTP  net.Listener // callers
+	Admin net.Listener // operators
+}
+
+// Runner is one running process.
+type Runner struct {
+	Entry  *entry.Entry   // nil without that role
+	Agent  *agent.Agent   // nil without that role
+	Keeper *keeper.Keeper // nil without that role
+
+	cfg       Config
+	pool      *pooler.Pooler
+	watcher   *watcher.Watcher
+	proposer  *proposer.Proposer
+	publisher *publisher.Publisher
+	applier   *applier.Applier
+	handlers  []handler
+	closers   []func()
+	ctx       context.Context
+	stop      context.CancelFunc
+	wg        conc.WaitGroup
+}
+
+// handler serves a stream if the kind of its first message is its own.
+type handler func(context.Context, *muxer.Stream, muxer.Message) bool
+
+// New starts the process. The returned function stops it at once; call Drain
+// first for a graceful shutdown.
+func New(cfg Config) (*Runner, func(), error) {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	if err := cfg.check(); err != nil {
+		return nil, nil, err
+	}
+	r := &Runner{cfg: cfg}
+	r.ctx, r.stop = context.WithCancel(context.Background())
+	for _, start := range []func() error{r.startPool, r.startKeeper, r.startWatcher, r.startAgent, r.startEntry, r.startListeners} {
+		if err := start(); err != nil {
+			r.close()
+			return nil, nil, err
+		}
+	}
+	return r, r.close, nil
+}
+
+func (c *Config) check() error {
+	s := c.Settings
+	switch {
+	case s.Node == "":
+		return errors.New("settings: node: must name this process")
+	case len(s.Roles) == 0:
+		return errors.New("settings: roles: must name at least one of entry, agent, keeper")
+	case len(s.Keepers) == 0:
+		return errors.New("settings: keepers: must name at least one keeper")
+	}
+	for _, role := range s.Roles {
+		if role != setter.RoleEntry && role != setter.RoleAgent && role != setter.RoleKeeper {
+			return fmt.Errorf("settings: roles: unknown role %q", role)
+		}
+	}
+	return nil
+}
+
+// own registers a clean-up function; they run in reverse order.
+func (r *Runner) own(closer func()) { r.closers = append(r.closers, closer) }
+
+func (r *Runner) close() {
+	r.stop()
+	for i := len(r.closers) - 1; i >= 0; i-- {
+		r.closers[i]()
+	}
+	r.wg.Wait()
+}
+
+// Drain shuts the process down gracefully. Readiness goes off first, so that
+// the balancer and the entries look elsewhere; it returns when nothing runs
+// any more, or with the error of ctx.
+func (r *Runner) Drain(ctx context.Context) error {
+	if r.Agent != nil {
+		if err := r.Agent.Drain(ctx); err != nil {
+			return fmt.Errorf("drain agent: %w", err)
+		}
+	}
+	if r.Entry != nil {
+		if err := r.Entry.Drain(ctx); err != nil {
+			return fmt.Errorf("drain entry: %w", err)
+		}
+	}
+	return nil
+}
+
+// dispatch hands a stream to the role that knows its first message.
+func (r *Runner) dispatch(ctx context.Context, s *muxer.Stream) {
+	first, err := s.Receive(ctx)
+	if err != nil {
+		return
+	}
+	for _, h := range r.handlers {
+		if h(ctx, s, first) {
+			return
+		}
+	}
+	_ = s.Fail("", errUnknownKind(first.Kind))
+}
+
+func (r *Runner) serveHTTP(l net.Listener, h http.Handler) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	r.own(func() { _ = srv.Close() })
+	r.wg.Go(func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			r.fatal(fmt.Errorf("serve %s: %w", l.Addr(), err))
+		}
+	})
+}
+
+func (r *Runner) fatal(err error) {
+	if r.cfg.Fatal != nil {
+		r.cfg.Fatal(err)
+	}
+}
+
+const headerTimeout = 10 * time.Second
