--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"bramleyshunt/coder"
@@ -34,6 +35,8 @@
 	// process that was frozen doesn't drop tombstones before it has read the
 	// frames that they are kept for.
 	maxStep = 2 * time.Second
+	// overdue is how long after its time a run that nobody has ended is given up.
+	overdue = 10 * time.Second
 	// slack is how far the predicted prefill may exceed the time left before an
 	// attempt is refused. The entry has admitted it with better knowledge.
 	slack = 2
@@ -52,11 +55,12 @@
 
 	records   map[string]*record
 	live      map[string]*record
-	leases    []*record // in order of grant, hence of lease end
+	leases    []*record // in order of their end
 	kept      kept
 	forgot    bool // a record of an attempt that ran has been dropped
 	leaving   bool
 	used      int
+	extra     int    // tokens that the engine uses beyond what is accounted for
 	queued    int    // prompt tokens of live attempts not yet prefilled
 	engine    uint64 // incarnation of the engine
 	dead      bool   // the target refuses connections
@@ -68,7 +72,7 @@
 }
 
 // Reserve grants memory and a slot until the lease ends. A repeated message
-// gets the first answer. Errors carry codes WrongIncarnation, Leaving, Busy,
+// gets the first answer; that of a gang member renews its lease as well. Errors carry codes WrongIncarnation, Leaving, Busy,
 // MemoryFull, Overloaded, DeadlineExceeded, Voided, LeaseExpired or AlreadyRan;
 // all but the last say that the attempt did not run.
 func (r *Reserver) Reserve(now time.Time, m *messenger.Reserve) (messenger.Reserved, error) {
@@ -99,6 +103,9 @@
 func (r *Reserver) again(rec *record) (messenger.Reserved, error) {
 	switch rec.phase {
 	case Reserved:
+		if rec.gang {
+			r.extend(rec)
+		}
 		return r.grant(rec), nil
 	case Withdrawn:
 		return messenger.Reserved{}, rec.refusal()
@@ -107,6 +114,18 @@
 	}
 }
 
+// extend renews the lease of a gang member, whose turn may come late, though not
+// beyond the time of its attempt. It keeps the leases in order of their end.
+func (r *Reserver) extend(rec *record) {
+	rec.lease = r.now.Add(r.lease())
+	if rec.lease.After(rec.deadline) {
+		rec.lease = rec.deadline
+	}
+	r.leases = slices.DeleteFunc(r.leases, func(x *record) bool { return x == rec })
+	i, _ := slices.BinarySearchFunc(r.leases, rec, func(x, y *record) int { return x.lease.Compare(y.lease) })
+	r.leases = slices.Insert(r.leases, i, rec)
+}
+
 func (r *Reserver) grant(rec *record) messenger.Reserved {
 	return messenger.Reserved{
 		Attempt: rec.attempt, Incarnation: rec.incarnation,
