Serve prompts beyond one engine's memory by gangs

Cause: such prompts were refused with 1010. Change: the entry drives package ganger: members are reserved in order, segments run one after another over the reservations' streams, the last one is streamed to the caller.

--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -24,6 +24,7 @@
 	Chat    bool
 	Service string
 	Model   string
+	Full    string   // prompt text
 	Text    int      // bytes of prompt text
 	Prefix  []uint64 // hashes of the prompt's beginnings, shortest first
 	Bound   int      // answer tokens the caller allows; zero for none
@@ -41,6 +42,7 @@
 	Output      int // predicted tokens
 	Class       messenger.Class
 	Fingerprint uint64
+	Gang        bool // beyond one target's memory
 
 	Answer Answer
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"bramleyshunt/admitter"
 	"bramleyshunt/chainer"
 	"bramleyshunt/configurer"
+	"bramleyshunt/ganger"
 	"bramleyshunt/limiter"
 	"bramleyshunt/measurer"
 	"bramleyshunt/messenger"
@@ -33,6 +35,11 @@
 	retrier   retrier.Retrier
 	scheduler scheduler.Scheduler
 	waiting   map[string]chan scheduler.Placement
+
+	ganger   ganger.Ganger
+	gangs    map[string]*gang    // by request
+	segments map[string]*segment // by attempt, until freed
+	spawn    func(func(context.Context))
 }
 
 func newControl(cfg Config) (*control, func()) {
@@ -68,6 +75,7 @@
 		case <-t.C:
 			c.look()
 			c.pump()
+			c.tickGangs()
 		}
 	}
 }
@@ -128,7 +136,9 @@
 func (c *control) admit(r *chainer.Request) (err error) {
 	c.do(func() {
 		c.look()
-		err = c.scheduler.Admit(c.cfg.Now(), ticket(r, nil))
+		if r.Gang = c.scheduler.Huge(ticket(r, nil)); !r.Gang {
+			err = c.scheduler.Admit(c.cfg.Now(), ticket(r, nil))
+		}
 		if err == nil {
 			c.retrier.First(r.Service, r.Config.Limits.Retries)
 		}
@@ -218,6 +228,6 @@
 
 // backoff returns when a request that could not be placed should come back.
 func (c *control) backoff(t *scheduler.Ticket) (d time.Duration) {
-	c.do(func() { d = c.scheduler.Backoff(t) })
+	c.do(func() { d = c.scheduler.Backoff(c.cfg.Now(), t) })
 	return d
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -86,6 +86,7 @@
 	e.ctx = ctx
 	control, stop := newControl(cfg)
 	e.control = control
+	control.spawn = func(f func(context.Context)) { e.wg.Go(func() { f(e.ctx) }) }
 	e.handler = e.chain()
 	e.mux = e.routes()
 	return e, func() {
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -73,7 +73,7 @@
 		return coder.Errorf(coder.UnknownModel, "%.64q", b.Model)
 	}
 	r.Model, r.Stream = b.Model, b.Stream
-	r.Text = len(text)
+	r.Full, r.Text = text, len(text)
 	r.Prefix = router.Prefixes(b.Model, text)
 	r.Bound = b.MaxTokens
 	if r.Bound == 0 {
--- a/entry/run.go
+++ b/entry/run.go
@@ -32,6 +32,9 @@
 
 // run queues a request, has attempts made and passes the answer on.
 func (e *Entry) run(ctx context.Context, r *chainer.Request) error {
+	if r.Gang {
+		return e.spread(ctx, r)
+	}
 	x := &running{e: e, r: r}
 	for {
 		pick, err := x.place(ctx)
@@ -212,14 +215,21 @@
 
 // suspect reports a request that was running when its target was lost.
 func (x *running) suspect(pick router.Pick, c *coder.Error) {
-	if c.Code != coder.TargetLost || c.Run == coder.NotRun || x.e.cfg.Call == nil {
+	if c.Code == coder.TargetLost && c.Run != coder.NotRun {
+		x.e.report(x.r, pick.Target.ID, pick.Target.Incarnation)
+	}
+}
+
+// report tells the keepers that a request was running when its target was lost.
+func (e *Entry) report(r *chainer.Request, target string, incarnation uint64) {
+	if e.cfg.Call == nil {
 		return
 	}
-	m := messenger.Suspect{Fingerprint: x.r.Fingerprint, Target: pick.Target.ID, Incarnation: pick.Target.Incarnation}
-	x.e.meter.count("suspects")
-	x.e.later(func(ctx context.Context) error {
+	m := messenger.Suspect{Fingerprint: r.Fingerprint, Target: target, Incarnation: incarnation}
+	e.meter.count("suspects")
+	e.later(func(ctx context.Context) error {
 		var out messenger.Proposed
-		return x.e.cfg.Call(ctx, messenger.KindSuspect, &m, &out)
+		return e.cfg.Call(ctx, messenger.KindSuspect, &m, &out)
 	})
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -120,6 +120,27 @@
 	return x != nil && len(x.all) > 0
 }
 
+// Target returns what is known of a target; it is zero if the target is unknown.
+func (r *Router) Target(id string) messenger.Target {
+	if s := r.byID[id]; s != nil {
+		return s.target
+	}
+	return messenger.Target{}
+}
+
+// Targets returns the targets of a service that are open to long prompts.
+func (r *Router) Targets(service string) []messenger.Target {
+	x := r.byName[service]
+	if x == nil {
+		return nil
+	}
+	out := make([]messenger.Target, 0, len(x.long))
+	for _, s := range x.long {
+		out = append(out, s.target)
+	}
+	return out
+}
+
 // Pick chooses a target, or returns false if none of the candidates can take
 // the request now. It looks at a number of targets that grows with the
 // logarithm of the replicas.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -56,6 +56,12 @@
 // Queued returns the number of waiting tickets.
 func (s *Scheduler) Queued() int { return len(s.waiting) }
 
+// Huge reports whether no single target can ever hold a request.
+func (s *Scheduler) Huge(t *Ticket) bool {
+	most := s.Router.Sum(t.Service, s.Router.IsLong(t.Prompt)).Memory
+	return most > 0 && t.Prompt+t.Output > most
+}
+
 // Admit returns nil if a request can finish in its time, else the error to
 // refuse it with: NoTarget, PromptTooLong, Overloaded or DeadlineExceeded.
 func (s *Scheduler) Admit(now time.Time, t *Ticket) error {
@@ -64,7 +70,7 @@
 	if sum.Targets == 0 {
 		return s.none(t)
 	}
-	if sum.Memory > 0 && t.Prompt+t.Output > sum.Memory {
+	if s.Huge(t) {
 		return coder.Errorf(coder.PromptTooLong, "about %d tokens, engine memory for %d", t.Prompt+t.Output, sum.Memory)
 	}
 	c := s.request(t, sum)
