--- a/entry/control.go
+++ b/entry/control.go
@@ -37,18 +37,22 @@
 	waiting   map[string]chan scheduler.Placement
 
 	ganger   ganger.Ganger
-	gangs    map[string]*gang    // by request
-	segments map[string]*segment // by attempt, until freed
+	gangs    map[string]*gang         // by request
+	segments map[string]*segment      // by attempt, until freed
+	offered  map[string]*watcher.View // by model
 	spawn    func(func(context.Context))
 }
 
 func newControl(cfg Config) (*control, func()) {
 	c := &control{
-		cfg:     cfg,
-		events:  make(chan func(), backlog),
-		done:    make(chan struct{}),
-		retrier: retrier.Retrier{Seed: cfg.Seed},
-		waiting: map[string]chan scheduler.Placement{},
+		cfg:      cfg,
+		events:   make(chan func(), backlog),
+		done:     make(chan struct{}),
+		retrier:  retrier.Retrier{Seed: cfg.Seed},
+		waiting:  map[string]chan scheduler.Placement{},
+		offered:  map[string]*watcher.View{},
+		gangs:    map[string]*gang{},
+		segments: map[string]*segment{},
 		scheduler: scheduler.Scheduler{
 			Admitter: admitter.Admitter{Seed: cfg.Seed},
 			Router:   router.Router{Seed: cfg.Seed},
--- a/entry/gang.go
+++ b/entry/gang.go
@@ -71,8 +71,13 @@
 	}})
 }
 
-// offer tells the ganger of the targets that may hold a segment.
+// offer tells the ganger of the targets that may hold a segment, once a view:
+// in between the ganger keeps count itself of what it reserved and was refused.
 func (c *control) offer(service, model string) {
+	if c.offered[model] == c.view {
+		return
+	}
+	c.offered[model] = c.view
 	var out []ganger.Candidate
 	for _, t := range c.scheduler.Router.Targets(service) {
 		l := t.Load
@@ -85,12 +90,8 @@
 
 // tickGangs passes time and fresh hints to the gangs.
 func (c *control) tickGangs() {
-	offered := map[string]bool{}
 	for _, x := range c.gangs {
-		if !offered[x.r.Model] {
-			offered[x.r.Model] = true
-			c.offer(x.r.Service, x.r.Model)
-		}
+		c.offer(x.r.Service, x.r.Model)
 	}
 	if c.ganger.Idle() {
 		clear(c.segments)
