--- /dev/null
+++ b/bencher/table_test.go
@@ -0,0 +1,139 @@
+package bencher_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	"bramleyshunt/bencher"
+	"bramleyshunt/messenger"
+	"bramleyshunt/router"
+)
+
+// variant is one line of a table.
+type variant struct {
+	name string
+	edit func(*bencher.Bencher)
+}
+
+// TestTables prints the tables of docs/POLICY.md when -tables asks for them.
+func TestTables(*testing.T) {
+	table("policies", []float64{0.5, 0.8, 1, 1.3}, policies())
+	table("parts", []float64{0.8, 1.3, 2}, parts())
+	table("lanes", []float64{0.8, 1.3}, lanes())
+	table("faults", []float64{0.8, 1.3}, faults())
+}
+
+func table(name string, loads []float64, vs []variant) {
+	if *tables == "" || !strings.Contains(name, *tables) {
+		return
+	}
+	for _, d := range deployments() {
+		if !strings.Contains(d.Name, *fleet) {
+			continue
+		}
+		fmt.Printf("\n%s, %s\n\n%s\n", d.Name, name, bencher.Head)
+		for _, load := range loads {
+			for _, v := range vs {
+				b := bencher.Bencher{Deployment: d, Load: load, Length: 2 * time.Minute}
+				v.edit(&b)
+				fmt.Println(row(v.name, b))
+			}
+		}
+	}
+}
+
+// TestParts prints what each part earns, as a mean over seeds.
+func TestParts(*testing.T) {
+	if *tables != "earned" {
+		return
+	}
+	for _, d := range deployments() {
+		for _, load := range []float64{0.8, 1.3} {
+			fmt.Printf("\n%s, load %.0f %%, mean of seeds 1 to %d\n\n%s\n", d.Name, 100*load, seeds, meanHead)
+			for _, v := range append(parts(), lanes()[1:4]...) {
+				fmt.Println(mean(v, bencher.Bencher{Deployment: d, Load: load, Length: time.Minute}))
+			}
+		}
+	}
+}
+
+const (
+	seeds    = 4
+	workers  = 3
+	meanHead = "| policy | short p99 ms | slowdown p99 | in 0.48 s % | huge p95 s | refused % | given up % | missed | goodput % | fairness | agent refusals |\n|---|---|---|---|---|---|---|---|---|---|---|"
+)
+
+func mean(v variant, b bencher.Bencher) string {
+	sums := iter.Mapper[int, [10]float64]{MaxGoroutines: workers}.Map([]int{1, 2, 3, 4}, func(i *int) [10]float64 {
+		x := b
+		x.Seed = uint64(*i)
+		v.edit(&x)
+		quiet := x
+		quiet.NoLong = true
+		alone, r := quiet.Run(), x.Run()
+		return [10]float64{
+			float64(r.First(messenger.Short, 0.99).Milliseconds()), r.Slowdown(alone, 0.99), 100 * r.InTime(),
+			r.First(messenger.Huge, 0.95).Seconds(), 100 * r.Refused(), 100 * r.GivenUp(), float64(r.Missed()),
+			100 * r.Goodput(&x), r.Fairness(), r.Refusals(),
+		}
+	})
+	line := "| " + v.name + " |"
+	for i := range 10 {
+		sum := 0.0
+		for _, s := range sums {
+			sum += s[i] / seeds
+		}
+		line += fmt.Sprintf(" %.2f |", sum)
+	}
+	return line
+}
+
+func policies() []variant {
+	return []variant{
+		{"ours", func(*bencher.Bencher) {}},
+		{"round robin", func(b *bencher.Bencher) { b.Kind = bencher.RoundRobin }},
+		{"least outstanding", func(b *bencher.Bencher) { b.Kind = bencher.LeastOutstanding }},
+	}
+}
+
+func parts() []variant {
+	return []variant{
+		{"ours", func(*bencher.Bencher) {}},
+		{"no engine priority", func(b *bencher.Bencher) { b.Off.Priority = true }},
+		{"no own sends", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Own: true} }},
+		{"no cached prefix", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Cached: true} }},
+		{"no wait by class", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Class: true} }},
+		{"no check at the edge", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Edge: true} }},
+		{"no bound on the wait", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Gate: true} }},
+		{"no fair queue", func(b *bencher.Bencher) { b.Off.Fair = true }},
+		{"no admission", func(b *bencher.Bencher) { b.Off.Admission = true }},
+		{"tight", func(b *bencher.Bencher) { b.Tight = 0.3 }},
+		{"tight, no admission", func(b *bencher.Bencher) { b.Tight, b.Off.Admission = 0.3, true }},
+	}
+}
+
+func lanes() []variant {
+	set := func(share float64) func(*bencher.Bencher) {
+		return func(b *bencher.Bencher) { b.Deployment.Shorts = int(share * float64(b.Deployment.Replicas)) }
+	}
+	return []variant{
+		{"no lanes", set(0)}, {"short 20 %", set(0.2)}, {"short 35 %", set(0.35)}, {"short 50 %", set(0.5)},
+		{"no engine priority", func(b *bencher.Bencher) { b.Off.Priority = true }},
+		{"no engine priority, short 35 %", func(b *bencher.Bencher) {
+			set(0.35)(b)
+			b.Off.Priority = true
+		}},
+	}
+}
+
+func faults() []variant {
+	return []variant{
+		{"one target lost", func(b *bencher.Bencher) { b.Kill = true }},
+		{"one account tenfold", func(b *bencher.Bencher) { b.Greedy = 10 }},
+		{"tenfold, no fair queue", func(b *bencher.Bencher) { b.Greedy, b.Off.Fair = 10, true }},
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,6 +3,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"bramleyshunt/admitter"
@@ -41,16 +43,18 @@
 	Router   router.Router
 
 	queues  map[lane]*queuer.Queuer
-	order   []lane // of queues, as they came into being
+	order   []lane // of queues, shorter classes first
 	waiting map[string]*Ticket
 	stretch map[lane]*stretch
 	backlog map[lane]*backlog
 }
 
-// lane names one queue.
+// lane names one queue. Classes queue apart, as a longer prompt that waits for
+// memory must not hold up shorter ones; Long and Huge share a queue, as the one
+// would overtake the other for ever.
 type lane struct {
 	service string
-	long    bool
+	class   messenger.Class
 }
 
 // Queued returns the number of waiting tickets.
@@ -58,7 +62,7 @@
 
 // Huge reports whether no single target can ever hold a request.
 func (s *Scheduler) Huge(t *Ticket) bool {
-	most := s.Router.Sum(t.Service, s.Router.IsLong(t.Prompt)).Memory
+	most := s.sum(t).Memory
 	return most > 0 && t.Prompt+t.Output > most
 }
 
@@ -66,7 +70,7 @@
 // refuse it with: NoTarget, PromptTooLong, Overloaded or DeadlineExceeded.
 func (s *Scheduler) Admit(now time.Time, t *Ticket) error {
 	l := s.lane(t)
-	sum := s.Router.Sum(l.service, l.long)
+	sum := s.sum(t)
 	if sum.Targets == 0 {
 		return s.none(t)
 	}
@@ -104,8 +108,7 @@
 
 // Needs returns the time from a ticket's placement to its last token.
 func (s *Scheduler) Needs(t *Ticket) time.Duration {
-	l := s.lane(t)
-	sum := s.Router.Sum(l.service, l.long)
+	sum := s.sum(t)
 	if sum.Targets == 0 {
 		return 0
 	}
@@ -115,7 +118,7 @@
 // Backoff returns when a request that could not be placed should come back.
 func (s *Scheduler) Backoff(now time.Time, t *Ticket) time.Duration {
 	l := s.lane(t)
-	return s.Admitter.Retry(s.wait(now, t, l, s.Router.Sum(l.service, l.long)))
+	return s.Admitter.Retry(s.wait(now, t, l, s.sum(t)))
 }
 
 // Enqueue adds a ticket. Its placement comes from a later Pump.
@@ -130,7 +133,8 @@
 	if q == nil {
 		q = &queuer.Queuer{}
 		s.queues[l], s.stretch[l], s.backlog[l] = q, &stretch{}, &backlog{}
-		s.order = append(s.order, l)
+		i, _ := slices.BinarySearchFunc(s.order, l, compare)
+		s.order = slices.Insert(s.order, i, l)
 	}
 	q.Push(&queuer.Item{
 		ID: t.ID, Account: t.Account, Share: t.Share,
@@ -138,6 +142,10 @@
 	})
 }
 
+func compare(a, b lane) int {
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.service, b.service))
+}
+
 // Abandon takes a ticket out of its queue and reports whether it waited.
 func (s *Scheduler) Abandon(t *Ticket) bool {
 	if s.waiting[t.ID] != t {
@@ -181,8 +189,7 @@
 		s.Router.Sent(now, pick, c)
 		return Placement{Ticket: t, Pick: pick}, true
 	}
-	l := s.lane(t)
-	if s.Router.Sum(l.service, l.long).Targets > len(t.Exclude) {
+	if s.sum(t).Targets > len(t.Exclude) {
 		return Placement{}, false
 	}
 	return Placement{Ticket: t, Err: s.none(t)}, true
@@ -212,8 +219,13 @@
 	s.Router.Report(p.Target.ID, p.Target.Incarnation, l)
 }
 
+// sum adds up the targets that may take a ticket.
+func (s *Scheduler) sum(t *Ticket) router.Sum {
+	return s.Router.Sum(t.Service, s.Router.IsLong(t.Prompt))
+}
+
 func (s *Scheduler) lane(t *Ticket) lane {
-	return lane{service: t.Service, long: s.Router.IsLong(t.Prompt)}
+	return lane{service: t.Service, class: min(messenger.ClassOf(t.Prompt), messenger.Long)}
 }
 
 func ask(t *Ticket) router.Case {
