Read configuration and nodes from a keeper that can confirm its answer

Cause: after the leading keeper died, the operator's client took the first answer it got, from a keeper that could not confirm it with a quorum and still showed the version before. Ruled out: a stale answer marked as confirmed; every failing run said confirmed: false. Change: reads go on to the next keeper until one has confirmed, for 5 s.

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -25,6 +26,8 @@
 	DefaultLimit = 30 * time.Second
 	tryLimit     = 10 * time.Second
 	againAfter   = 200 * time.Millisecond
+	// confirmLimit is how long a read waits for keepers that elect a leader.
+	confirmLimit = 5 * time.Second
 	idBytes      = 16
 	maxAnswer    = 64 << 20 // bytes
 )
@@ -87,16 +90,42 @@
 
 // Configuration returns the configuration in force.
 func (o *Operator) Configuration(ctx context.Context) (administrator.Shown, error) {
-	var out administrator.Shown
-	err := o.do(ctx, http.MethodGet, "/v1/configuration", nil, &out)
-	return out, err
+	return read(ctx, o, "/v1/configuration", func(s *administrator.Shown) bool { return s.Confirmed })
 }
 
 // Nodes returns where which version is in force.
 func (o *Operator) Nodes(ctx context.Context) (administrator.Nodes, error) {
-	var out administrator.Nodes
-	err := o.do(ctx, http.MethodGet, "/v1/nodes", nil, &out)
-	return out, err
+	return read(ctx, o, "/v1/nodes", func(n *administrator.Nodes) bool { return n.Confirmed })
+}
+
+// read asks until a keeper has confirmed its answer with a quorum. When none
+// has within confirmLimit the last answer stands, and says that it may be old.
+func read[T any](ctx context.Context, o *Operator, path string, confirmed func(*T) bool) (T, error) {
+	ctx, cancel := bounded(ctx)
+	defer cancel()
+	give := time.Now().Add(confirmLimit)
+	for i := 0; ; i++ {
+		var out T
+		from := Operator{Bases: rotated(o.Bases, i), Token: o.Token, Client: o.Client}
+		err := from.do(ctx, http.MethodGet, path, nil, &out)
+		if err != nil || confirmed(&out) || time.Now().After(give) {
+			return out, err
+		}
+		select {
+		case <-ctx.Done():
+			return out, nil
+		case <-time.After(againAfter):
+		}
+	}
+}
+
+// rotated returns all beginning with the nth, so that each try asks another first.
+func rotated(all []string, n int) []string {
+	if len(all) == 0 {
+		return nil
+	}
+	n %= len(all)
+	return append(slices.Clone(all[n:]), all[:n]...)
 }
 
 // Drain has a target take no new work.
--- a/publisher/operator_test.go
+++ b/publisher/operator_test.go
@@ -76,7 +76,7 @@
 		Eventually(func() []administrator.Node {
 			nodes, err := o.Nodes(ctx)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(nodes.Version).To(BeEquivalentTo(2))
+			Expect(nodes.Version).To(BeEquivalentTo(2), "confirmed: %t", nodes.Confirmed)
 			for i := range nodes.Nodes {
 				nodes.Nodes[i].Seen = 0
 			}
