--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -12,7 +12,7 @@
 
 // Item is one waiting request.
 type Item struct {
-	ID       string
+	ID       string // unique among those waiting
 	Account  string
 	Share    int // weight of the account; 1 if zero
 	Cost     int // tokens
