Bound the wait for a caller that doesn't send or read

Cause: a body that never came and an answer that nobody read held a request beyond its time. Change: a body has 30 s, writes end a second after the request's deadline.

--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -50,6 +50,7 @@
 // Answer receives what the caller gets. Begin is called before the chunks of an
 // attempt; it returns false if an earlier attempt's chunks can't be taken back.
 type Answer struct {
+	Until func(time.Time) // bounds writes to a caller that doesn't read
 	Begin func() bool
 	Chunk func(messenger.Chunk) error
 	End   func(messenger.End) error
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -54,7 +54,7 @@
 }
 
 func (t *text) answer() chainer.Answer {
-	return chainer.Answer{Begin: t.begin, Chunk: t.chunk, End: t.end, Kept: t.kept, Reply: t.reply}
+	return chainer.Answer{Until: t.w.until, Begin: t.begin, Chunk: t.chunk, End: t.end, Kept: t.kept, Reply: t.reply}
 }
 
 // begin drops what an earlier attempt left, unless the caller has seen it.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,7 @@
 	Pool     *pooler.Pooler                                                   // connections to agents
 	Call     func(ctx context.Context, kind messenger.Kind, v, out any) error // asks the leading keeper
 	Silence  time.Duration                                                    // bound on the answer to a reservation
+	Patience time.Duration                                                    // for a request's body; DefaultPatience if zero
 	Log      *logrus.Entry
 	Metrics  metrics.Registry
 	Now      func() time.Time
@@ -105,6 +106,9 @@
 	if cfg.Ready == nil {
 		cfg.Ready = func() error { return nil }
 	}
+	if cfg.Patience <= 0 {
+		cfg.Patience = DefaultPatience
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -59,7 +61,7 @@
 	b.view.Store(&watcher.View{Config: config(), Targets: []messenger.Target{b.engine.target, packs, b.plain.target}})
 	pool, closer := pooler.New(muxer.Config{Node: "entry"})
 	e, stop, err := entry.New(entry.Config{
-		View: b.view.Load, Pool: pool, Call: b.keeper.call, Seed: 1,
+		View: b.view.Load, Pool: pool, Call: b.keeper.call, Seed: 1, Patience: 200 * time.Millisecond,
 		Ready: func() error {
 			if b.stale.Load() {
 				return coder.Errorf(coder.Stale, "")
@@ -189,6 +191,21 @@
 		expectCode(resp, text, coder.RateLimited)
 	})
 
+	It("doesn't wait for a body that never comes", func() {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer t\r\nContent-Length: 9\r\n\r\n{")
+		Expect(err).NotTo(HaveOccurred())
+		answer := make(chan string, 1)
+		go func() {
+			p := make([]byte, 12)
+			_, _ = io.ReadFull(conn, p)
+			answer <- string(p)
+		}()
+		Eventually(answer, "5s").Should(Receive(Equal("HTTP/1.1 400")))
+	})
+
 	It("is ready only with a confirmed view", func() {
 		resp, _ := b.call("GET", "/ready", "")
 		Expect(resp.StatusCode).To(Equal(200))
--- a/entry/failure.go
+++ b/entry/failure.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"bramleyshunt/coder"
 )
@@ -77,6 +78,16 @@
 	t.ResponseWriter.WriteHeader(status)
 }
 
+// wait bounds reads of the request; zero takes the bound away.
+func (t *tracked) wait(until time.Time) {
+	_ = http.NewResponseController(t.ResponseWriter).SetReadDeadline(until)
+}
+
+// until bounds writes to a caller that doesn't read; zero takes the bound away.
+func (t *tracked) until(at time.Time) {
+	_ = http.NewResponseController(t.ResponseWriter).SetWriteDeadline(at)
+}
+
 func (t *tracked) flush() error { return http.NewResponseController(t.ResponseWriter).Flush() }
 
 // interrupt ends a response that can't be finished.
--- a/entry/filters.go
+++ b/entry/filters.go
@@ -20,6 +20,8 @@
 	DefaultTimeout = time.Minute
 	// DefaultLongest bounds what a caller may ask for when the service doesn't.
 	DefaultLongest = time.Hour
+
+	writeSlack = time.Second // beyond the deadline, for the final answer
 )
 
 // accounts is the Identifier of one configuration.
@@ -94,6 +96,7 @@
 			r.Timeout = min(longest, seconds(r.Spec.Timeout, DefaultTimeout))
 		}
 		r.Deadline = r.Arrived.Add(r.Timeout)
+		r.Answer.Until(r.Deadline.Add(writeSlack))
 		ctx, stop := context.WithTimeout(ctx, r.Deadline.Sub(e.cfg.Now()))
 		defer stop()
 		return next(ctx, r)
--- a/entry/http.go
+++ b/entry/http.go
@@ -21,6 +21,8 @@
 const (
 	// DefaultBody is the largest request body when the configuration names none, in bytes.
 	DefaultBody = 8 << 20
+	// DefaultPatience is how long a caller may take to send its request's body.
+	DefaultPatience = 30 * time.Second
 
 	mostPrefix = len("Bearer ")
 )
@@ -117,12 +119,14 @@
 	ctx, cancel := context.WithCancelCause(hr.Context())
 	defer cancel(nil)
 	t := &tracked{ResponseWriter: w}
+	t.wait(time.Now().Add(e.cfg.Patience))
 	r := &chainer.Request{ID: e.id(), Arrived: e.cfg.Now()}
 	if err := e.enter(r.ID, cancel); err != nil {
 		e.fail(t, retry(coder.Of(err), time.Second))
 		return
 	}
 	defer e.leave(r.ID)
+	defer t.until(time.Time{})
 	if err := e.answer(ctx, t, hr, r, fill); err != nil {
 		e.fail(t, coder.Of(err))
 		return
@@ -153,7 +157,7 @@
 }
 
 // read takes headers and body.
-func (e *Entry) read(w http.ResponseWriter, hr *http.Request, r *chainer.Request) error {
+func (e *Entry) read(w *tracked, hr *http.Request, r *chainer.Request) error {
 	r.Config = e.cfg.View().Config
 	r.Key, r.Batch = hr.Header.Get(headerKey), hr.Header.Get(headerBatch)
 	timeout, err := parseTimeout(hr.Header.Get(headerTimeout))
@@ -165,7 +169,7 @@
 	if most <= 0 {
 		most = DefaultBody
 	}
-	r.Body, err = io.ReadAll(http.MaxBytesReader(w, hr.Body, int64(most)))
+	r.Body, err = io.ReadAll(http.MaxBytesReader(w.ResponseWriter, hr.Body, int64(most)))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -173,6 +177,7 @@
 	case err != nil:
 		return &coder.Error{Code: coder.Malformed, Run: coder.NotRun, Text: "body", Cause: err}
 	default:
+		w.wait(time.Time{})
 		return nil
 	}
 }
