Take reported tokens as worked off with time

Cause: a load report counts until the next one, which may be 2 s later, though the target prefills what it named in a fraction of that. Short prompts waited at the entry while targets were idle. Change: the router lowers what was reported by the target's speed and the time since the report.

--- a/bencher/entry.go
+++ b/bencher/entry.go
@@ -48,7 +48,7 @@
 }
 
 func (e *entry) update(view []messenger.Target) {
-	e.scheduler.Router.Update(view)
+	e.scheduler.Router.Update(e.b.now, view)
 	e.pump()
 }
 
@@ -189,7 +189,7 @@
 			a.failed(err)
 			return
 		}
-		a.e.scheduler.Report(a.p.Pick, got.Load)
+		a.e.scheduler.Report(b.now, a.p.Pick, got.Load)
 		b.net(a.run)
 	})
 }
@@ -240,7 +240,7 @@
 		l = a.t.load()
 	}
 	b.net(func() {
-		a.e.scheduler.Report(a.p.Pick, l)
+		a.e.scheduler.Report(b.now, a.p.Pick, l)
 		if err != nil {
 			a.failed(err)
 			return
--- a/bencher/table_test.go
+++ b/bencher/table_test.go
@@ -105,6 +105,7 @@
 		{"ours", func(*bencher.Bencher) {}},
 		{"no engine priority", func(b *bencher.Bencher) { b.Off.Priority = true }},
 		{"no own sends", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Own: true} }},
+		{"no aging of reports", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Aging: true} }},
 		{"no cached prefix", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Cached: true} }},
 		{"no wait by class", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Class: true} }},
 		{"no check at the edge", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Edge: true} }},
--- a/entry/control.go
+++ b/entry/control.go
@@ -111,7 +111,7 @@
 		return
 	}
 	c.view, c.looked = v, now
-	c.scheduler.Router.Update(v.Targets)
+	c.scheduler.Router.Update(now, v.Targets)
 }
 
 func (c *control) queued() (n int) {
@@ -206,7 +206,7 @@
 // report takes a load that came with an answer.
 func (c *control) report(pick router.Pick, l messenger.Load) {
 	c.do(func() {
-		c.scheduler.Report(pick, l)
+		c.scheduler.Report(c.cfg.Now(), pick, l)
 		c.pump()
 	})
 }
--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -17,7 +17,7 @@
 				for i := range ts {
 					ts[i].Load.Seq++
 				}
-				r.Update(ts)
+				r.Update(now, ts)
 			}
 		})
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -76,13 +76,14 @@
 	Gate   bool // the bound on the wait
 	Class  bool // long prompts don't count in the wait of short ones
 	Edge   bool // targets that report no room are not asked
+	Aging  bool // reported tokens are worked off with time
 }
 
 // Report takes the load that a target's agent sent with an answer.
-func (r *Router) Report(id string, incarnation uint64, l messenger.Load) {
+func (r *Router) Report(now time.Time, id string, incarnation uint64, l messenger.Load) {
 	s := r.byID[id]
 	if s != nil && s.target.Incarnation == incarnation && l.Seq > s.target.Load.Seq {
-		s.report(l)
+		s.report(now, l)
 	}
 }
 
@@ -243,23 +244,32 @@
 	if !r.Off.Cached {
 		p.Cached = r.cached(now, s, c)
 	}
-	p.Wait = Span(r.waiting(s, messenger.ClassOf(c.Prompt)), p.Speed)
+	p.Wait = Span(r.waiting(now, s, messenger.ClassOf(c.Prompt)), p.Speed)
 	if slices.Contains(c.Exclude, s.target.ID) {
 		return p, false
 	}
 	return p, r.fits(now, s, c, p)
 }
 
-// waiting returns the tokens that are prefilled before a prompt of a class.
-func (r *Router) waiting(s *state, c messenger.Class) int {
+// waiting returns the tokens that are prefilled before a prompt of a class. Those
+// reported are worked off since at the target's speed.
+func (r *Router) waiting(now time.Time, s *state, c messenger.Class) int {
 	if r.Off.Class {
 		c = messenger.Huge
 	}
+	reported := s.others
 	if r.Off.Own {
-		known := classes(s.target.Load.ByClass)
-		return known.upTo(c)
+		reported = s.target.Load.ByClass
 	}
-	return s.others.upTo(c) + s.own.upTo(c)
+	n := reported.upTo(c)
+	if !r.Off.Aging {
+		speed := first(s.target.Load.Speed, DefaultSpeed)
+		n = max(0, n-int(now.Sub(s.at).Seconds()*float64(speed)))
+	}
+	if r.Off.Own {
+		return n
+	}
+	return n + s.own.upTo(c)
 }
 
 // all returns the tokens of every class.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -38,7 +38,7 @@
 var _ = Describe("routing", func() {
 	It("keeps long prompts off the short lane", func() {
 		r := router.Router{}
-		r.Update(append(fleet(4, router.LaneShort), fleet(1, router.LaneLong)...))
+		r.Update(now, append(fleet(4, router.LaneShort), fleet(1, router.LaneLong)...))
 		Expect(pick(&r, router.Case{Prompt: 100000})).To(Equal("long0"))
 		Expect(pick(&r, router.Case{Prompt: 100000})).To(BeEmpty())
 	})
@@ -47,14 +47,14 @@
 		r := router.Router{}
 		ts := fleet(1, "")
 		ts[0].Load.ByClass[messenger.Long] = 90000
-		r.Update(ts)
+		r.Update(now, ts)
 		Expect(pick(&r, router.Case{Prompt: 100000})).To(BeEmpty())
 		Expect(pick(&r, router.Case{Prompt: 3000})).To(Equal("0"))
 	})
 
 	It("lets short prompts use a long lane only while it is idle", func() {
 		r := router.Router{}
-		r.Update(append(fleet(1, router.LaneShort), fleet(1, router.LaneLong)...))
+		r.Update(now, append(fleet(1, router.LaneShort), fleet(1, router.LaneLong)...))
 		c := router.Case{Prompt: 3000}
 		Expect(pick(&r, c)).To(Equal("short0"))
 		Expect(pick(&r, c)).To(Equal("long0"))
@@ -63,7 +63,7 @@
 
 	It("counts its own sends until their prefill has ended", func() {
 		r := router.Router{}
-		r.Update(fleet(2, ""))
+		r.Update(now, fleet(2, ""))
 		c := router.Case{Service: "s", Prompt: 2000}
 		a, b := pick(&r, c), pick(&r, c)
 		Expect(a).NotTo(Equal(b))
@@ -76,7 +76,7 @@
 
 	It("prefers the target that got the beginning of the prompt, while it lives", func() {
 		r := router.Router{Seed: 3}
-		r.Update(fleet(50, ""))
+		r.Update(now, fleet(50, ""))
 		text := strings.Repeat("x", 40000)
 		c := router.Case{Prompt: 10000, Text: len(text), Prefix: router.Prefixes("m", text)}
 		id := pick(&r, c)
@@ -86,22 +86,34 @@
 		for i := range again {
 			again[i].Incarnation = 2
 		}
-		r.Update(again)
+		r.Update(now, again)
 		p, ok := r.Pick(now, router.Case{Service: "s", Prompt: 10000, Text: len(text), Prefix: c.Prefix})
 		Expect(ok).To(BeTrue())
 		Expect(p.Cached).To(BeZero())
 	})
 
+	It("takes reported tokens as worked off with time", func() {
+		r := router.Router{}
+		ts := fleet(1, "")
+		ts[0].Load.ByClass[messenger.Short] = 10000
+		r.Update(now, ts)
+		c := router.Case{Service: "s", Prompt: 10}
+		_, ok := r.Pick(now.Add(500*time.Millisecond), c)
+		Expect(ok).To(BeFalse())
+		_, ok = r.Pick(now.Add(time.Second), c)
+		Expect(ok).To(BeTrue())
+	})
+
 	It("takes no report older than the one it has", func() {
 		r := router.Router{}
-		r.Update(fleet(1, ""))
-		r.Report("0", 1, messenger.Load{Seq: 5, ByClass: [4]int{100000}, Speed: 10000})
-		r.Report("0", 1, messenger.Load{Seq: 4})
-		r.Update(fleet(1, ""))
+		r.Update(now, fleet(1, ""))
+		r.Report(now, "0", 1, messenger.Load{Seq: 5, ByClass: [4]int{100000}, Speed: 10000})
+		r.Report(now, "0", 1, messenger.Load{Seq: 4})
+		r.Update(now, fleet(1, ""))
 		Expect(pick(&r, router.Case{Prompt: 10})).To(BeEmpty())
-		r.Report("0", 2, messenger.Load{Seq: 9})
+		r.Report(now, "0", 2, messenger.Load{Seq: 9})
 		Expect(pick(&r, router.Case{Prompt: 10})).To(BeEmpty())
-		r.Report("0", 1, messenger.Load{Seq: 9})
+		r.Report(now, "0", 1, messenger.Load{Seq: 9})
 		Expect(pick(&r, router.Case{Prompt: 10})).To(Equal("0"))
 	})
 
@@ -110,7 +122,7 @@
 		ts := fleet(4, "")
 		ts[0].Leaving = true
 		ts[1].Load.Used = 399000
-		r.Update(ts)
+		r.Update(now, ts)
 		r.Refused("2", now.Add(1))
 		Expect(pick(&r, router.Case{Prompt: 2000})).To(Equal("3"))
 		Expect(pick(&r, router.Case{Prompt: 100, Exclude: []string{"1", "3"}})).To(BeEmpty())
@@ -123,7 +135,7 @@
 			for i := range ts {
 				ts[i].Load.ByClass[0] = 1 << 20
 			}
-			r.Update(ts)
+			r.Update(now, ts)
 			pick(&r, router.Case{Prompt: 100})
 			return r.Examined
 		}
--- a/router/state.go
+++ b/router/state.go
@@ -27,9 +27,10 @@
 // state is what is known of one target.
 type state struct {
 	target messenger.Target
-	others classes // prompt tokens waiting there that this entry did not send
-	own    classes // prompt tokens sent by this entry and not yet prefilled
-	held   int     // memory taken by this entry's sends since the report
+	others classes   // prompt tokens waiting there that this entry did not send
+	own    classes   // prompt tokens sent by this entry and not yet prefilled
+	held   int       // memory taken by this entry's sends since the report
+	at     time.Time // of the report
 	until  time.Time
 }
 
@@ -47,15 +48,15 @@
 }
 
 // Update takes the targets of a view. Reports older than the known ones are left out.
-func (r *Router) Update(targets []messenger.Target) {
+func (r *Router) Update(now time.Time, targets []messenger.Target) {
 	byID := make(map[string]*state, len(targets))
 	byName := map[string]*index{}
 	for _, t := range targets {
 		s := r.byID[t.ID]
 		if s == nil || s.target.Incarnation != t.Incarnation {
-			s = &state{target: t, others: t.Load.ByClass}
+			s = &state{target: t, others: t.Load.ByClass, at: now}
 		}
-		s.adopt(t)
+		s.adopt(now, t)
 		byID[t.ID] = s
 		if !t.Leaving {
 			x := byName[t.Service]
@@ -107,18 +108,18 @@
 // IsLong reports whether a prompt is kept off the short lane.
 func (r *Router) IsLong(prompt int) bool { return prompt > r.long() }
 
-func (s *state) adopt(t messenger.Target) {
+func (s *state) adopt(now time.Time, t messenger.Target) {
 	known := s.target.Load
 	s.target = t
 	if t.Load.Seq <= known.Seq {
 		s.target.Load = known
 		return
 	}
-	s.report(t.Load)
+	s.report(now, t.Load)
 }
 
-func (s *state) report(l messenger.Load) {
-	s.target.Load = l
+func (s *state) report(now time.Time, l messenger.Load) {
+	s.target.Load, s.at = l, now
 	for c := range s.others {
 		s.others[c] = max(0, l.ByClass[c]-s.own[c])
 	}
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -25,7 +25,7 @@
 			Load: messenger.Load{Seq: 1, Memory: 1 << 40, Speed: 50000, Pace: 50},
 		})
 	}
-	s.Router.Update(ts)
+	s.Router.Update(now, ts)
 	for i := range accounts {
 		t := ticket(fmt.Sprint("w", i), 2000)
 		t.Account = fmt.Sprint("a", i)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -215,8 +215,8 @@
 }
 
 // Report takes the load that came with an answer.
-func (s *Scheduler) Report(p router.Pick, l messenger.Load) {
-	s.Router.Report(p.Target.ID, p.Target.Incarnation, l)
+func (s *Scheduler) Report(now time.Time, p router.Pick, l messenger.Load) {
+	s.Router.Report(now, p.Target.ID, p.Target.Incarnation, l)
 }
 
 // sum adds up the targets that may take a ticket.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -16,7 +16,7 @@
 
 func one() *scheduler.Scheduler {
 	s := &scheduler.Scheduler{}
-	s.Router.Update([]messenger.Target{{
+	s.Router.Update(now, []messenger.Target{{
 		ID: "t", Service: "s", Incarnation: 1,
 		Load: messenger.Load{Seq: 1, Memory: 100000, Speed: 10000, Pace: 50},
 	}})
@@ -75,7 +75,7 @@
 
 	It("lets no longer prompt that waits for memory hold up a shorter one", func() {
 		s := &scheduler.Scheduler{}
-		s.Router.Update([]messenger.Target{{
+		s.Router.Update(now, []messenger.Target{{
 			ID: "t", Service: "s", Incarnation: 1,
 			Load: messenger.Load{Seq: 1, Memory: 100000, Used: 95000, Speed: 1000000, Pace: 50},
 		}})
