--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -52,6 +53,8 @@
 
 // Agent serves one target.
 type Agent struct {
+	exchanges atomic.Int64 // streams being served
+
 	cfg    Config
 	engine Engine
 	ops    chan func()
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -7,6 +7,11 @@
 	"bramleyshunt/coder"
 )
 
+const (
+	lingerLimit = 5 * time.Second
+	lingerEvery = 10 * time.Millisecond
+)
+
 // Drain refuses new work at once, announces it, and returns when everything
 // reserved, running or held has ended. It returns the context's error, coded
 // DeadlineExceeded, if that ends first; the target stays leaving.
@@ -20,7 +25,7 @@
 	}
 	select {
 	case <-drained:
-		return nil
+		return a.linger(ctx)
 	case <-a.ctx.Done():
 		return coder.Errorf(coder.NotReady, "agent stopped")
 	case <-ctx.Done():
@@ -28,6 +33,24 @@
 	}
 }
 
+// linger waits until entries have closed their exchanges, which they do once
+// they hold the last frame. A connection that is lost or silent ends its
+// exchanges by itself; lingerLimit bounds an entry that keeps one open.
+func (a *Agent) linger(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, lingerLimit)
+	defer cancel()
+	t := time.NewTicker(lingerEvery)
+	defer t.Stop()
+	for a.exchanges.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+	return nil
+}
+
 // depart starts or ends a drain and announces it.
 func (a *Agent) depart(leave bool) error {
 	return a.step(func(time.Time) {
--- a/agent/handle.go
+++ b/agent/handle.go
@@ -19,6 +19,8 @@
 	if !own(first.Kind) {
 		return false
 	}
+	a.exchanges.Add(1)
+	defer a.exchanges.Add(-1)
 	for msg := first; a.serve(ctx, s, msg); {
 		next, err := s.Receive(ctx)
 		if err != nil {
--- a/coder/coder.go
+++ b/coder/coder.go
@@ -152,9 +152,12 @@
 	return &Error{Code: Internal, Cause: err}
 }
 
-// Run returns what a bare code says of execution.
+// Run returns what a bare code says of execution. ClaimHeld says nothing: the
+// request that holds the key may run.
 func (c Code) Run() Run {
 	switch {
+	case c == ClaimHeld:
+		return Unknown
 	case c == OK, c == AlreadyRan:
 		return Ran
 	case c == Unconfirmed:
--- a/coder/coder_test.go
+++ b/coder/coder_test.go
@@ -33,6 +33,7 @@
 		},
 		Entry(nil, coder.Malformed, 1001, coder.NotRun),
 		Entry(nil, coder.RateLimited, 2001, coder.NotRun),
+		Entry(nil, coder.ClaimHeld, 2013, coder.Unknown),
 		Entry(nil, coder.RetryBudget, 2014, coder.NotRun),
 		Entry(nil, coder.DeadlineExceeded, 3001, coder.Unknown),
 		Entry(nil, coder.Voided, 3006, coder.NotRun),
