--- a/ganger/gang.go
+++ b/ganger/gang.go
@@ -39,6 +39,7 @@
 	since   time.Time // when its members were freed
 	later   time.Time // not started anew before
 	ran     bool      // a segment was started
+	final   bool      // the last segment was started
 	first   bool      // a piece of the answer was passed on
 	over    bool
 	losses  int
@@ -147,7 +148,7 @@
 }
 
 func (m *member) action(x *gang) Action {
-	return Action{ID: x.ID, Attempt: m.attempt, Target: m.ID, Incarnation: m.Incarnation}
+	return Action{ID: x.ID, Attempt: m.attempt, Target: m.ID, Address: m.Address, Incarnation: m.Incarnation}
 }
 
 // take handles an agent's answer for member i.
@@ -161,6 +162,7 @@
 		g.next(x, i)
 	case e.Kind == Refused && (m.phase == asked || m.phase == granted):
 		g.adjust(x.Model, m.ID, -m.Memory)
+		x.blame(m, coder.Of(e.Err))
 		g.restart(x, i, coder.Of(e.Err))
 	case e.Kind == Exported && m.phase == running && !last:
 		m.phase = held
@@ -178,10 +180,15 @@
 // lose handles the loss of member i. Code GangLost says that it lost another.
 func (g *Ganger) lose(x *gang, i int, err *coder.Error) {
 	x.losses++
-	if m := &x.members[i]; err == nil || err.Code != coder.GangLost {
+	x.blame(&x.members[i], err)
+	g.restart(x, i, err)
+}
+
+// blame makes other targets come before one that failed the gang.
+func (x *gang) blame(m *member, err *coder.Error) {
+	if err == nil || err.Code != coder.GangLost && err.Code != coder.MemoryFull && err.Code != coder.Busy {
 		x.avoid = append(x.avoid, lost{m.ID, m.Incarnation})
 	}
-	g.restart(x, i, err)
 }
 
 // adjust changes what is thought free at a target until the next Offer.
@@ -206,6 +213,7 @@
 	m := &x.members[i]
 	m.phase = running
 	x.ran = true
+	x.final = x.final || i == len(x.members)-1
 	a := m.action(x)
 	a.Kind, a.Start, a.End, a.Import = Run, m.start, m.end, x.export
 	a.Output, a.Prefill, a.Remaining = m.output, i < len(x.members)-1, x.Deadline.Sub(g.now)
@@ -219,9 +227,9 @@
 }
 
 // restart frees all members after one failed, and lets the gang start anew
-// unless a part of the answer has been passed on or too many were lost.
+// unless its answer must not begin again or too many were lost.
 func (g *Ganger) restart(x *gang, i int, err *coder.Error) {
-	if x.first || x.losses >= maxLost {
+	if x.first || x.final && x.Once || x.losses >= maxLost {
 		g.end(x, &coder.Error{Code: coder.GangLost, Text: "target " + x.members[i].ID, Cause: err})
 		return
 	}
--- a/ganger/ganger.go
+++ b/ganger/ganger.go
@@ -46,11 +46,13 @@
 	Prompt   int // predicted tokens
 	Output   int // tokens
 	Deadline time.Time
+	Once     bool // the last segment is started at most once
 }
 
 // Candidate is a target that may become a member, by hints that may be old.
 type Candidate struct {
 	ID          string
+	Address     string // passed through to actions
 	Incarnation uint64
 	Memory      int // tokens in all
 	Free        int // tokens thought free
@@ -108,6 +110,7 @@
 	ID          string
 	Attempt     string
 	Target      string
+	Address     string
 	Incarnation uint64
 	Tokens      int
 	Output      int
--- a/ganger/ganger_test.go
+++ b/ganger/ganger_test.go
@@ -144,6 +144,17 @@
 		expectSteps(g, 0.4, event(ganger.Lost, "g.1.1"), "Failed g GangLost Ran", "Free g.1.0 t0", "Free g.1.1 t1", "Free g.1.2 t2")
 	})
 
+	It("does not start its last segment twice if that may run only once", func() {
+		g := offered(4)
+		j := job("g", 1500)
+		j.Once = true
+		begin(g, j)
+		expectSteps(g, 0, event(ganger.Granted, "g.1.0"), "Reserve g.1.1 t1")
+		expectSteps(g, 0, event(ganger.Granted, "g.1.1"), "Run g.1.0 t0")
+		expectSteps(g, 0.1, event(ganger.Exported, "g.1.0"), "Run g.1.1 t1")
+		expectSteps(g, 0.2, event(ganger.Lost, "g.1.0"), "Failed g GangLost Unknown", "Free g.1.0 t0", "Free g.1.1 t1")
+	})
+
 	It("frees what it asked for when no answer comes, however late the grant", func() {
 		g := offered(4)
 		begin(g, job("g", 2400))
--- a/ganger/plan.go
+++ b/ganger/plan.go
@@ -30,22 +30,25 @@
 	return members, nil
 }
 
-// choose takes candidates by free memory until the need is met. The answer must
-// fit beside a segment on any of them.
+// choose takes candidates until the need is met: first those that did not fail
+// the gang, then by free memory. The answer must fit beside a segment on any of them.
 func choose(x *gang, candidates []Candidate, need int) ([]Candidate, *coder.Error) {
 	var usable []Candidate
 	total := 0
 	for _, c := range candidates {
 		total += c.Memory
-		if !slices.Contains(x.avoid, lost{c.ID, c.Incarnation}) && c.Free > 2*x.Output {
+		if c.Free > 2*x.Output {
 			usable = append(usable, c)
 		}
 	}
 	if len(candidates) > 0 && total < need {
 		return nil, coder.Errorf(coder.PromptTooLong, "%d tokens, all targets hold %d", need, total)
 	}
+	failed := func(c Candidate) int {
+		return len(slices.DeleteFunc(slices.Clone(x.avoid), func(l lost) bool { return l != lost{c.ID, c.Incarnation} }))
+	}
 	slices.SortFunc(usable, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(b.Free, a.Free), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(failed(a), failed(b)), cmp.Compare(b.Free, a.Free), cmp.Compare(a.ID, b.ID))
 	})
 	for i, c := range usable {
 		need -= c.Free
