Drop segmenter in favour of the entry's own shell for gangs

The entry has one now (package entry), written from ganger's documentation; two shells for one decider are one too many.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -39,10 +39,9 @@
 	Address string // of the agent
 	Reserve messenger.Reserve
 	Run     messenger.Run
-	Before  func(ctx context.Context) error                     // after the reservation, before the run
-	Ready   func(ctx context.Context, run *messenger.Run) error // after Before; may wait, and complete the run
-	Load    func(messenger.Load)                                // load reports that came with answers
-	Emit    func(messenger.Chunk) error                         // chunks in sequence, each once
+	Before  func(ctx context.Context) error // after the reservation, before the run
+	Load    func(messenger.Load)            // load reports that came with answers
+	Emit    func(messenger.Chunk) error     // chunks in sequence, each once
 }
 
 // Wait returns when all cancels and releases that were sent behind a caller's
@@ -62,7 +61,7 @@
 		d.release(ctx, j)
 		return messenger.End{}, err
 	}
-	if err := s.Send(messenger.KindRun, &x.job.Run); err != nil {
+	if err := s.Send(messenger.KindRun, &j.Run); err != nil {
 		s.Close()
 		s = nil
 	}
@@ -123,15 +122,10 @@
 	if err := ctx.Err(); err != nil {
 		return notRun(ctx, coder.Cancelled, err)
 	}
-	if x.job.Before != nil {
-		if err := x.job.Before(ctx); err != nil {
-			return err
-		}
-	}
-	if x.job.Ready != nil {
-		return x.job.Ready(ctx, &x.job.Run)
+	if x.job.Before == nil {
+		return nil
 	}
-	return nil
+	return x.job.Before(ctx)
 }
 
 // finish reads the answer to its end, over as many connections as it takes. A
--- a/ganger/gang.go
+++ b/ganger/gang.go
@@ -148,7 +148,7 @@
 }
 
 func (m *member) action(x *gang) Action {
-	return Action{ID: x.ID, Attempt: m.attempt, Target: m.ID, Address: m.Address, Incarnation: m.Incarnation}
+	return Action{ID: x.ID, Attempt: m.attempt, Target: m.ID, Incarnation: m.Incarnation}
 }
 
 // take handles an agent's answer for member i.
--- a/ganger/ganger.go
+++ b/ganger/ganger.go
@@ -52,7 +52,6 @@
 // Candidate is a target that may become a member, by hints that may be old.
 type Candidate struct {
 	ID          string
-	Address     string // passed through to actions
 	Incarnation uint64
 	Memory      int // tokens in all
 	Free        int // tokens thought free
@@ -110,7 +109,6 @@
 	ID          string
 	Attempt     string
 	Target      string
-	Address     string
 	Incarnation uint64
 	Tokens      int
 	Output      int
