--- a/muxer/stream.go
+++ b/muxer/stream.go
@@ -58,7 +58,9 @@
 func (s *Stream) Gone() <-chan struct{} { return s.m.ctx.Done() }
 
 // Send sends one message.
-func (s *Stream) Send(kind messenger.Kind, v any) error {
+func (s *Stream) Send(kind messenger.Kind, v any) error { return s.send(kind, v, false) }
+
+func (s *Stream) send(kind messenger.Kind, v any, first bool) error {
 	if s.ctx.Err() != nil {
 		return s.lost()
 	}
@@ -66,7 +68,7 @@
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", kind, err)
 	}
-	return s.m.send(&envelope{Stream: s.id, Kind: kind, Body: body})
+	return s.m.send(&envelope{Stream: s.id, Kind: kind, Body: body, Open: first})
 }
 
 // Fail sends err as a Failed message for an attempt.
