End running answers with a code when the agent is stopped

They ended with 5005 Internal, as the spec showed before the change. Settings without a kind or URL are refused; an empty kind was taken for a plain service.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -31,6 +31,7 @@
 	DefaultEvery = time.Second
 
 	kindEngine = "engine"
+	kindPlain  = "plain"
 	retryDown  = time.Second
 )
 
@@ -80,10 +81,10 @@
 // are cut off, so call Drain first.
 func New(cfg Config) (*Agent, func(), error) {
 	cfg = cfg.withDefaults()
-	if cfg.Settings.Target.URL == "" && cfg.Engine.Run == nil && cfg.Engine.Call == nil {
-		return nil, nil, coder.Errorf(coder.Invalid, "target.url: empty")
+	if err := cfg.check(); err != nil {
+		return nil, nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	a := &Agent{
 		cfg: cfg, ctx: ctx, ops: make(chan func()),
 		ordering: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
@@ -103,11 +104,26 @@
 	a.wg.Go(a.watch)
 	return a, func() {
 		stop()
-		cancel()
+		cancel(&coder.Error{Code: coder.Cancelled, Run: coder.Ran, Text: "the agent stopped"})
 		a.wg.Wait()
 	}, nil
 }
 
+// check returns code Invalid for settings that no agent can work with.
+func (c *Config) check() error {
+	t := &c.Settings.Target
+	switch {
+	case t.Kind != kindEngine && t.Kind != kindPlain:
+		return coder.Errorf(coder.Invalid, "target.kind: %q is neither %q nor %q", t.Kind, kindEngine, kindPlain)
+	case t.URL == "" && c.Engine.Run == nil:
+		return coder.Errorf(coder.Invalid, "target.url: empty")
+	case len(c.Settings.Keepers) > 0 && c.Pool == nil:
+		return coder.Errorf(coder.Internal, "an agent with keepers needs a Pool")
+	default:
+		return nil
+	}
+}
+
 func (c Config) withDefaults() Config {
 	if c.Orphan <= 0 {
 		c.Orphan = DefaultOrphan
--- a/agent/answer_test.go
+++ b/agent/answer_test.go
@@ -11,6 +11,7 @@
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
 	"bramleyshunt/reserver"
+	"bramleyshunt/setter"
 )
 
 var _ = Describe("an agent", func() {
@@ -111,6 +112,17 @@
 		n.expectIdle()
 	})
 
+	It("ends what runs with a code when it is stopped", func() {
+		e.steps = make(chan struct{})
+		n := start(e, nil)
+		m, _ := n.dial()
+		s := n.begin(m, "a", "5")
+		Eventually(func() int { return e.started("a") }).Should(Equal(1))
+		n.stop()
+		expectFailed(s, coder.Cancelled, coder.Ran)
+		Expect(e.cancelled("a")).To(Equal(1))
+	})
+
 	It("releases a reservation", func() {
 		n := start(e, nil)
 		m, _ := n.dial()
@@ -188,6 +200,15 @@
 	})
 })
 
+var _ = DescribeTable("an agent refuses settings", func(t setter.Target, k []setter.Keeper, want coder.Code) {
+	_, _, err := agent.New(agent.Config{Settings: &setter.Setter{Target: t, Keepers: k}})
+	Expect(coder.Of(err)).To(HaveField("Code", want))
+},
+	Entry("without a kind", setter.Target{URL: "http://h"}, nil, coder.Invalid),
+	Entry("without a URL", setter.Target{Kind: "plain"}, nil, coder.Invalid),
+	Entry("with keepers that it can't reach", setter.Target{Kind: "plain", URL: "http://h"}, []setter.Keeper{{}}, coder.Internal),
+)
+
 var _ = Describe("an agent whose engine dies", func() {
 	It("fails what ran, reports it as suspect and takes work after the restart", func() {
 		e := newStub()
--- a/agent/engine.go
+++ b/agent/engine.go
@@ -31,7 +31,7 @@
 		return e
 	}
 	e.Report = d.Report
-	if t.Kind != kindEngine {
+	if t.Kind == kindPlain {
 		e.Report = tolerant(d.Report)
 	}
 	return e
--- a/agent/idle_test.go
+++ b/agent/idle_test.go
@@ -86,3 +86,41 @@
 	Expect(syscall.Getrusage(syscall.RUSAGE_SELF, &u)).To(Succeed())
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkChunk reports what one piece of an answer costs from the engine's side
+// of the agent to the entry, both ends of the connection together.
+func BenchmarkChunk(b *testing.B) {
+	RegisterTestingT(b)
+	e := newStub()
+	a, stop, err := agent.New(agent.Config{
+		Settings: &setter.Setter{Node: "n1", Target: setter.Target{Kind: "engine", Service: "s"}},
+		Engine:   e.engine(), Every: 20 * time.Millisecond,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	defer stop()
+	Eventually(func() bool { return a.Target().Leaving }).Should(BeFalse())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		_ = muxer.Serve(ctx, ln, key, func(ctx context.Context, s *muxer.Stream) {
+			if msg, err := s.Receive(ctx); err == nil {
+				a.Handle(ctx, s, msg)
+			}
+		})
+	}()
+	n := &node{agent: a}
+	m, closer, err := muxer.Dial(ctx, ln.Addr().String(), key)
+	Expect(err).NotTo(HaveOccurred())
+	defer closer()
+	b.ReportAllocs()
+	b.ResetTimer()
+	s := n.begin(m, "a", fmt.Sprint(b.N))
+	for range b.N {
+		msg, err := s.Receive(ctx)
+		if err != nil || msg.Kind != messenger.KindChunk {
+			b.Fatal(msg.Kind, err)
+		}
+	}
+}
--- a/agent/run.go
+++ b/agent/run.go
@@ -133,7 +133,7 @@
 	return &e
 }
 
-func (a *Agent) plain() bool { return a.cfg.Settings.Target.Kind != kindEngine }
+func (a *Agent) plain() bool { return a.cfg.Settings.Target.Kind == kindPlain }
 
 // call runs a plain call.
 func (a *Agent) call(at *attempt, m *messenger.Run, deadline time.Time) error {
