--- a/muxer/stream.go
+++ b/muxer/stream.go
@@ -35,20 +35,17 @@
 // Stream is one exchange on a connection. A stream whose reader falls
 // inboxFrames behind is ended, so that it can't hold up the others.
 type Stream struct {
-	m     *Muxer
-	id    uint64
-	ctx   context.Context
-	stop  context.CancelCauseFunc
-	once  sync.Once
-	ready chan struct{} // holds a token while the inbox may hold a message
-
-	mu sync.Mutex
-	in []Message // received, not yet returned
+	m    *Muxer
+	id   uint64
+	in   *inbox
+	ctx  context.Context
+	stop context.CancelCauseFunc
+	once sync.Once
 }
 
 func newStream(m *Muxer, id uint64) *Stream {
 	ctx, stop := context.WithCancelCause(m.ctx)
-	return &Stream{m: m, id: id, ready: make(chan struct{}, 1), ctx: ctx, stop: stop}
+	return &Stream{m: m, id: id, in: newInbox(), ctx: ctx, stop: stop}
 }
 
 // Peer returns the identity that the other end proved.
@@ -83,11 +80,11 @@
 // before the stream ended are still returned. A lost connection gives code Silent.
 func (s *Stream) Receive(ctx context.Context) (Message, error) {
 	for {
-		if msg, ok := s.pop(); ok {
+		if msg, ok := s.in.take(); ok {
 			return msg, nil
 		}
 		select {
-		case <-s.ready:
+		case <-s.in.ready:
 		case <-s.ctx.Done():
 			return s.last()
 		case <-ctx.Done():
@@ -96,49 +93,14 @@
 	}
 }
 
-// last drains what arrived in the moment the stream ended.
+// last returns what arrived in the moment the stream ended.
 func (s *Stream) last() (Message, error) {
-	if msg, ok := s.pop(); ok {
+	if msg, ok := s.in.take(); ok {
 		return msg, nil
 	}
 	return Message{}, s.lost()
 }
 
-// pop takes the oldest message out of the inbox.
-func (s *Stream) pop() (Message, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.in) == 0 {
-		return Message{}, false
-	}
-	msg := s.in[0]
-	s.in[0] = Message{}
-	s.in = s.in[1:]
-	if len(s.in) > 0 {
-		s.signal()
-	}
-	return msg, true
-}
-
-// add puts a message into the inbox; it returns false if that is full.
-func (s *Stream) add(msg Message) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.in) >= inboxFrames {
-		return false
-	}
-	s.in = append(s.in, msg)
-	s.signal()
-	return true
-}
-
-func (s *Stream) signal() {
-	select {
-	case s.ready <- struct{}{}:
-	default:
-	}
-}
-
 func (s *Stream) lost() error {
 	return &coder.Error{Code: coder.Silent, Run: coder.Unknown, Cause: context.Cause(s.ctx)}
 }
@@ -160,7 +122,7 @@
 		s.stop(errEnded)
 		return
 	}
-	if !s.add(Message{Kind: e.Kind, Body: e.Body}) {
+	if !s.in.put(Message{Kind: e.Kind, Body: e.Body}) {
 		s.m.drop(s.id)
 		s.stop(coder.Errorf(coder.Overloaded, "stream reader is %d frames behind", inboxFrames))
 	}
