Refuse a gang member's reservation once its time is over

With gang members among the attempts, TestInvariants found a repeated Reserve that granted a lease of zero at the very end of the attempt's time. It is refused with DeadlineExceeded now.

--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -72,9 +72,10 @@
 }
 
 // Reserve grants memory and a slot until the lease ends. A repeated message
-// gets the first answer; that of a gang member renews its lease as well. Errors carry codes WrongIncarnation, Leaving, Busy,
-// MemoryFull, Overloaded, DeadlineExceeded, Voided, LeaseExpired or AlreadyRan;
-// all but the last say that the attempt did not run.
+// gets the first answer; that of a gang member renews its lease as well. Errors
+// carry codes WrongIncarnation, Leaving, Busy, MemoryFull, Overloaded,
+// DeadlineExceeded, Voided, LeaseExpired or AlreadyRan; all but the last say that
+// the attempt did not run.
 func (r *Reserver) Reserve(now time.Time, m *messenger.Reserve) (messenger.Reserved, error) {
 	r.advance(now)
 	if known := r.records[m.Attempt]; known != nil {
@@ -103,10 +104,7 @@
 func (r *Reserver) again(rec *record) (messenger.Reserved, error) {
 	switch rec.phase {
 	case Reserved:
-		if rec.gang {
-			r.extend(rec)
-		}
-		return r.grant(rec), nil
+		return r.prolong(rec)
 	case Withdrawn:
 		return messenger.Reserved{}, rec.refusal()
 	default:
@@ -114,6 +112,19 @@
 	}
 }
 
+// prolong answers a repeated Reserve of an unused reservation.
+func (r *Reserver) prolong(rec *record) (messenger.Reserved, error) {
+	if !rec.gang {
+		return r.grant(rec), nil
+	}
+	if !rec.deadline.After(r.now) {
+		r.withdraw(rec, coder.DeadlineExceeded)
+		return messenger.Reserved{}, rec.refusal()
+	}
+	r.extend(rec)
+	return r.grant(rec), nil
+}
+
 // extend renews the lease of a gang member, whose turn may come late, though not
 // beyond the time of its attempt. It keeps the leases in order of their end.
 func (r *Reserver) extend(rec *record) {
