Follow a keeper to its new address

The member set keeps addresses, so a keeper whose VM got another one was never reached again. The leader takes the address over when the same disk calls.

--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -29,8 +29,9 @@
 func (r *Replicator) track() {
 	for _, m := range r.everyone() {
 		if r.peers[m.Disk] == nil {
-			r.peers[m.Disk] = &progress{member: m, next: r.log.last() + 1, stamp: never, sent: never}
+			r.peers[m.Disk] = &progress{next: r.log.last() + 1, stamp: never, sent: never}
 		}
+		r.peers[m.Disk].member = m
 	}
 }
 
--- a/replicator/rules_test.go
+++ b/replicator/rules_test.go
@@ -182,6 +182,34 @@
 	h.Expect(h.rep.Status().Members.Voters).To(Equal([]messenger.Member{member(1), member(2), member(13)}))
 }
 
+func TestMemberThatMovedIsFoundAtItsNewAddress(t *testing.T) {
+	h := newHand(t, formed())
+	h.lead()
+	h.answer(2, 2, h.now)
+	moved := member(3)
+	moved.Address = "elsewhere"
+	vote := &messenger.Vote{Route: h.from(3), Pre: true}
+	vote.From = moved
+	h.now += heartbeat
+	h.step(replicator.Event{Message: vote})
+	h.now += heartbeat
+	h.answer(2, 2, h.now)
+	h.Expect(h.rep.Status().Members.Voters).To(Equal([]messenger.Member{member(1), member(2), moved}))
+}
+
+func TestOwnEntriesCountOnlyOnceSynced(t *testing.T) {
+	h := newHand(t, formed())
+	h.lead()
+	h.answer(2, 2, h.now)
+	act := h.rep.Step(h.now, replicator.Event{Proposals: []replicator.Proposal{{ID: 1, Data: []byte("x")}}})
+	h.answer(2, 3, h.now)
+	h.Expect(h.rep.Status().Commit).To(BeEquivalentTo(2))
+	for _, s := range act.After {
+		h.step(replicator.Event{Message: s.Body})
+	}
+	h.Expect(h.rep.Status().Commit).To(BeEquivalentTo(3))
+}
+
 func TestMembersChangeOneAtATime(t *testing.T) {
 	h := newHand(t, formed())
 	h.lead()
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -35,7 +35,7 @@
 		s.Repaired = s.Repaired && r.fresh(m)
 	}
 	for _, a := range r.absent {
-		if r.now <= a.at+strangerTimeouts*r.cfg.Election {
+		if r.now <= a.at+strangerTimeouts*r.cfg.Election && !r.known(a.member) {
 			s.Waiting = append(s.Waiting, a.member)
 			s.Repaired = s.Repaired && named(r.members.Voters, a.member.Node) < 0
 		}
--- a/replicator/voters.go
+++ b/replicator/voters.go
@@ -40,9 +40,14 @@
 	}
 }
 
-// notice remembers the sender of a message that is no member.
+// known reports whether a member stands in the set with its node, address and disk.
+func (r *Replicator) known(m messenger.Member) bool {
+	return slices.Contains(r.everyone(), m)
+}
+
+// notice remembers the sender of a message that is no member, or one that moved.
 func (r *Replicator) notice(m *messenger.Route) {
-	if r.role != Leader || find(r.everyone(), m.From.Disk) >= 0 {
+	if r.role != Leader || r.known(m.From) {
 		return
 	}
 	r.absent = slices.DeleteFunc(r.absent, func(s stranger) bool {
@@ -115,6 +120,9 @@
 	if !ok {
 		next, ok = r.dismiss()
 	}
+	if !ok {
+		next, ok = r.move()
+	}
 	if !ok {
 		next, ok = r.admit()
 	}
@@ -162,6 +170,20 @@
 	return messenger.Members{}, false
 }
 
+// move takes over the new address of a member.
+func (r *Replicator) move() (messenger.Members, bool) {
+	next := r.copied()
+	for _, s := range r.absent {
+		for _, members := range [][]messenger.Member{next.Voters, next.Learners} {
+			if i := find(members, s.member.Disk); i >= 0 && members[i] != s.member {
+				members[i] = s.member
+				return next, true
+			}
+		}
+	}
+	return messenger.Members{}, false
+}
+
 // admit makes a new disk of a member's node a learner.
 func (r *Replicator) admit() (messenger.Members, bool) {
 	for _, s := range r.absent {
