--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -167,6 +168,20 @@
 		Expect(r.Idle(at(1))).To(BeTrue())
 	})
 
+	It("renews a gang member's reservation when asked again, up to its time", func() {
+		gang := reserve("a", 10)
+		gang.Gang, gang.Remaining = true, 4*time.Second
+		expectGranted(r, at(0), gang)
+		expectGranted(r, at(0.5), reserve("b", 10))
+		expectGranted(r, at(1.5), gang)
+		expectGranted(r, at(1.5), reserve("b", 10))
+		Expect(r.Load(at(2.5)).Used).To(Equal(10), "only a is renewed")
+		expectGranted(r, at(3.4), gang)
+		Expect(r.Load(at(3.9)).Used).To(Equal(10))
+		expectReserveRefused(r, at(4), gang, coder.LeaseExpired)
+		Expect(r.Load(at(4)).Used).To(BeZero())
+	})
+
 	It("holds a gang member's cache under a lease", func() {
 		expectGranted(r, at(0), reserve("a", 10))
 		expectStarted(r, at(0), "a")
@@ -222,6 +237,17 @@
 		Expect(out.Lost).To(BeEmpty())
 	})
 
+	It("counts what the engine uses beyond the reservations", func() {
+		expectGranted(r, at(0), reserve("a", 10))
+		expectStarted(r, at(0), "a")
+		r.Reconcile(at(1), &reserver.Report{Asked: at(1), Incarnation: 7, Used: 399960})
+		Expect(r.Load(at(1)).Used).To(Equal(399960))
+		expectReserveRefused(r, at(1), reserve("b", 41), coder.MemoryFull)
+		expectGranted(r, at(1), reserve("b", 40))
+		r.Reconcile(at(2), &reserver.Report{Asked: at(2), Incarnation: 7, Used: 10})
+		expectGranted(r, at(2), reserve("c", 41))
+	})
+
 	It("measures speed and pace", func() {
 		r = &reserver.Reserver{}
 		m := reserve("a", 1000)
@@ -285,3 +311,20 @@
 		})
 	}
 }
+
+// BenchmarkRecords reports the heap that a full set of tombstones takes.
+func BenchmarkRecords(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		r := &reserver.Reserver{Incarnation: 1}
+		for i := range reserver.MaxRecords {
+			r.Void(start, void(strconv.Itoa(i), 1))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
+		runtime.KeepAlive(r)
+	}
+}
