--- a/keeper/control.go
+++ b/keeper/control.go
@@ -28,6 +28,8 @@
 			return
 		case <-tick.C:
 			err = k.step(replicator.Event{})
+		case d := <-k.drafts:
+			err = k.adopt(d)
 		case in := <-k.in:
 			err = k.gather(in)
 		}
@@ -114,9 +116,7 @@
 	}
 	if s := act.Snapshot; s != nil {
 		k.snapshot, k.size, k.span = s.Index, len(s.Data), 0
-		if err := k.rec.Compact(*s, s.Index-min(s.Index, trailCount)); err != nil {
-			return err
-		}
+		k.draft(*s)
 	}
 	k.after = append(k.after, act.After...)
 	k.apply = append(k.apply, act.Apply...)
@@ -124,6 +124,32 @@
 	return nil
 }
 
+// draft is a snapshot that was written and awaits being put in force.
+type draft struct {
+	index uint64
+	err   error
+}
+
+// draft writes a snapshot beside the control goroutine.
+func (k *Keeper) draft(s replicator.Snapshot) {
+	k.drafting = true
+	k.wg.Go(func() {
+		d := draft{index: s.Index, err: k.rec.Draft(s)}
+		select {
+		case k.drafts <- d:
+		case <-k.ctx.Done():
+		}
+	})
+}
+
+func (k *Keeper) adopt(d draft) error {
+	k.drafting = false
+	if d.err != nil {
+		return d.err
+	}
+	return k.rec.Adopt(d.index, d.index-min(d.index, trailCount))
+}
+
 // install puts a snapshot in the place of log and state machine. What was
 // decided before is finished first.
 func (k *Keeper) install(s *replicator.Snapshot) error {
@@ -169,7 +195,7 @@
 
 // due reports whether the log since the last snapshot has grown long.
 func (k *Keeper) due() bool {
-	return k.applied >= k.snapshot+k.cfg.Every || k.span > max(spanBytes, k.size)
+	return !k.drafting && (k.applied >= k.snapshot+k.cfg.Every || k.span > max(spanBytes, k.size))
 }
 
 func (k *Keeper) finish() error {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -95,8 +95,10 @@
 	own      []any // messages to itself
 	applied  uint64
 	snapshot uint64
-	span     int                 // bytes of commands applied since the snapshot
-	size     int                 // bytes of the snapshot
+	span     int  // bytes of commands applied since the snapshot
+	size     int  // bytes of the snapshot
+	drafting bool // a snapshot is being written
+	drafts   chan draft
 	next     uint64              // number of the next call
 	calls    map[uint64][]*call  // taken, by number
 	pending  map[uint64]*promise // accepted, by index
@@ -117,7 +119,7 @@
 	}
 	k := &Keeper{
 		cfg: cfg, start: cfg.Now(), in: make(chan input, inputCount), rec: rec,
-		links: map[string]*link{}, calls: map[uint64][]*call{}, pending: map[uint64]*promise{},
+		links: map[string]*link{}, drafts: make(chan draft), calls: map[uint64][]*call{}, pending: map[uint64]*promise{},
 		reads: map[uint64][]*call{}, gauges: newGauges(cfg.Metrics),
 	}
 	if err := k.load(); err != nil {
--- a/recorder/bench_test.go
+++ b/recorder/bench_test.go
@@ -43,6 +43,6 @@
 	Expect(r.Append(all)).To(Succeed())
 	Expect(r.Sync()).To(Succeed())
 	if snapshot {
-		Expect(r.Compact(replicator.Snapshot{Index: count, Term: 1, Data: make([]byte, 64<<10)}, count-256)).To(Succeed())
+		Expect(compact(r, replicator.Snapshot{Index: count, Term: 1, Data: make([]byte, 64<<10)}, count-256)).To(Succeed())
 	}
 }
--- a/recorder/kill_test.go
+++ b/recorder/kill_test.go
@@ -77,7 +77,7 @@
 	s.state(replicator.State{Group: 1, Term: 2, Vote: 4})
 	s.append(5, 9, 2)
 	s.append(10, 20, 2)
-	s.snapshot(12, func(snap replicator.Snapshot) error { return s.r.Compact(snap, 10) })
+	s.snapshot(12, func(snap replicator.Snapshot) error { return compact(s.r, snap, 10) })
 	s.append(21, 25, 2)
 	s.terms[40] = 3
 	s.snapshot(40, func(snap replicator.Snapshot) error { return s.r.Install(snap) })
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -4,6 +4,7 @@
 package recorder
 
 import (
+	"errors"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -109,12 +110,23 @@
 	return r.active().sync(r)
 }
 
-// Compact saves a snapshot and drops the log files that end at or before keep.
-func (r *Recorder) Compact(s replicator.Snapshot, keep uint64) error {
+// Draft writes a snapshot that counts only after Adopt. It may run on another
+// goroutine meanwhile; a snapshot can be large.
+func (r *Recorder) Draft(s replicator.Snapshot) error { return r.draft(snapName(s.Index), &s) }
+
+// Adopt puts a drafted snapshot in force and drops the log files that end at or
+// before keep. It drops the draft if a newer snapshot is in force.
+func (r *Recorder) Adopt(index, keep uint64) error {
 	if r.err != nil {
 		return r.err
 	}
-	if err := r.saveSnapshot(&s); err != nil {
+	if index <= r.saved.Snapshot.Index {
+		if err := r.files.Remove(r.path(snapName(index) + tempSuffix)); err != nil {
+			return r.failed("remove "+snapName(index), err)
+		}
+		return nil
+	}
+	if err := r.adoptSnapshot(index); err != nil {
 		return err
 	}
 	for len(r.segments) > 1 && r.segments[1].first <= keep+1 {
@@ -130,7 +142,11 @@
 	if r.err != nil {
 		return r.err
 	}
-	if err := r.saveSnapshot(&s); err != nil {
+	if err := r.Draft(s); err != nil {
+		r.err = err
+		return err
+	}
+	if err := r.adoptSnapshot(s.Index); err != nil {
 		return err
 	}
 	return r.restart(s.Index + 1)
@@ -218,21 +234,30 @@
 
 // replace writes a file of one block: a reader finds the old or the new one.
 func (r *Recorder) replace(name string, v any) error {
+	if err := r.draft(name, v); err != nil {
+		r.err = err
+		return err
+	}
+	return r.adopt(name)
+}
+
+// draft writes the file that adopt gives its name. It changes no field.
+func (r *Recorder) draft(name string, v any) error {
 	p, err := encode(0, v)
 	if err != nil {
 		return err
 	}
 	f, err := r.files.Open(r.path(name + tempSuffix))
-	if err != nil {
-		return r.failed("open "+name, err)
+	if err == nil {
+		err = errors.Join(write(f, p), f.Close())
 	}
-	if err := write(f, p); err != nil {
-		_ = f.Close()
-		return r.failed("write "+name, err)
-	}
-	if err := f.Close(); err != nil {
-		return r.failed("close "+name, err)
+	if err != nil {
+		return &coder.Error{Code: coder.DiskFailed, Text: "write " + name, Cause: err}
 	}
+	return nil
+}
+
+func (r *Recorder) adopt(name string) error {
 	if err := r.files.Rename(r.path(name+tempSuffix), r.path(name)); err != nil {
 		return r.failed("rename "+name, err)
 	}
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -49,6 +49,14 @@
 	return r
 }
 
+// compact saves a snapshot while the log goes on.
+func compact(r *recorder.Recorder, s replicator.Snapshot, keep uint64) error {
+	if err := r.Draft(s); err != nil {
+		return err
+	}
+	return r.Adopt(s.Index, keep)
+}
+
 func expectLog(d *disk, want []messenger.Entry) {
 	GinkgoHelper()
 	Expect(open(d).Saved().Entries).To(Equal(want))
@@ -114,13 +122,24 @@
 	It("starts after a snapshot and drops the log before it", func() {
 		r := filled(d)
 		before := len(d.names)
-		Expect(r.Compact(replicator.Snapshot{Index: 15, Term: 1, Data: []byte("s")}, 12)).To(Succeed())
+		Expect(compact(r, replicator.Snapshot{Index: 15, Term: 1, Data: []byte("s")}, 12)).To(Succeed())
 		Expect(len(d.names)).To(BeNumerically("<", before))
 		d.kill()
 		Expect(open(d).Saved().Snapshot.Data).To(Equal([]byte("s")))
 		expectLog(d, entries(16, 20, 1))
 	})
 
+	It("drops a draft that an installed snapshot overtook", func() {
+		r := filled(d)
+		Expect(r.Draft(replicator.Snapshot{Index: 15, Term: 1})).To(Succeed())
+		Expect(r.Append(entries(21, 22, 1))).To(Succeed())
+		Expect(r.Install(replicator.Snapshot{Index: 50, Term: 3})).To(Succeed())
+		Expect(r.Adopt(15, 10)).To(Succeed())
+		d.kill()
+		Expect(open(d).Saved().Snapshot.Index).To(BeEquivalentTo(50))
+		Expect(d.file(".temp")).To(BeNil())
+	})
+
 	It("puts an installed snapshot in the place of the log", func() {
 		r := filled(d)
 		Expect(r.Install(replicator.Snapshot{Index: 50, Term: 3})).To(Succeed())
@@ -164,7 +183,7 @@
 		d := newDisk()
 		r := filled(d)
 		Expect(r.SaveState(replicator.State{Term: 1})).To(Succeed())
-		Expect(r.Compact(replicator.Snapshot{Index: 4, Term: 1, Data: []byte("s")}, 1)).To(Succeed())
+		Expect(compact(r, replicator.Snapshot{Index: 4, Term: 1, Data: []byte("s")}, 1)).To(Succeed())
 		harm(d)
 		expectRefused(d)
 	},
--- a/recorder/snapshot.go
+++ b/recorder/snapshot.go
@@ -1,21 +1,17 @@
 package recorder
 
-import (
-	"fmt"
-
-	"bramleyshunt/replicator"
-)
+import "fmt"
 
 func snapName(index uint64) string { return fmt.Sprintf("%016x%s", index, snapSuffix) }
 
-// saveSnapshot makes a snapshot last and removes the one before.
-func (r *Recorder) saveSnapshot(s *replicator.Snapshot) error {
+// adoptSnapshot puts a drafted snapshot in force and removes the one before.
+func (r *Recorder) adoptSnapshot(index uint64) error {
 	old := r.saved.Snapshot.Index
-	if err := r.replace(snapName(s.Index), s); err != nil {
+	if err := r.adopt(snapName(index)); err != nil {
 		return err
 	}
-	r.saved.Snapshot.Index = s.Index
-	if old == 0 || old == s.Index {
+	r.saved.Snapshot.Index = index
+	if old == 0 || old == index {
 		return nil
 	}
 	return r.dropSnapshot(old)
