--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"bramleyshunt/replicator"
 )
 
 // TestMain fixes the seed and the length of the random runs, so that the verdict
@@ -84,18 +86,32 @@
 	}
 }
 
-// disks lets a node lose its disk when a leader has reported all repaired, and
-// the node that lost its last change between its disks at any time.
+// disks lets a node lose its disk, or be removed, when a leader has reported all
+// repaired, and the node that lost its disk last change between its disks.
 func disks(w *world, all map[string]func(*rapid.T)) {
 	all["wipe"] = func(t *rapid.T) {
-		if w.repaired() {
+		if w.out == nil && w.repaired() {
 			n := anyNode(t, w)
 			n.wipe()
 			n.start()
 		}
 	}
+	all["remove"] = func(t *rapid.T) {
+		if w.out == nil && w.repaired() {
+			w.out = anyNode(t, w)
+			w.change(replicator.Remove, w.out.name)
+		}
+	}
+	all["add"] = func(*rapid.T) {
+		if w.out != nil {
+			w.change(replicator.Add, w.out.name)
+		}
+		if w.repaired() {
+			w.out = nil
+		}
+	}
 	all["swap"] = func(t *rapid.T) {
-		if n := w.nodes[w.lost]; len(n.drawer) > 0 {
+		if n := w.nodes[w.lost]; w.out == nil && len(n.drawer) > 0 {
 			n.swap(rapid.IntRange(0, len(n.drawer)-1).Draw(t, "disk"))
 			n.start()
 		}
--- a/replicator/voters.go
+++ b/replicator/voters.go
@@ -92,11 +92,17 @@
 		return next, l >= 0 || v >= 0 && r.reached(next.Voters)
 	}
 	s := slices.IndexFunc(r.absent, func(s stranger) bool { return s.member.Node == c.Node })
-	if s < 0 {
+	if s < 0 || find(r.everyone(), r.absent[s].member.Disk) >= 0 {
 		return next, false
 	}
-	next.Learners = append(next.Learners, r.absent[s].member)
-	return next, true
+	return learn(next, r.absent[s].member), true
+}
+
+// learn adds a learner in the place of an earlier one of the same node.
+func learn(next messenger.Members, m messenger.Member) messenger.Members {
+	next.Learners = slices.DeleteFunc(next.Learners, func(l messenger.Member) bool { return l.Node == m.Node })
+	next.Learners = append(next.Learners, m)
+	return next
 }
 
 func (r *Replicator) copied() messenger.Members {
@@ -195,11 +201,7 @@
 		if v < 0 && l < 0 || v >= 0 && r.live(next.Voters[v]) {
 			continue
 		}
-		if l >= 0 {
-			next.Learners = slices.Delete(next.Learners, l, l+1)
-		}
-		next.Learners = append(next.Learners, s.member)
-		return next, true
+		return learn(next, s.member), true
 	}
 	return messenger.Members{}, false
 }
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -47,6 +47,7 @@
 	cut     map[[2]int]bool // from, to
 	stopped bool            // clocks of frozen nodes stop; then leases promise nothing
 	lost    int             // node whose disk was lost last
+	out     *node           // node that is being removed and added again; nil for none
 	disks   uint64
 	sent    func(body any) // sees each message sent; may be nil
 
@@ -211,6 +212,7 @@
 func (w *world) expectProgress() {
 	w.heal()
 	w.run(20 * election)
+	w.takeBack()
 	before := w.acked
 	for _, n := range w.nodes {
 		n.propose()
@@ -229,6 +231,26 @@
 	}
 }
 
+// change has the leader remove or add a node.
+func (w *world) change(verb replicator.Verb, node string) {
+	for _, n := range w.nodes {
+		w.next++
+		n.step(replicator.Event{Change: &replicator.Change{ID: w.next, Verb: verb, Node: node}})
+	}
+}
+
+// takeBack adds the node that was removed.
+func (w *world) takeBack() {
+	for range 20 {
+		if w.out == nil || w.repaired() {
+			w.out = nil
+			return
+		}
+		w.change(replicator.Add, w.out.name)
+		w.run(2 * election)
+	}
+}
+
 func mix(hash uint64, e *messenger.Entry) uint64 {
 	h := fnv.New64a()
 	var b [24]byte
