--- a/keeper/call.go
+++ b/keeper/call.go
@@ -7,6 +7,10 @@
 	"bramleyshunt/replicator"
 )
 
+// maxCommand bounds an entry, in bytes. It travels in one frame, and heartbeats
+// wait behind it, so that a much larger one would cost the leader its lease.
+const maxCommand = 1 << 20
+
 type callKind uint8
 
 const (
@@ -48,12 +52,15 @@
 }
 
 // Propose appends a command to the log and returns the state machine's answer
-// once it is applied. Errors: NotLeader, Malformed for an empty command, and
-// Unconfirmed if the outcome is open.
+// once it is applied. Errors: NotLeader, Malformed for an empty command, TooLarge
+// for one beyond 1 MiB, and Unconfirmed if the outcome is open.
 func (k *Keeper) Propose(ctx context.Context, command []byte) (uint64, []byte, error) {
 	if len(command) == 0 {
 		return 0, nil, coder.Errorf(coder.Malformed, "empty command")
 	}
+	if len(command) > maxCommand {
+		return 0, nil, coder.Errorf(coder.TooLarge, "command of %d bytes exceeds %d", len(command), maxCommand)
+	}
 	r := k.ask(ctx, &call{kind: callPropose, data: command}, coder.Unconfirmed)
 	return r.index, r.answer, r.err
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
 	"bramleyshunt/recorder"
@@ -65,7 +67,7 @@
 	Role     replicator.Role
 	Leader   string // node; empty if unknown
 	Address  string // of the leader
-	Last     uint64 // last index of the log
+	Last     uint64 // last index of the log, synced
 	Commit   uint64
 	Applied  uint64
 	Snapshot uint64 // index of the latest snapshot
@@ -108,9 +110,13 @@
 }
 
 // New opens the folder and starts the replica. The returned function stops it.
-// Errors: Damaged if the folder is refused, DiskFailed.
+// Errors: Invalid if Peers doesn't name the node, Damaged if the folder is
+// refused, DiskFailed.
 func New(cfg Config) (*Keeper, func(), error) {
 	cfg.fill()
+	if !slices.ContainsFunc(cfg.Peers, func(p setter.Keeper) bool { return p.Node == cfg.Node }) {
+		return nil, nil, coder.Errorf(coder.Invalid, "keeper %q is not among the keepers in its settings", cfg.Node)
+	}
 	rec, closeFolder, err := recorder.New(recorder.Config{
 		Folder: cfg.Folder, Node: cfg.Node, Disk: rand.Uint64() | 1, Files: cfg.Files,
 	})
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"bramleyshunt/coder"
+	"bramleyshunt/keeper"
 	"bramleyshunt/replicator"
 )
 
@@ -16,6 +17,13 @@
 	RunSpecs(t, "keeper")
 }
 
+var _ = Describe("settings", func() {
+	It("must name the keeper itself", func() {
+		_, _, err := keeper.New(keeper.Config{Node: "x", Folder: GinkgoT().TempDir()})
+		expectCode(err, coder.Invalid)
+	})
+})
+
 var _ = Describe("three keepers", func() {
 	var c *cluster
 	BeforeEach(func() {
@@ -40,6 +48,14 @@
 		expectCode(err, coder.NotLeader)
 	})
 
+	It("take commands up to the size that a frame carries", func() {
+		k := c.hosts[c.leader()].keeper.Load()
+		_, _, err := k.Propose(context.Background(), make([]byte, 1<<20+1))
+		expectCode(err, coder.TooLarge)
+		c.propose(string(make([]byte, 1<<20)))
+		c.expectData(0, string(c.hosts[c.leader()].register.snapshot()))
+	})
+
 	It("go on when the leader is killed, which then catches up", func() {
 		c.propose("x")
 		l := c.leader()
