--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
 	"bramleyshunt/recorder"
@@ -65,7 +67,7 @@
 	Role     replicator.Role
 	Leader   string // node; empty if unknown
 	Address  string // of the leader
-	Last     uint64 // last index of the log
+	Last     uint64 // last index of the log, synced
 	Commit   uint64
 	Applied  uint64
 	Snapshot uint64 // index of the latest snapshot
@@ -95,8 +97,10 @@
 	own      []any // messages to itself
 	applied  uint64
 	snapshot uint64
-	span     int                 // bytes of commands applied since the snapshot
-	size     int                 // bytes of the snapshot
+	span     int  // bytes of commands applied since the snapshot
+	size     int  // bytes of the snapshot
+	drafting bool // a snapshot is being written
+	drafts   chan draft
 	next     uint64              // number of the next call
 	calls    map[uint64][]*call  // taken, by number
 	pending  map[uint64]*promise // accepted, by index
@@ -106,9 +110,13 @@
 }
 
 // New opens the folder and starts the replica. The returned function stops it.
-// Errors: Damaged if the folder is refused, DiskFailed.
+// Errors: Invalid if Peers doesn't name the node, Damaged if the folder is
+// refused, DiskFailed.
 func New(cfg Config) (*Keeper, func(), error) {
 	cfg.fill()
+	if !slices.ContainsFunc(cfg.Peers, func(p setter.Keeper) bool { return p.Node == cfg.Node }) {
+		return nil, nil, coder.Errorf(coder.Invalid, "keeper %q is not among the keepers in its settings", cfg.Node)
+	}
 	rec, closeFolder, err := recorder.New(recorder.Config{
 		Folder: cfg.Folder, Node: cfg.Node, Disk: rand.Uint64() | 1, Files: cfg.Files,
 	})
@@ -117,7 +125,7 @@
 	}
 	k := &Keeper{
 		cfg: cfg, start: cfg.Now(), in: make(chan input, inputCount), rec: rec,
-		links: map[string]*link{}, calls: map[uint64][]*call{}, pending: map[uint64]*promise{},
+		links: map[string]*link{}, drafts: make(chan draft), calls: map[uint64][]*call{}, pending: map[uint64]*promise{},
 		reads: map[uint64][]*call{}, gauges: newGauges(cfg.Metrics),
 	}
 	if err := k.load(); err != nil {
