--- a/runner/runner.go
+++ b/runner/runner.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -84,7 +85,7 @@
 			return nil, nil, err
 		}
 	}
-	return r, r.close, nil
+	return r, sync.OnceFunc(r.close), nil
 }
 
 func (c *Config) check() error {
