--- a/operator/operator.go
+++ b/operator/operator.go
@@ -88,12 +88,14 @@
 	return context.WithTimeout(ctx, DefaultLimit)
 }
 
-// Configuration returns the configuration in force.
+// Configuration returns the configuration in force. It is marked unconfirmed if
+// no keeper reached a quorum.
 func (o *Operator) Configuration(ctx context.Context) (administrator.Shown, error) {
 	return read(ctx, o, "/v1/configuration", func(s *administrator.Shown) bool { return s.Confirmed })
 }
 
-// Nodes returns where which version is in force.
+// Nodes returns where which version is in force. It is marked unconfirmed if no
+// keeper reached a quorum.
 func (o *Operator) Nodes(ctx context.Context) (administrator.Nodes, error) {
 	return read(ctx, o, "/v1/nodes", func(n *administrator.Nodes) bool { return n.Confirmed })
 }
