Cancel a batch's running requests at every agent

Cause: a cancel reached only the requests of the entry that got the call. Change: the entry asks all agents to end the account's attempts of the batch or key (messenger.Cancel without an attempt); requests still queued at another entry are not reached. The specs' fake counts cancels that name an attempt, as the new message has the same kind.

--- a/agent/handle.go
+++ b/agent/handle.go
@@ -106,6 +106,9 @@
 		if err := msg.Decode(&m); err != nil {
 			return a.refuse(s, "", err)
 		}
+		if m.Attempt == "" {
+			return a.withdraw(s, &m)
+		}
 		return a.free(s, m.Attempt, a.cancel)
 	case messenger.KindRelease:
 		var m messenger.Release
@@ -135,6 +138,20 @@
 	return s.Send(messenger.KindCancelled, &messenger.Cancelled{Attempt: id}) == nil
 }
 
+// withdraw cancels an account's attempts of a batch or with a key.
+func (a *Agent) withdraw(s *muxer.Stream, m *messenger.Cancel) bool {
+	var ids []string
+	if err := a.step(func(now time.Time) {
+		ids = a.reserver.Matching(m)
+		for _, id := range ids {
+			a.cancel(now, id)
+		}
+	}); err != nil {
+		return a.refuse(s, "", err)
+	}
+	return s.Send(messenger.KindCancelled, &messenger.Cancelled{Count: len(ids)}) == nil
+}
+
 // cancel stops a running attempt, or withdraws it, on the control goroutine.
 func (a *Agent) cancel(now time.Time, id string) {
 	if !a.reserver.Cancel(now, id) {
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -55,6 +55,7 @@
 			f.reserve(msg)
 			_ = s.Send(messenger.KindReserved, &messenger.Reserved{Load: f.target.Load})
 		case messenger.KindCancel:
+			f.cancelled(msg)
 			_ = s.Send(messenger.KindCancelled, &messenger.Cancelled{})
 		case messenger.KindRun:
 			var run messenger.Run
@@ -67,6 +68,16 @@
 	}
 }
 
+// cancelled takes a cancel that names no attempt out of the count.
+func (f *fake) cancelled(msg muxer.Message) {
+	var m messenger.Cancel
+	if msg.Decode(&m) == nil && m.Attempt == "" {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.heard[messenger.KindCancel]--
+	}
+}
+
 func (f *fake) count(k messenger.Kind) func() int {
 	return func() int {
 		f.mu.Lock()
--- a/entry/gang_test.go
+++ b/entry/gang_test.go
@@ -121,6 +121,22 @@
 		expectIdle()
 	})
 
+	It("are cancelled through another entry", func() {
+		other := newBench()
+		other.view.Store(b.view.Load())
+		answered := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, text := b.call("POST", "/v1/completions", strings.Replace(long, `"max_tokens":8`, `"max_tokens":300`, 1), "Batch: b")
+			answered <- text
+		}()
+		Eventually(func() string {
+			_, text := other.call("POST", "/v1/cancel", "", "Batch: b")
+			return text
+		}, "5s").Should(And(ContainSubstring(`"cancelled":0`), MatchRegexp(`"elsewhere":[1-9]`)))
+		Eventually(answered, "5s").Should(Receive(ContainSubstring("Cancelled")))
+	})
+
 	It("are refused at once when all targets together can't hold them", func() {
 		resp, text := b.call("POST", "/v1/completions", `{"model":"m","prompt":"`+strings.Repeat("x", 9999)+strings.Repeat("x", 6400)+`"}`)
 		Expect(resp.StatusCode).To(Equal(413), text)
--- a/entry/run.go
+++ b/entry/run.go
@@ -140,7 +140,7 @@
 		Reserve: messenger.Reserve{
 			Attempt: attempt, Incarnation: t.Incarnation, Account: x.r.Account,
 			Prompt: x.r.Prompt, Output: x.r.Output, Priority: priority(x.r),
-			Remaining: left, Fingerprint: x.r.Fingerprint,
+			Remaining: left, Fingerprint: x.r.Fingerprint, Key: x.r.Key, Batch: x.r.Batch,
 		},
 		Run: messenger.Run{
 			Attempt: attempt, Incarnation: t.Incarnation, Remaining: left,
--- a/entry/segment.go
+++ b/entry/segment.go
@@ -15,6 +15,7 @@
 	return &messenger.Reserve{
 		Attempt: a.Attempt, Incarnation: a.Incarnation, Account: x.r.Account, Prompt: a.Tokens, Output: a.Output,
 		Priority: priority(x.r), Remaining: a.Remaining, Fingerprint: x.r.Fingerprint, Gang: true,
+		Key: x.r.Key, Batch: x.r.Batch,
 	}
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -162,6 +162,8 @@
 	Remaining   time.Duration `msgpack:"remaining"` // time left of the request
 	Fingerprint uint64        `msgpack:"fingerprint"`
 	Gang        bool          `msgpack:"gang"` // one segment of a longer prompt
+	Key         string        `msgpack:"key"`  // Idempotency-Key, for cancels
+	Batch       string        `msgpack:"batch"`
 }
 
 // Reserved grants a reservation until the lease ends.
@@ -228,14 +230,21 @@
 	Run     coder.Run `msgpack:"run"`
 }
 
-// Cancel ends a running attempt and frees what it holds.
+// Cancel ends a running attempt and frees what it holds. Without an Attempt it
+// ends an account's attempts of a batch or with a key, but those of the entry
+// whose attempts begin with Except.
 type Cancel struct {
 	Attempt string `msgpack:"attempt"`
+	Account string `msgpack:"account"`
+	Key     string `msgpack:"key"`
+	Batch   string `msgpack:"batch"`
+	Except  string `msgpack:"except"`
 }
 
 // Cancelled confirms a Cancel.
 type Cancelled struct {
 	Attempt string `msgpack:"attempt"`
+	Count   int    `msgpack:"count"` // of the attempts ended, without an Attempt
 }
 
 // Resume asks for the chunks of a running or ended attempt after Seq.
--- a/reserver/ending.go
+++ b/reserver/ending.go
@@ -1,6 +1,8 @@
 package reserver
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"bramleyshunt/coder"
@@ -83,6 +85,22 @@
 	}
 }
 
+// Matching returns the live attempts that a Cancel without an attempt means, in
+// order of their ids.
+func (r *Reserver) Matching(m *messenger.Cancel) []string {
+	var ids []string
+	for id, rec := range r.live {
+		byKey := m.Key != "" && rec.key == m.Key
+		byBatch := m.Batch != "" && rec.batch == m.Batch
+		other := m.Except == "" || !strings.HasPrefix(id, m.Except)
+		if rec.account == m.Account && other && (byKey || byBatch) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // First tells that the first piece of an answer has arrived: the prompt is prefilled.
 func (r *Reserver) First(now time.Time, attempt string) {
 	r.advance(now)
--- a/reserver/record.go
+++ b/reserver/record.go
@@ -32,6 +32,9 @@
 	unsure      bool       // withdrawn, but may have run in a time without record
 	incarnation uint64
 	fingerprint uint64
+	account     string
+	key         string
+	batch       string
 	prompt      int
 	tokens      int
 	priority    int
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -93,6 +93,7 @@
 	life := min(m.Remaining, maxLife)
 	rec := &record{
 		attempt: m.Attempt, phase: Reserved, incarnation: m.Incarnation, fingerprint: m.Fingerprint,
+		account: m.Account, key: m.Key, batch: m.Batch,
 		prompt: m.Prompt, tokens: m.Prompt + m.Output, priority: m.Priority, gang: m.Gang,
 		lease: now.Add(r.lease()), deadline: now.Add(life), life: life,
 	}
