--- a/entry/segment.go
+++ b/entry/segment.go
@@ -22,6 +22,10 @@
 // member reserves a member and reads its answers until its stream ends.
 func (x *gang) member(ctx context.Context, s *segment, a ganger.Action) {
 	tell := func(k ganger.EventKind, err error) {
+		if coder.Of(err).Code == coder.Cancelled && ctx.Err() == nil {
+			x.e.control.step(ganger.Event{Kind: ganger.Cancel, ID: x.r.ID})
+			return
+		}
 		x.e.control.step(ganger.Event{Kind: k, Attempt: a.Attempt, Err: err})
 	}
 	conn, err := x.e.cfg.Pool.Get(ctx, s.address)
