--- a/entry/answer.go
+++ b/entry/answer.go
@@ -14,6 +14,8 @@
 
 // text writes an engine's answer, as server-sent events or as one JSON object.
 type text struct {
+	closing
+
 	w     *tracked
 	r     *chainer.Request
 	whole strings.Builder
@@ -105,6 +107,7 @@
 }
 
 func (t *text) finish(finish string, u *usage) error {
+	t.closing = closing{Finish: finish, Usage: u}
 	if !t.r.Stream {
 		return t.object(t.full(finish, u))
 	}
@@ -172,12 +175,24 @@
 	return &s
 }
 
-// kept returns the answer's text, for a resend with the same key.
+// closing is the last event of an answer.
+type closing struct {
+	Finish string `json:"finish"`
+	Usage  *usage `json:"usage"`
+}
+
+// memory is an answer as it is kept with its claim.
+type memory struct {
+	event
+	closing
+}
+
+// kept returns the whole answer, for a resend with the same key.
 func (t *text) kept() []byte {
 	if t.whole.Len() > claimer.MostAnswer {
 		return nil
 	}
-	p, err := json.Marshal(event{Text: t.whole.String()})
+	p, err := json.Marshal(memory{event{Text: t.whole.String()}, t.closing})
 	if err != nil {
 		return nil
 	}
@@ -185,8 +200,12 @@
 }
 
 func (t *text) reply(p []byte) error {
+	var m memory
+	if err := json.Unmarshal(p, &m); err != nil {
+		return &coder.Error{Code: coder.Internal, Run: coder.Ran, Cause: err}
+	}
 	if err := t.chunk(messenger.Chunk{Data: p}); err != nil {
 		return err
 	}
-	return t.finish("stop", nil)
+	return t.finish(m.Finish, m.Usage)
 }
