Write nothing to a caller's response once its request has ended

A member of a gang wrote its chunks and its end to the response from its own goroutine, also after the handler had returned (caller gone, or time over) and after the gang had been started anew without it. Pieces now pass an outlet that admits one attempt and is shut before the handler returns; the first streamed piece and the end pass only while the member is its gang's, and the outcome of an answer being written is left to its writer, so that the loss of a held member can't fail an answer that is whole.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -29,6 +29,9 @@
 	plain  *fake
 	keeper *keeper
 	view   atomic.Pointer[watcher.View]
+	pool   *pooler.Pooler
+	cut    func()      // closes the entry's connections
+	dead   atomic.Bool // the entry opens no new ones
 	stale  atomic.Bool
 }
 
@@ -58,6 +61,13 @@
 	packs.ID, packs.Service, packs.Model = "e2", "packs", "once"
 	b.view.Store(&watcher.View{Config: config(), Targets: []messenger.Target{b.engine.target, packs, b.plain.target}})
 	pool, closer := pooler.New(muxer.Config{Node: "entry"})
+	b.pool, b.cut = pool, closer
+	pool.Dial = func(ctx context.Context, addr string, cfg muxer.Config) (*muxer.Muxer, func(), error) {
+		if b.dead.Load() {
+			return nil, nil, coder.Errorf(coder.TargetLost, "the entry was killed")
+		}
+		return muxer.Dial(ctx, addr, cfg)
+	}
 	e, stop, err := entry.New(entry.Config{
 		View: b.view.Load, Pool: pool, Call: b.keeper.call, Seed: 1,
 		Ready: func() error {
--- a/entry/gang.go
+++ b/entry/gang.go
@@ -15,13 +15,15 @@
 const freeLimit = 2 * time.Second
 
 // gang is the shell of one request that is spread over several targets. Its
-// fields but done belong to the control goroutine.
+// fields but done and outlet belong to the control goroutine.
 type gang struct {
+	outlet  outlet
 	e       *Entry
 	ctx     context.Context
 	r       *chainer.Request
 	done    chan error
 	members map[string]*segment
+	ending  bool // the answer is whole and being written; its writer tells done
 	started bool // the last segment of a request that is not idempotent was run
 }
 
@@ -39,6 +41,7 @@
 // spread runs a request as a gang.
 func (e *Entry) spread(ctx context.Context, r *chainer.Request) error {
 	x := &gang{e: e, ctx: ctx, r: r, done: make(chan error, 1), members: map[string]*segment{}}
+	defer x.outlet.shut()
 	e.control.do(func() { e.control.begin(x) })
 	select {
 	case err := <-x.done:
@@ -113,10 +116,11 @@
 		case x == nil:
 		case a.Kind == ganger.Done:
 			delete(c.gangs, a.ID)
-			x.done <- nil
 		case a.Kind == ganger.Failed:
 			delete(c.gangs, a.ID)
-			x.done <- a.Err
+			if !x.ending {
+				x.done <- a.Err
+			}
 		default:
 			x.act(a)
 		}
--- a/entry/gang_test.go
+++ b/entry/gang_test.go
@@ -24,19 +24,32 @@
 type small struct {
 	engine *faker.Faker
 	agent  *agent.Agent
+	stop   func()
 }
 
 func newSmall(id string) *small {
+	GinkgoHelper()
 	f, closeFaker, err := faker.New(faker.Config{Model: "m", Memory: 1000, Block: 10, Budget: 100, Step: time.Millisecond})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(closeFaker)
+	return before(f, id, nil)
+}
+
+// before puts an agent in front of an engine.
+func before(f *faker.Faker, id string, change func(*agent.Config)) *small {
+	GinkgoHelper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	a, stop, err := agent.New(agent.Config{Every: 20 * time.Millisecond, Settings: &setter.Setter{
+	cfg := agent.Config{Every: 20 * time.Millisecond, Settings: &setter.Setter{
 		Node: id, Listen: l.Addr().String(),
 		Target: setter.Target{Kind: "engine", Service: "draft", Model: "m", URL: f.URL()},
-	}})
+	}}
+	if change != nil {
+		change(&cfg)
+	}
+	a, stop, err := agent.New(cfg)
 	Expect(err).NotTo(HaveOccurred())
+	stop = sync.OnceFunc(stop)
 	DeferCleanup(stop)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -52,7 +65,7 @@
 		wg.Wait()
 	})
 	Eventually(func() messenger.Target { return a.Target() }).Should(And(HaveField("Leaving", false), HaveField("Load.Memory", 1000)))
-	return &small{engine: f, agent: a}
+	return &small{engine: f, agent: a, stop: stop}
 }
 
 var _ = Describe("prompts beyond one engine's memory", func() {
--- a/entry/segment.go
+++ b/entry/segment.go
@@ -93,7 +93,7 @@
 	if a.Prefill {
 		return nil
 	}
-	if !x.r.Answer.Begin() {
+	if !x.outlet.open(a.Attempt, x.r.Answer.Begin) {
 		return coder.Errorf(coder.Internal, "second answer")
 	}
 	if !x.r.Once {
@@ -155,11 +155,24 @@
 	s.got++
 	if s.got == 1 {
 		x.e.meter.first(x.r, x.e.cfg.Now().Sub(x.r.Arrived))
-		if x.r.Stream {
-			x.e.control.step(ganger.Event{Kind: ganger.First, Attempt: s.attempt})
+		if x.r.Stream && !x.firm(s, false) {
+			return former(s.attempt)
 		}
 	}
-	return x.r.Answer.Chunk(c)
+	return x.outlet.pass(s.attempt, func() error { return x.r.Answer.Chunk(c) })
+}
+
+// firm reports whether a member is still its gang's; from then on the gang does
+// not start anew. With ending set, its outcome is left to the member's writer.
+func (x *gang) firm(s *segment, ending bool) (current bool) {
+	x.e.control.do(func() {
+		if current = x.members[s.attempt] == s; !current {
+			return
+		}
+		x.ending = x.ending || ending
+		x.e.control.gang(ganger.Event{Kind: ganger.First, Attempt: s.attempt})
+	})
+	return current
 }
 
 func (x *gang) end(s *segment, msg muxer.Message) error {
@@ -179,9 +192,11 @@
 		return coder.Errorf(coder.TargetLost, "%d of %d chunks", s.got, end.Count)
 	}
 	end.Usage.Prompt = x.r.Prompt
-	if err := x.r.Answer.End(end); err != nil {
-		return err
+	if !x.firm(s, true) {
+		return former(s.attempt)
 	}
+	err := x.outlet.pass(s.attempt, func() error { return x.r.Answer.End(end) })
 	x.e.control.step(ganger.Event{Kind: ganger.Ended, Attempt: s.attempt})
+	x.done <- err
 	return nil
 }
