--- a/replicator/voters.go
+++ b/replicator/voters.go
@@ -40,9 +40,14 @@
 	}
 }
 
-// notice remembers the sender of a message that is no member.
+// known reports whether a member stands in the set with its node, address and disk.
+func (r *Replicator) known(m messenger.Member) bool {
+	return slices.Contains(r.everyone(), m)
+}
+
+// notice remembers the sender of a message that is no member, or one that moved.
 func (r *Replicator) notice(m *messenger.Route) {
-	if r.role != Leader || find(r.everyone(), m.From.Disk) >= 0 {
+	if r.role != Leader || r.known(m.From) {
 		return
 	}
 	r.absent = slices.DeleteFunc(r.absent, func(s stranger) bool {
@@ -87,11 +92,17 @@
 		return next, l >= 0 || v >= 0 && r.reached(next.Voters)
 	}
 	s := slices.IndexFunc(r.absent, func(s stranger) bool { return s.member.Node == c.Node })
-	if s < 0 {
+	if s < 0 || find(r.everyone(), r.absent[s].member.Disk) >= 0 {
 		return next, false
 	}
-	next.Learners = append(next.Learners, r.absent[s].member)
-	return next, true
+	return learn(next, r.absent[s].member), true
+}
+
+// learn adds a learner in the place of an earlier one of the same node.
+func learn(next messenger.Members, m messenger.Member) messenger.Members {
+	next.Learners = slices.DeleteFunc(next.Learners, func(l messenger.Member) bool { return l.Node == m.Node })
+	next.Learners = append(next.Learners, m)
+	return next
 }
 
 func (r *Replicator) copied() messenger.Members {
@@ -115,6 +126,9 @@
 	if !ok {
 		next, ok = r.dismiss()
 	}
+	if !ok {
+		next, ok = r.move()
+	}
 	if !ok {
 		next, ok = r.admit()
 	}
@@ -162,6 +176,20 @@
 	return messenger.Members{}, false
 }
 
+// move takes over the new address of a member.
+func (r *Replicator) move() (messenger.Members, bool) {
+	next := r.copied()
+	for _, s := range r.absent {
+		for _, members := range [][]messenger.Member{next.Voters, next.Learners} {
+			if i := find(members, s.member.Disk); i >= 0 && members[i] != s.member {
+				members[i] = s.member
+				return next, true
+			}
+		}
+	}
+	return messenger.Members{}, false
+}
+
 // admit makes a new disk of a member's node a learner.
 func (r *Replicator) admit() (messenger.Members, bool) {
 	for _, s := range r.absent {
@@ -173,11 +201,7 @@
 		if v < 0 && l < 0 || v >= 0 && r.live(next.Voters[v]) {
 			continue
 		}
-		if l >= 0 {
-			next.Learners = slices.Delete(next.Learners, l, l+1)
-		}
-		next.Learners = append(next.Learners, s.member)
-		return next, true
+		return learn(next, s.member), true
 	}
 	return messenger.Members{}, false
 }
