--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -28,7 +28,7 @@
 	engineCount = 4
 	plainCount  = 2
 
-	engineMemory = 1_200_000 // tokens
+	engineMemory = 400_000 // tokens
 	keyBytes     = 32
 	pollEvery    = 50 * time.Millisecond
 	accountToken = "demo-crews"
