--- a/entry/control.go
+++ b/entry/control.go
@@ -70,15 +70,18 @@
 
 func (c *control) run(stop chan struct{}) {
 	defer close(c.done)
-	t := time.NewTicker(tick)
-	defer t.Stop()
+	var due <-chan time.Time // nil while nothing waits
 	for {
+		if due == nil && c.busy() {
+			due = time.After(tick)
+		}
 		select {
 		case <-stop:
 			return
 		case f := <-c.events:
 			f()
-		case <-t.C:
+		case <-due:
+			due = nil
 			c.look()
 			c.pump()
 			c.tickGangs()
@@ -86,6 +89,11 @@
 	}
 }
 
+// busy reports whether anything may change without an event.
+func (c *control) busy() bool {
+	return len(c.waiting) > 0 || len(c.gangs) > 0 || len(c.segments) > 0 || !c.ganger.Idle()
+}
+
 // do runs f on the control goroutine and waits for it.
 func (c *control) do(f func()) {
 	ended := make(chan struct{})
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -44,11 +44,16 @@
 }
 
 var _ = BeforeSuite(func() {
+	build()
+	DeferCleanup(gexec.CleanupBuildArtifacts)
+})
+
+func build() {
+	GinkgoHelper()
 	var err error
 	binary, err = gexec.Build("bramleyshunt")
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(gexec.CleanupBuildArtifacts)
-})
+}
 
 // process is one separate process.
 type process struct {
@@ -83,6 +88,7 @@
 // fleet is a set of processes on loopback addresses of its own: a process of
 // the system has one address, so that ports can't collide with others' tests.
 type fleet struct {
+	tb      testing.TB
 	net     string // first three numbers of its addresses
 	dir     string
 	key     []byte
@@ -93,11 +99,11 @@
 	admin   operator.Operator
 }
 
-func newFleet() *fleet {
-	GinkgoHelper()
+func newFleet(tb testing.TB) *fleet {
+	tb.Helper()
 	fleets++
 	f := &fleet{
-		net: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, fleets), dir: GinkgoT().TempDir(),
+		net: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, fleets), dir: tb.TempDir(), tb: tb,
 		key: []byte("0123456789abcdef0123456789abcdef"), agents: map[string]*process{}, engines: map[string]*process{},
 	}
 	Expect(os.WriteFile(f.path("key"), f.key, 0o600)).To(Succeed())
@@ -149,7 +155,7 @@
 	GinkgoHelper()
 	p := &process{name: name, args: args}
 	p.start()
-	DeferCleanup(p.end)
+	f.tb.Cleanup(p.end)
 	return p
 }
 
--- a/prover/keepers_test.go
+++ b/prover/keepers_test.go
@@ -16,7 +16,7 @@
 
 var _ = Describe("an accepted configuration", func() {
 	It("outlives the leader's kill and a kill of every keeper", func() {
-		f := newFleet()
+		f := newFleet(GinkgoTB())
 		old := f.leader()
 		f.keepers[old].kill()
 		Expect(f.apply(2)).To(BeEquivalentTo(2))
@@ -32,7 +32,7 @@
 	})
 
 	It("is not reverted by a leader that was frozen and returns", func() {
-		f := newFleet()
+		f := newFleet(GinkgoTB())
 		old := f.leader()
 		f.keepers[old].signal(syscall.SIGSTOP)
 		Expect(f.apply(2)).To(BeEquivalentTo(2))
@@ -49,7 +49,7 @@
 	})
 
 	It("outlives a lost disk and, once that is repaired, a second one", func() {
-		f := newFleet()
+		f := newFleet(GinkgoTB())
 		for _, lost := range []int{0, 1} {
 			before := f.status(lost)
 			f.keepers[lost].kill()
--- a/prover/traffic_test.go
+++ b/prover/traffic_test.go
@@ -32,7 +32,7 @@
 
 var _ = Describe("an admitted request", func() {
 	It("ends whole or with a code in time though its engine is killed", func() {
-		f := newFleet()
+		f := newFleet(GinkgoTB())
 		one := f.engine(1)
 		f.engine(2)
 		f.served(0, "letters")
@@ -40,7 +40,7 @@
 	})
 
 	It("ends whole or with a code in time though its agent is killed, and frees the engine", func() {
-		f := newFleet()
+		f := newFleet(GinkgoTB())
 		one := f.engine(1)
 		f.engine(2)
 		f.served(0, "letters")
@@ -50,7 +50,7 @@
 	})
 
 	It("leaves no engine memory behind when its entry is killed", func() {
-		f := newFleet()
+		f := newFleet(GinkgoTB())
 		f.engine(1)
 		f.served(0, "letters")
 		f.served(1, "letters")
@@ -60,7 +60,7 @@
 	})
 
 	It("is not cut off by a graceful shutdown of its entry or agent", func() {
-		f := newFleet()
+		f := newFleet(GinkgoTB())
 		one := f.engine(1)
 		f.engine(2)
 		f.served(0, "letters")
@@ -75,7 +75,7 @@
 
 var _ = Describe("a call that may not be repeated", func() {
 	It("runs at most once though its entry, the agent or the leader is killed", func() {
-		f := newFleet()
+		f := newFleet(GinkgoTB())
 		portal := f.plain(1)
 		f.served(0, "portal")
 		f.served(1, "portal")
@@ -116,7 +116,7 @@
 
 var _ = Describe("a target that leaves", func() {
 	It("gets no new work, and what runs on it ends whole", func() {
-		f := newFleet()
+		f := newFleet(GinkgoTB())
 		one := f.engine(1)
 		f.engine(2)
 		f.served(0, "letters")
