--- a/driver/stream.go
+++ b/driver/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -90,6 +91,10 @@
 		done, taken = take(seq, data)
 		return done, taken
 	})
+	var malformed *coder.Error
+	if taken == nil && errors.As(err, &malformed) {
+		taken = malformed
+	}
 	if taken != nil {
 		return taken
 	}
