Keep targets when the keeper, not they, was away

A keeper that had been frozen ended all leases at once when it woke, and one that was cut off from the agents but not from a quorum did so for as long as the cut lasted; its entries then had no target. Leases now last longer by a freeze of the process that keeps them, and a watcher that loses most targets at once doubts it: it asks another keeper and drops only what that one does not list in 3 s.

TestState checks that the version held never falls and its folder is that version's, over keepers that lag. Broken by hand it caught: lower versions adopted, removed files kept, a whole folder merged over the old one.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -25,6 +25,10 @@
 	// MaxTargets bounds the targets held at once.
 	MaxTargets = 16384
 
+	// frozenAfter is the time between two calls of Expire after which the process
+	// is taken to have been frozen.
+	frozenAfter = 2 * time.Second
+
 	loadSteps = 8 // steps of a load figure between two powers of two
 )
 
@@ -48,6 +52,7 @@
 // Registrar holds the leases. The zero value is ready.
 type Registrar struct {
 	rev  uint64
+	last time.Time // of the last Expire
 	live map[string]*Entry
 	gone map[string]Gone
 }
@@ -135,7 +140,15 @@
 }
 
 // Expire ends the leases that are over and returns their targets' ids in order.
+// It is called at least once a second. After a longer pause this process was
+// frozen and heard no renewal, so every lease is longer by the pause.
 func (r *Registrar) Expire(now time.Time) []string {
+	if pause := now.Sub(r.last); !r.last.IsZero() && pause > frozenAfter {
+		for _, e := range r.live {
+			e.Until = e.Until.Add(pause)
+		}
+	}
+	r.last = now
 	var ended []string
 	for id, e := range r.live {
 		if !now.Before(e.Until) {
--- a/watcher/follow.go
+++ b/watcher/follow.go
@@ -53,7 +53,8 @@
 }
 
 // once takes one update. It reports false when the keeper should be left: it
-// says nothing for Silence, or proves nothing for that and the time of a report.
+// says nothing for Silence, proves nothing for that and the time of a report, or
+// has lost most targets at once.
 func (f *follower) once() bool {
 	left := f.proven.Add(reportEvery + f.cfg.Silence).Sub(f.cfg.Now())
 	ctx, cancel := context.WithTimeout(f.ctx, min(left, f.cfg.Silence))
@@ -76,7 +77,7 @@
 			return false
 		}
 	}
-	return true
+	return !f.state.left
 }
 
 // take applies an update and reports whether its configuration was adopted. The
--- a/watcher/state.go
+++ b/watcher/state.go
@@ -17,6 +17,9 @@
 // targets within that time.
 const targetGrace = 3 * time.Second
 
+// massCount is the least number of targets whose end at one moment is doubted.
+const massCount = 3
+
 // state is what the keepers told. It is a pure decider.
 type state struct {
 	version uint64
@@ -26,10 +29,11 @@
 	until   map[string]time.Time // targets that the present keeper has not listed
 	blocked map[uint64]bool
 	fresh   bool // the next update is the first of its stream
+	left    bool // another keeper should be asked
 }
 
 // begin marks the start of a stream.
-func (s *state) begin() { s.fresh = true }
+func (s *state) begin() { s.fresh, s.left = true, false }
 
 // apply takes one update and reports whether the view changed. It returns code
 // Invalid, and keeps the version it had, if the new one can't be read.
@@ -94,7 +98,13 @@
 			s.targets[d.ID] = t
 		}
 	}
-	gone := append(s.lapsed(now), u.Gone...)
+	gone := s.lapsed(now)
+	if s.mass(u.Gone) {
+		s.doubt(now)
+		s.left = true
+	} else {
+		gone = append(gone, u.Gone...)
+	}
 	for _, id := range gone {
 		delete(s.targets, id)
 		delete(s.until, id)
@@ -102,6 +112,12 @@
 	return len(u.Targets)+len(u.Loads)+len(gone) > 0
 }
 
+// mass reports whether so many targets have gone at once that the keeper, not
+// they, is likely to be cut off from the others.
+func (s *state) mass(gone []string) bool {
+	return len(gone) >= massCount && 2*len(gone) > len(s.targets)
+}
+
 // doubt gives every target a time by which the new keeper must list it.
 func (s *state) doubt(now time.Time) {
 	for id := range s.targets {
--- /dev/null
+++ b/watcher/state_test.go
@@ -0,0 +1,134 @@
+package watcher
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bramleyshunt/messenger"
+)
+
+// The seed is fixed so that each run has the same verdict; -rapid.seed and
+// -rapid.checks on the command line go before it.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func targets(ids ...string) []messenger.Target {
+	var out []messenger.Target
+	for _, id := range ids {
+		out = append(out, messenger.Target{ID: id, Incarnation: 1})
+	}
+	return out
+}
+
+func expectHeld(t *testing.T, s *state, want ...string) {
+	t.Helper()
+	if got := slices.Sorted(maps.Keys(s.targets)); !slices.Equal(got, want) {
+		t.Errorf("held %v, want %v", got, want)
+	}
+}
+
+// TestMass has a keeper lose all its targets at once: they stay until the next
+// keeper has had its time to list them.
+func TestMass(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s state
+	step := func(u messenger.Update) {
+		if _, err := s.apply(&u, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.begin()
+	step(messenger.Update{Targets: targets("a", "b", "c", "d")})
+	step(messenger.Update{Gone: []string{"d"}})
+	expectHeld(t, &s, "a", "b", "c")
+	step(messenger.Update{Gone: []string{"a", "b", "c"}})
+	expectHeld(t, &s, "a", "b", "c")
+	if !s.left {
+		t.Error("stays with the keeper")
+	}
+	s.begin()
+	step(messenger.Update{Targets: targets("a", "b")})
+	expectHeld(t, &s, "a", "b", "c")
+	now = now.Add(targetGrace)
+	step(messenger.Update{})
+	expectHeld(t, &s, "a", "b")
+}
+
+// TestState moves a watcher between keepers that are behind by a drawn number of
+// versions. The version held never falls, its folder is that of the version, and
+// with an update of the newest keeper it holds the newest.
+func TestState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s state
+		versions := [][]messenger.File{nil}
+		keeper := func(at uint64) *messenger.Update {
+			u := &messenger.Update{Version: at, Full: s.version == 0 || rapid.Bool().Draw(t, "full")}
+			u.Files = versions[at]
+			if !u.Full && at > s.version {
+				u.Files = delta(versions[s.version], versions[at])
+			}
+			return u
+		}
+		for range 30 {
+			versions = append(versions, drawFolder(t))
+			newest := uint64(len(versions) - 1)
+			before := s.version
+			s.begin()
+			at := rapid.Uint64Range(0, newest).Draw(t, "at")
+			for _, v := range []uint64{at, rapid.SampledFrom([]uint64{at, newest}).Draw(t, "then")} {
+				if _, err := s.apply(keeper(v), time.Unix(1000, 0)); err != nil {
+					t.Fatal(err)
+				}
+				check(t, &s, before, versions)
+			}
+		}
+	})
+}
+
+func check(t *rapid.T, s *state, before uint64, versions [][]messenger.File) {
+	if s.version < before {
+		t.Fatalf("version %d after %d", s.version, before)
+	}
+	if got := list(s.files); !slices.EqualFunc(got, versions[s.version], equal) {
+		t.Fatalf("version %d holds %v, want %v", s.version, got, versions[s.version])
+	}
+}
+
+func equal(a, b messenger.File) bool { return a.Name == b.Name && string(a.Data) == string(b.Data) }
+
+func drawFolder(t *rapid.T) []messenger.File {
+	var out []messenger.File
+	for _, name := range []string{"a.json", "b.json", "c.json"} {
+		if n := rapid.IntRange(0, 3).Draw(t, name); n > 0 {
+			out = append(out, messenger.File{Name: name, Data: fmt.Appendf(nil, `{"limits": {"crashes": %d}}`, n)})
+		}
+	}
+	return out
+}
+
+// delta returns what changed between two folders.
+func delta(old, folder []messenger.File) []messenger.File {
+	var out []messenger.File
+	for _, f := range folder {
+		if !slices.ContainsFunc(old, func(o messenger.File) bool { return equal(o, f) }) {
+			out = append(out, f)
+		}
+	}
+	for _, o := range old {
+		if !slices.ContainsFunc(folder, func(f messenger.File) bool { return f.Name == o.Name }) {
+			out = append(out, messenger.File{Name: o.Name})
+		}
+	}
+	return out
+}
