--- a/entry/control.go
+++ b/entry/control.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"bramleyshunt/admitter"
 	"bramleyshunt/chainer"
 	"bramleyshunt/configurer"
+	"bramleyshunt/ganger"
 	"bramleyshunt/limiter"
 	"bramleyshunt/measurer"
 	"bramleyshunt/messenger"
@@ -16,8 +18,9 @@
 )
 
 const (
-	tick    = 10 * time.Millisecond // between looks at the queue without an event
-	backlog = 1024                  // events waiting for the control goroutine
+	tick      = 10 * time.Millisecond  // between looks at the queue without an event
+	lookEvery = 100 * time.Millisecond // between views that differ in targets alone
+	backlog   = 1024                   // events waiting for the control goroutine
 )
 
 // control owns the deciders. All its fields belong to its own goroutine, which
@@ -28,20 +31,30 @@
 	done   chan struct{}
 
 	view      *watcher.View
+	looked    time.Time
 	measurer  measurer.Measurer
 	limiter   limiter.Limiter
 	retrier   retrier.Retrier
 	scheduler scheduler.Scheduler
 	waiting   map[string]chan scheduler.Placement
+
+	ganger   ganger.Ganger
+	gangs    map[string]*gang         // by request
+	segments map[string]*segment      // by attempt, until freed
+	offered  map[string]*watcher.View // by model
+	spawn    func(func(context.Context))
 }
 
 func newControl(cfg Config) (*control, func()) {
 	c := &control{
-		cfg:     cfg,
-		events:  make(chan func(), backlog),
-		done:    make(chan struct{}),
-		retrier: retrier.Retrier{Seed: cfg.Seed},
-		waiting: map[string]chan scheduler.Placement{},
+		cfg:      cfg,
+		events:   make(chan func(), backlog),
+		done:     make(chan struct{}),
+		retrier:  retrier.Retrier{Seed: cfg.Seed},
+		waiting:  map[string]chan scheduler.Placement{},
+		offered:  map[string]*watcher.View{},
+		gangs:    map[string]*gang{},
+		segments: map[string]*segment{},
 		scheduler: scheduler.Scheduler{
 			Admitter: admitter.Admitter{Seed: cfg.Seed},
 			Router:   router.Router{Seed: cfg.Seed},
@@ -68,6 +81,7 @@
 		case <-t.C:
 			c.look()
 			c.pump()
+			c.tickGangs()
 		}
 	}
 }
@@ -86,12 +100,18 @@
 	}
 }
 
-// look takes over a new view.
+// look takes over a new view. Each target's report makes one, so that views of
+// the same configuration are taken no oftener than lookEvery.
 func (c *control) look() {
-	if v := c.cfg.View(); v != nil && v != c.view {
-		c.view = v
-		c.scheduler.Router.Update(v.Targets)
+	v, now := c.cfg.View(), c.cfg.Now()
+	if v == nil || v == c.view {
+		return
 	}
+	if c.view != nil && v.Version == c.view.Version && now.Sub(c.looked) < lookEvery {
+		return
+	}
+	c.view, c.looked = v, now
+	c.scheduler.Router.Update(now, v.Targets)
 }
 
 func (c *control) queued() (n int) {
@@ -128,7 +148,9 @@
 func (c *control) admit(r *chainer.Request) (err error) {
 	c.do(func() {
 		c.look()
-		err = c.scheduler.Admit(c.cfg.Now(), ticket(r, nil))
+		if r.Gang = c.scheduler.Huge(ticket(r, nil)); !r.Gang {
+			err = c.scheduler.Admit(c.cfg.Now(), ticket(r, nil))
+		}
 		if err == nil {
 			c.retrier.First(r.Service, r.Config.Limits.Retries)
 		}
@@ -184,7 +206,7 @@
 // report takes a load that came with an answer.
 func (c *control) report(pick router.Pick, l messenger.Load) {
 	c.do(func() {
-		c.scheduler.Report(pick, l)
+		c.scheduler.Report(c.cfg.Now(), pick, l)
 		c.pump()
 	})
 }
@@ -218,6 +240,6 @@
 
 // backoff returns when a request that could not be placed should come back.
 func (c *control) backoff(t *scheduler.Ticket) (d time.Duration) {
-	c.do(func() { d = c.scheduler.Backoff(t) })
+	c.do(func() { d = c.scheduler.Backoff(c.cfg.Now(), t) })
 	return d
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,7 @@
 	Pool     *pooler.Pooler                                                   // connections to agents
 	Call     func(ctx context.Context, kind messenger.Kind, v, out any) error // asks the leading keeper
 	Silence  time.Duration                                                    // bound on the answer to a reservation
+	Patience time.Duration                                                    // for a request's body; DefaultPatience if zero
 	Log      *logrus.Entry
 	Metrics  metrics.Registry
 	Now      func() time.Time
@@ -86,6 +87,7 @@
 	e.ctx = ctx
 	control, stop := newControl(cfg)
 	e.control = control
+	control.spawn = func(f func(context.Context)) { e.wg.Go(func() { f(e.ctx) }) }
 	e.handler = e.chain()
 	e.mux = e.routes()
 	return e, func() {
@@ -104,6 +106,9 @@
 	if cfg.Ready == nil {
 		cfg.Ready = func() error { return nil }
 	}
+	if cfg.Patience <= 0 {
+		cfg.Patience = DefaultPatience
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -42,7 +42,6 @@
 	Prefix  []uint64 // hashes of the prompt's beginnings, shortest first
 	Text    int      // bytes of prompt text
 	Exclude []string // targets that failed or refused it
-	Spare   string   // target that is left to drain
 }
 
 // Pick is a chosen target and what is expected of it.
@@ -76,13 +75,15 @@
 	Cached bool
 	Gate   bool // the bound on the wait
 	Class  bool // long prompts don't count in the wait of short ones
+	Edge   bool // targets that report no room are not asked
+	Aging  bool // reported tokens are worked off with time
 }
 
 // Report takes the load that a target's agent sent with an answer.
-func (r *Router) Report(id string, incarnation uint64, l messenger.Load) {
+func (r *Router) Report(now time.Time, id string, incarnation uint64, l messenger.Load) {
 	s := r.byID[id]
 	if s != nil && s.target.Incarnation == incarnation && l.Seq > s.target.Load.Seq {
-		s.report(l)
+		s.report(now, l)
 	}
 }
 
@@ -120,6 +121,27 @@
 	return x != nil && len(x.all) > 0
 }
 
+// Target returns what is known of a target; it is zero if the target is unknown.
+func (r *Router) Target(id string) messenger.Target {
+	if s := r.byID[id]; s != nil {
+		return s.target
+	}
+	return messenger.Target{}
+}
+
+// Targets returns the targets of a service that are open to long prompts.
+func (r *Router) Targets(service string) []messenger.Target {
+	x := r.byName[service]
+	if x == nil {
+		return nil
+	}
+	out := make([]messenger.Target, 0, len(x.long))
+	for _, s := range x.long {
+		out = append(out, s.target)
+	}
+	return out
+}
+
 // Pick chooses a target, or returns false if none of the candidates can take
 // the request now. It looks at a number of targets that grows with the
 // logarithm of the replicas.
@@ -177,25 +199,6 @@
 	return best, found > 0
 }
 
-// Freest returns the target with the most free memory among random ones that
-// may take the request by lane.
-func (r *Router) Freest(c Case) string {
-	x := r.byName[c.Service]
-	if x == nil {
-		return ""
-	}
-	best, most := "", -1
-	set := r.lanes(x, c)[0]
-	for i := range min(len(set), draws(len(set))) {
-		s := r.swap(set, i)
-		free := max(0, s.target.Load.Memory-s.target.Load.Used-s.held)
-		if free > most && !slices.Contains(c.Exclude, s.target.ID) {
-			best, most = s.target.ID, free
-		}
-	}
-	return best
-}
-
 // draws is how many random targets of n are looked at.
 func draws(n int) int { return 2*bits.Len(uint(n)) + extraDraws }
 
@@ -241,23 +244,32 @@
 	if !r.Off.Cached {
 		p.Cached = r.cached(now, s, c)
 	}
-	p.Wait = Span(r.waiting(s, messenger.ClassOf(c.Prompt)), p.Speed)
-	if s.target.ID == c.Spare || slices.Contains(c.Exclude, s.target.ID) {
+	p.Wait = Span(r.waiting(now, s, messenger.ClassOf(c.Prompt)), p.Speed)
+	if slices.Contains(c.Exclude, s.target.ID) {
 		return p, false
 	}
 	return p, r.fits(now, s, c, p)
 }
 
-// waiting returns the tokens that are prefilled before a prompt of a class.
-func (r *Router) waiting(s *state, c messenger.Class) int {
+// waiting returns the tokens that are prefilled before a prompt of a class. Those
+// reported are worked off since at the target's speed.
+func (r *Router) waiting(now time.Time, s *state, c messenger.Class) int {
 	if r.Off.Class {
 		c = messenger.Huge
 	}
+	reported := s.others
 	if r.Off.Own {
-		known := classes(s.target.Load.ByClass)
-		return known.upTo(c)
+		reported = s.target.Load.ByClass
 	}
-	return s.others.upTo(c) + s.own.upTo(c)
+	n := reported.upTo(c)
+	if !r.Off.Aging {
+		speed := first(s.target.Load.Speed, DefaultSpeed)
+		n = max(0, n-int(now.Sub(s.at).Seconds()*float64(speed)))
+	}
+	if r.Off.Own {
+		return n
+	}
+	return n + s.own.upTo(c)
 }
 
 // all returns the tokens of every class.
@@ -270,9 +282,12 @@
 	if now.Before(s.until) {
 		return false
 	}
-	if l.Memory > 0 && l.Used+s.held+c.Prompt+c.Output > l.Memory {
+	if !r.Off.Edge && l.Memory > 0 && l.Used+s.held+c.Prompt+c.Output > l.Memory {
 		return false
 	}
+	if r.Off.Edge {
+		return true
+	}
 	if r.Off.Gate {
 		return true
 	}
