--- a/publisher/board.go
+++ b/publisher/board.go
@@ -45,9 +45,11 @@
 
 // cursor is what one stream has been told.
 type cursor struct {
+	reported uint64 // version in force at the watcher; of the goroutine that receives
+
 	lean    bool
 	begun   bool
-	proved  time.Time // when a Seq was last returned
+	proved  time.Time // when a Seq was last returned for a configuration
 	version uint64
 	rev     uint64
 	blocked []uint64
@@ -79,7 +81,7 @@
 	if b.confirmed && b.round > c.round {
 		u.Confirmed, c.round = true, b.round
 		u.Seq = c.proofs.take(b.round)
-		if u.Seq > 0 {
+		if u.Seq > 0 && u.Version > 0 {
 			c.proved = now
 		}
 	}
--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -168,9 +168,14 @@
 	p.stream(ctx, s, c)
 }
 
-// heard notes the version in force at the watcher and its wish for a proof.
+// heard notes the version in force at the watcher and its wish for a proof, which
+// is urgent when the version is new to it.
 func (p *Publisher) heard(ctx context.Context, c *cursor, w *messenger.Watch) {
 	p.note(ctx, w.Node, w.Version)
+	if w.Version != c.reported {
+		defer p.confirm.ask()
+	}
+	c.reported = w.Version
 	if w.Seq > 0 {
 		c.proofs.add(w.Seq, p.confirm.coming())
 	}
