--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -37,6 +37,9 @@
 	stale  atomic.Bool
 }
 
+// seeds keeps the ids of several entries apart.
+var seeds atomic.Uint64
+
 func config() *configurer.Configurer {
 	return &configurer.Configurer{
 		Services: map[string]configurer.Service{
@@ -71,7 +74,7 @@
 		return muxer.Dial(ctx, addr, cfg)
 	}
 	e, stop, err := entry.New(entry.Config{
-		View: b.view.Load, Pool: pool, Call: b.keeper.call, Seed: 1, Patience: 200 * time.Millisecond,
+		View: b.view.Load, Pool: pool, Call: b.keeper.call, Seed: seeds.Add(1), Patience: 200 * time.Millisecond,
 		Ready: func() error {
 			if b.stale.Load() {
 				return coder.Errorf(coder.Stale, "")
