--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -24,6 +24,7 @@
 	Chat    bool
 	Service string
 	Model   string
+	Full    string   // prompt text
 	Text    int      // bytes of prompt text
 	Prefix  []uint64 // hashes of the prompt's beginnings, shortest first
 	Bound   int      // answer tokens the caller allows; zero for none
@@ -41,6 +42,7 @@
 	Output      int // predicted tokens
 	Class       messenger.Class
 	Fingerprint uint64
+	Gang        bool // beyond one target's memory
 
 	Answer Answer
 }
@@ -48,6 +50,7 @@
 // Answer receives what the caller gets. Begin is called before the chunks of an
 // attempt; it returns false if an earlier attempt's chunks can't be taken back.
 type Answer struct {
+	Until func(time.Time) // bounds writes to a caller that doesn't read
 	Begin func() bool
 	Chunk func(messenger.Chunk) error
 	End   func(messenger.End) error
--- a/ganger/ganger.go
+++ b/ganger/ganger.go
@@ -46,6 +46,7 @@
 	Prompt   int // predicted tokens
 	Output   int // tokens
 	Deadline time.Time
+	Once     bool // the last segment is started at most once
 }
 
 // Candidate is a target that may become a member, by hints that may be old.
