--- a/bencher/result.go
+++ b/bencher/result.go
@@ -169,21 +169,34 @@
 	return percentile(ratios, p)
 }
 
-// Row returns one line of a table: times in milliseconds, shares in percent.
+// Row returns one line of a table: times in milliseconds, shares in percent. What
+// the deployment weighs most comes first.
 func (s *Result) Row(b *Bencher, alone *Result) string {
-	var w strings.Builder
+	var firsts strings.Builder
 	for c := messenger.Short; c <= messenger.Huge; c++ {
 		for _, p := range []float64{0.5, 0.95, 0.99} {
-			fmt.Fprintf(&w, "%d ", s.First(c, p).Milliseconds())
+			fmt.Fprintf(&firsts, "%d ", s.First(c, p).Milliseconds())
 		}
-		w.WriteString("| ")
+		firsts.WriteString("| ")
 	}
-	fmt.Fprintf(&w, "%.2f %.2f | %.1f | %.2f | %.2f | %.2f | %d | %.1f | %.3f |",
-		s.Slowdown(alone, 0.95), s.Slowdown(alone, 0.99), 100*s.InTime(), 100*s.Steady(),
-		100*s.Refused(), 100*s.GivenUp(), s.Missed(), 100*s.Goodput(b), s.Fairness())
-	return w.String()
+	slow := fmt.Sprintf("%.2f %.2f | ", s.Slowdown(alone, 0.95), s.Slowdown(alone, 0.99))
+	rest := fmt.Sprintf("%.1f | %.2f | %.2f | %.2f | %d | %.1f | %.3f |",
+		100*s.InTime(), 100*s.Steady(), 100*s.Refused(), 100*s.GivenUp(), s.Missed(), 100*s.Goodput(b), s.Fairness())
+	if b.Deployment.SlowdownFirst {
+		return slow + firsts.String() + rest
+	}
+	return firsts.String() + slow + rest
+}
+
+// Head returns the head of the table that Row fills.
+func (d Deployment) Head() string {
+	columns := []string{"short p50 p95 p99 | medium | long | huge", "slowdown p95 p99"}
+	if d.SlowdownFirst {
+		slices.Reverse(columns)
+	}
+	return "| policy | load | " + strings.Join(columns, " | ") +
+		" | in 0.48 s | gaps in 50 ms | refused | given up | missed | goodput | fairness |\n" +
+		"|" + strings.Repeat("---|", columnCount)
 }
 
-// Head is the head of the table that Row fills.
-const Head = `| policy | load | short p50 p95 p99 | medium | long | huge | slowdown p95 p99 | in 0.48 s | gaps in 50 ms | refused | given up | missed | goodput | fairness |
-|---|---|---|---|---|---|---|---|---|---|---|---|---|---|`
+const columnCount = 14
--- a/bencher/table_test.go
+++ b/bencher/table_test.go
@@ -35,7 +35,7 @@
 		if !strings.Contains(d.Name, *fleet) {
 			continue
 		}
-		fmt.Printf("\n%s, %s\n\n%s\n", d.Name, name, bencher.Head)
+		fmt.Printf("\n%s, %s\n\n%s\n", d.Name, name, d.Head())
 		for _, load := range loads {
 			for _, v := range vs {
 				b := bencher.Bencher{Deployment: d, Load: load, Length: 2 * time.Minute}
--- a/bencher/trace.go
+++ b/bencher/trace.go
@@ -17,6 +17,8 @@
 	Bands    []Band
 	Accounts []float64 // shares of the requests
 	Shorts   int       // replicas in the short lane; none if zero
+
+	SlowdownFirst bool // the slowdown of short prompts weighs more than the time to first token
 }
 
 // Band is one kind of request. Lengths are log-uniform between their bounds.
@@ -35,7 +37,7 @@
 // Laufspur is the runner tracker's fleet.
 func Laufspur() Deployment {
 	return Deployment{
-		Name: "Laufspur", Replicas: 14, OneWay: time.Millisecond,
+		Name: "Laufspur", SlowdownFirst: true, Replicas: 14, OneWay: time.Millisecond,
 		Bands: []Band{
 			{"summary", 0.70, [2]int{1000, 4000}, [2]int{60, 200}, 10 * time.Second, 800},
 			{"briefing", 0.20, [2]int{4000, 10000}, [2]int{150, 400}, 30 * time.Second, 3000},
