Tell a stopped agent's requests from cancelled ones

Cause: an agent that stopped ended its attempts with code Cancelled, so that an idempotent request was not tried elsewhere and its caller was told that it had cancelled; a gang took it for a cancel by the caller. Change: they end with EngineFailed. Each refusal with a code 2xxx has a Retry-After. Gaps between tokens go to a histogram looked up once a request.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -107,7 +107,7 @@
 	a.wg.Go(a.watch)
 	return a, func() {
 		stop()
-		cancel(&coder.Error{Code: coder.Cancelled, Run: coder.Ran, Text: "the agent stopped"})
+		cancel(&coder.Error{Code: coder.EngineFailed, Run: coder.Ran, Text: "the agent stopped"})
 		a.wg.Wait()
 	}, nil
 }
--- a/entry/failure.go
+++ b/entry/failure.go
@@ -44,13 +44,21 @@
 	h.Set("Content-Type", "application/json")
 	h.Set(headerCode, strconv.Itoa(int(c.Code)))
 	h.Set(headerRun, c.Run.Header())
-	if c.Retry > 0 {
-		h.Set(headerRetry, strconv.Itoa(int(math.Ceil(c.Retry.Seconds()))))
+	if after := comeBack(c); after > 0 {
+		h.Set(headerRetry, strconv.Itoa(after))
 	}
 	w.WriteHeader(c.Code.Status())
 	_, _ = fmt.Fprintf(w, "%s\n", body)
 }
 
+// comeBack returns the seconds of Retry-After. Each refusal that may pass has one.
+func comeBack(c *coder.Error) int {
+	if c.Retry == 0 && c.Code >= coder.RateLimited && c.Code < coder.DeadlineExceeded {
+		return 1
+	}
+	return int(math.Ceil(c.Retry.Seconds()))
+}
+
 // message leaves causes out: they name addresses inside the fleet.
 func message(c *coder.Error) string {
 	if c.Text == "" || c.Code >= coder.BadFrame {
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -30,22 +30,23 @@
 	metrics.GetOrRegisterCounter("entry."+name, m.registry).Inc(1)
 }
 
-func (m *meter) first(r *chainer.Request, d time.Duration) { m.update("first", r, d.Microseconds()) }
-
-func (m *meter) between(r *chainer.Request, d time.Duration) {
-	m.update("between", r, d.Microseconds())
+func (m *meter) first(r *chainer.Request, d time.Duration) {
+	m.histogram("first", r).Update(d.Microseconds())
 }
 
+// between returns the histogram of a request's gaps, so that none is looked up
+// for each token.
+func (m *meter) between(r *chainer.Request) metrics.Histogram { return m.histogram("between", r) }
+
 func (m *meter) slowdown(r *chainer.Request, took, alone time.Duration) {
 	if alone > 0 {
-		m.update("slowdown", r, int64(100*took/alone))
+		m.histogram("slowdown", r).Update(int64(100 * took / alone))
 	}
 }
 
-func (m *meter) update(name string, r *chainer.Request, v int64) {
+func (m *meter) histogram(name string, r *chainer.Request) metrics.Histogram {
 	full := fmt.Sprintf("entry.%s.%s.%s", name, r.Account, r.Class)
-	h := m.registry.GetOrRegister(full, func() metrics.Histogram {
+	return m.registry.GetOrRegister(full, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, decay))
 	}).(metrics.Histogram)
-	h.Update(v)
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"bramleyshunt/chainer"
 	"bramleyshunt/coder"
 	"bramleyshunt/dispatcher"
@@ -25,7 +27,8 @@
 	ticket  *scheduler.Ticket
 	exclude []string
 	tries   int
-	last    time.Time    // of the last chunk
+	last    time.Time // of the last chunk
+	gaps    metrics.Histogram
 	begun   bool         // the first chunk of any attempt came
 	failed  *coder.Error // of the last attempt that may have run
 }
@@ -169,9 +172,10 @@
 	now := x.e.cfg.Now()
 	if !x.begun {
 		x.begun = true
+		x.gaps = x.e.meter.between(x.r)
 		x.e.meter.first(x.r, now.Sub(x.r.Arrived))
 	} else {
-		x.e.meter.between(x.r, now.Sub(x.last))
+		x.gaps.Update(now.Sub(x.last).Microseconds())
 	}
 	x.last = now
 }
