--- a/runner/runner.go
+++ b/runner/runner.go
@@ -131,9 +131,21 @@
 			return fmt.Errorf("drain entry: %w", err)
 		}
 	}
+	r.retire(ctx)
 	return nil
 }
 
+// retire hands the leadership over. Keepers that can't take it elect a leader
+// after an election timeout, as after a kill, so a failure costs nothing more.
+func (r *Runner) retire(ctx context.Context) {
+	if r.Keeper == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, retireLimit)
+	defer cancel()
+	_ = r.Keeper.Retire(ctx)
+}
+
 // dispatch hands a stream to the role that knows its first message.
 func (r *Runner) dispatch(ctx context.Context, s *muxer.Stream) {
 	first, err := s.Receive(ctx)
@@ -164,4 +176,7 @@
 	}
 }
 
-const headerTimeout = 10 * time.Second
+const (
+	headerTimeout = 10 * time.Second
+	retireLimit   = 3 * time.Second
+)
