--- a/runner/place_test.go
+++ b/runner/place_test.go
@@ -40,6 +40,7 @@
 	places  []*place
 	keepers []setter.Keeper
 	fakers  map[string][]*faker.Faker // by service
+	ports   []string                  // host:port of every listener
 	admin   operator.Operator
 }
 
@@ -109,6 +110,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(stop)
 		d.places = append(d.places, &place{zone: s.Zone, url: "http://" + l.HTTP.Addr().String(), run: r, stop: stop})
+		d.ports = append(d.ports, peers[i].Addr().String(), l.HTTP.Addr().String(), l.Admin.Addr().String())
 		d.admin.Bases = append(d.admin.Bases, "http://"+l.Admin.Addr().String())
 	}
 }
@@ -124,6 +126,7 @@
 	s.Node = fmt.Sprintf("%s-%d", s.Target.Service, n)
 	s.Target.ID, s.Target.URL, s.Keepers = s.Node, f.URL(), d.keepers
 	s.Listen, s.Admin = l.Peers.Addr().String(), ""
+	d.ports = append(d.ports, s.Listen)
 	_, closer, err := runner.New(runner.Config{Settings: &s, Key: d.key, Listeners: l})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(closer)
