--- a/applier/claims.go
+++ b/applier/claims.go
@@ -27,6 +27,8 @@
 
 // claimKey names a claim.
 type claimKey struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Account string
 	Service string
 	Key     string
@@ -34,14 +36,16 @@
 
 // claim is the state of one idempotency key.
 type claim struct {
-	Key     claimKey        `msgpack:"key"`
-	Digest  uint64          `msgpack:"digest"`
-	Owner   string          `msgpack:"owner"`
-	State   messenger.State `msgpack:"state"`
-	Target  string          `msgpack:"target"`
-	Answer  []byte          `msgpack:"answer"`
-	Ended   uint64          `msgpack:"ended"`   // index of the log entry that ended the run
-	Expires int64           `msgpack:"expires"` // nanoseconds since the epoch
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Key     claimKey
+	Digest  uint64
+	Owner   string
+	State   messenger.State
+	Target  string
+	Answer  []byte
+	Ended   uint64 // index of the log entry that ended the run
+	Expires int64  // nanoseconds since the epoch
 }
 
 // claims is all claims with their expiry.
@@ -87,7 +91,7 @@
 
 // claim moves a claim to the wanted state if its holder asks and the state allows.
 func (s *claims) claim(m moment, w *messenger.Claim) *messenger.Claimed {
-	k := claimKey{w.Account, w.Service, w.Key}
+	k := claimKey{Account: w.Account, Service: w.Service, Key: w.Key}
 	c := s.held[k]
 	switch w.State {
 	case messenger.ClaimHeld:
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -28,7 +28,7 @@
 	Floor    uint64           `msgpack:"floor"`
 	Records  []Record         `msgpack:"records"`
 	Aliases  []number         `msgpack:"aliases"` // of records, by id
-	Claims   []claim          `msgpack:"claims"`
+	Claims   []*claim         `msgpack:"claims"`
 	Fences   []number         `msgpack:"fences"`
 	Passed   uint64           `msgpack:"passed"` // floor of the fences
 	Suspects []suspect        `msgpack:"suspects"`
@@ -71,10 +71,11 @@
 			s.Aliases = append(s.Aliases, number{id, r.Version})
 		}
 	}
+	s.Claims = make([]*claim, 0, len(a.claims.held))
 	for _, c := range a.claims.held {
-		s.Claims = append(s.Claims, *c)
+		s.Claims = append(s.Claims, c)
 	}
-	slices.SortFunc(s.Claims, func(x, y claim) int { return x.Key.compare(y.Key) })
+	slices.SortFunc(s.Claims, func(x, y *claim) int { return x.Key.compare(y.Key) })
 	for _, f := range slices.Sorted(maps.Keys(a.suspect.seen)) {
 		s.Suspects = append(s.Suspects, *a.suspect.seen[f])
 	}
@@ -131,7 +132,7 @@
 func (s *snapshot) claims() claims {
 	out := claims{held: map[claimKey]*claim{}}
 	for _, c := range s.Claims {
-		out.held[c.Key] = &c
+		out.held[c.Key] = c
 		out.expiry = append(out.expiry, expiry{at: c.Expires, key: c.Key})
 		if len(c.Answer) > 0 {
 			out.answers = append(out.answers, answer{c.Key, c.Ended})
