--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
@@ -80,7 +82,11 @@
 		},
 	})
 	Expect(err).NotTo(HaveOccurred())
-	server := httptest.NewServer(e)
+	server := httptest.NewUnstartedServer(e)
+	faults := gbytes.NewBuffer()
+	server.Config.ErrorLog = log.New(faults, "", 0)
+	server.Start()
+	DeferCleanup(func() { Expect(string(faults.Contents())).NotTo(ContainSubstring("panic")) })
 	DeferCleanup(closer)
 	DeferCleanup(stop)
 	DeferCleanup(server.Close)
--- a/entry/gang.go
+++ b/entry/gang.go
@@ -59,7 +59,10 @@
 
 // ended is the outcome of a gang whose context has ended.
 func (x *gang) ended(err *coder.Error) error {
-	if err == nil || err.Code != coder.Cancelled || context.Cause(x.ctx) != context.DeadlineExceeded {
+	if err == nil {
+		return nil
+	}
+	if err.Code != coder.Cancelled || context.Cause(x.ctx) != context.DeadlineExceeded {
 		return err
 	}
 	return &coder.Error{Code: coder.DeadlineExceeded, Run: err.Run}
