agent: standby and activate, apart from an operator's drain

Cause: a target that an operator drained, or that is shutting down, looked the same in its announcement as one that a controller set aside; the controllers would have taken it back into service. Change: verbs standby and activate, Target.Standby; activate ends no drain, and a drain ends a standby. Conclusion: a controller may act on Standby alone, without memory.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -71,6 +71,7 @@
 	health   health
 	lapses   int // of the lease, as far as the fencer knows
 	draining bool
+	standby  bool          // draining by a standby order
 	replaced bool          // a newer agent holds the target
 	drained  chan struct{} // closed when draining and idle
 	lane     string
@@ -230,6 +231,7 @@
 	_ = a.step(func(now time.Time) {
 		t.Incarnation = a.reserver.Incarnation
 		t.Leaving = a.draining || a.replaced || a.health.down
+		t.Standby = a.standby && !a.replaced && !a.health.down
 		t.Fence = a.fencer.Highest()
 		t.Load = a.reserver.Load(now)
 		t.Lane = a.lane
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -54,19 +54,40 @@
 // depart starts or ends a drain and announces it.
 func (a *Agent) depart(leave bool) error {
 	return a.step(func(time.Time) {
-		if leave == a.draining {
-			return
+		if a.standby {
+			a.standby = false
+			a.kick()
 		}
-		a.draining = leave
-		defer a.kick()
-		a.cfg.Log.WithField("leaving", leave).Info("target changes state")
-		if leave {
-			a.reserver.Leave()
+		a.turn(leave)
+	})
+}
+
+// stand starts or ends a standby. It leaves a drain, which is an operator's or
+// the process's own, as it is.
+func (a *Agent) stand(by bool) error {
+	return a.step(func(time.Time) {
+		if a.draining == by || !by && !a.standby {
 			return
 		}
-		if !a.replaced {
-			a.reserver.Stay()
-		}
-		a.drained = make(chan struct{})
+		a.standby = by
+		a.turn(by)
 	})
 }
+
+// turn sets whether the target leaves, on the control goroutine.
+func (a *Agent) turn(leave bool) {
+	if leave == a.draining {
+		return
+	}
+	a.draining = leave
+	defer a.kick()
+	a.cfg.Log.WithField("leaving", leave).Info("target changes state")
+	if leave {
+		a.reserver.Leave()
+		return
+	}
+	if !a.replaced {
+		a.reserver.Stay()
+	}
+	a.drained = make(chan struct{})
+}
--- a/agent/keeper_test.go
+++ b/agent/keeper_test.go
@@ -70,6 +70,26 @@
 		Expect(n.agent.Target().Leaving).To(BeTrue())
 	})
 
+	It("ends a standby by activate, but no drain", func() {
+		n := beside(e, l, nil)
+		m, _ := n.dial()
+		Eventually(func() uint64 { return n.agent.Target().Fence }).Should(Equal(uint64(5)))
+		expect := func(fence uint64, verb string, leaving, standby bool) {
+			GinkgoHelper()
+			Expect(order(m, fence, verb)).To(Succeed())
+			t := n.agent.Target()
+			Expect([]bool{t.Leaving, t.Standby}).To(Equal([]bool{leaving, standby}))
+		}
+		expect(7, agent.VerbStandby, true, true)
+		expect(8, agent.VerbActivate, false, false)
+		expect(9, agent.VerbDrain, true, false)
+		expect(10, agent.VerbActivate, true, false)
+		expect(11, agent.VerbStandby, true, false)
+		expect(12, agent.VerbStay, false, false)
+		expect(13, agent.VerbStandby, true, true)
+		expect(14, agent.VerbDrain, true, false)
+	})
+
 	It("executes no order on an unconfirmed number", func() {
 		l.confirmed.Store(false)
 		n := beside(e, l, nil)
--- a/agent/order.go
+++ b/agent/order.go
@@ -14,6 +14,9 @@
 const (
 	VerbDrain = "drain" // take no new work
 	VerbStay  = "stay"  // end a drain
+
+	VerbStandby  = "standby"  // as drain, until an activate; no effect on a drained target
+	VerbActivate = "activate" // end a standby, but no drain
 )
 
 // verbRole changes the lane as well as the engine.
@@ -128,6 +131,8 @@
 		return a.depart(true)
 	case VerbStay:
 		return a.depart(false)
+	case VerbStandby, VerbActivate:
+		return a.stand(m.Verb == VerbStandby)
 	}
 	if _, err := a.engine.Order(context.WithoutCancel(ctx), *m); err != nil {
 		return err
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -130,6 +130,9 @@
 	Fence       uint64   `msgpack:"fence"` // highest order number executed
 	Config      uint64   `msgpack:"config"`
 	Load        Load     `msgpack:"load"`
+
+	// Standby says that it leaves by an order of the controllers, who may activate it.
+	Standby bool `msgpack:"standby,omitempty"`
 }
 
 // Failed ends an exchange with a code.
