Test the command line and the operator's commands

Three cases failed at first: an unknown command was told as a surplus argument, a missing folder was not named, and settings without keepers gave exit status 1. The commands are run as processes against a fleet of processes.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -56,10 +56,14 @@
 		return s.status
 	}
 	var e *coder.Error
-	if errors.As(err, &e) {
+	switch {
+	case !errors.As(err, &e):
+		return ExitFailed
+	case e.Code == coder.Invalid:
+		return ExitInvalid
+	default:
 		return ExitRefused
 	}
-	return ExitFailed
 }
 
 func rootCommand() *cobra.Command {
@@ -68,7 +72,7 @@
 		Short:         "Serve prompts of very unlike lengths on shared model engines",
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		Args:          exactly(0),
+		Args:          noCommand,
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return invalid(err) })
@@ -79,6 +83,13 @@
 	return root
 }
 
+func noCommand(_ *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return invalid(fmt.Errorf("unknown command %q", args[0]))
+	}
+	return nil
+}
+
 // exactly is cobra.ExactArgs with the exit status of bad usage.
 func exactly(n int) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
--- a/commander/folder.go
+++ b/commander/folder.go
@@ -31,9 +31,9 @@
 }
 
 func check(w io.Writer, folder string) error {
-	files, err := merger.Read(os.DirFS(folder))
+	files, err := merger.ReadFolder(folder)
 	if err != nil {
-		return invalid(err)
+		return invalid(fmt.Errorf("%s: %w", folder, err))
 	}
 	cfg, faults := checker.Check(files)
 	if len(faults) > 0 {
--- /dev/null
+++ b/prover/commands_test.go
@@ -0,0 +1,54 @@
+package prover_test
+
+import (
+	"bytes"
+	"os/exec"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"os"
+
+	"bramleyshunt/commander"
+)
+
+// command runs an operator's command and returns its exit status and output.
+func (f *fleet) command(args ...string) (int, string) {
+	GinkgoHelper()
+	var out bytes.Buffer
+	cmd := exec.Command(binary, append(args, "--admin", strings.Join(f.admin.Bases, ","), "--token-file", f.path("token"))...)
+	cmd.Stdout, cmd.Stderr = &out, &out
+	_ = cmd.Run() // the exit status tells
+	return cmd.ProcessState.ExitCode(), out.String()
+}
+
+func (f *fleet) expectCommand(status int, text string, args ...string) {
+	GinkgoHelper()
+	got, out := f.command(args...)
+	Expect(got).To(Equal(status), out)
+	Expect(out).To(ContainSubstring(text))
+}
+
+var _ = Describe("an operator's commands", func() {
+	It("apply, show, tell of conflicts and faults, drain", func() {
+		f := newFleet(GinkgoTB())
+		Expect(os.WriteFile(f.path("token"), []byte(office+"\n"), 0o600)).To(Succeed())
+		one := f.engine(1)
+		f.served(0, "letters")
+		f.expectCommand(commander.ExitOK, `"version": 2`, "apply", "--change", "second", f.folder(2))
+		f.expectCommand(commander.ExitOK, `"version": 2`, "apply", "--change", "second", "--base", "1", f.folder(2))
+		f.expectCommand(commander.ExitRefused, "4001", "apply", "--base", "1", f.folder(3))
+		f.expectCommand(commander.ExitInvalid, "10-all.json", "apply", f.folder(-1))
+		Eventually(func() string {
+			_, out := f.command("show")
+			return out
+		}).Should(And(ContainSubstring(`"confirmed": true`), ContainSubstring(`"node": "entry-1"`)))
+		f.expectCommand(commander.ExitOK, `"Role"`, "status")
+		f.expectCommand(commander.ExitRefused, "2004", "drain", "nobody")
+		f.expectCommand(commander.ExitOK, "", "drain", one)
+		f.admin.Token = "wrong"
+		Expect(os.WriteFile(f.path("token"), []byte("wrong"), 0o600)).To(Succeed())
+		f.expectCommand(commander.ExitRefused, "1003", "show")
+	})
+})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -18,6 +18,7 @@
 
 	"bramleyshunt/agent"
 	"bramleyshunt/applier"
+	"bramleyshunt/coder"
 	"bramleyshunt/entry"
 	"bramleyshunt/keeper"
 	"bramleyshunt/muxer"
@@ -92,15 +93,15 @@
 	s := c.Settings
 	switch {
 	case s.Node == "":
-		return errors.New("settings: node: must name this process")
+		return coder.Errorf(coder.Invalid, "settings: node: must name this process")
 	case len(s.Roles) == 0:
-		return errors.New("settings: roles: must name at least one of entry, agent, keeper")
+		return coder.Errorf(coder.Invalid, "settings: roles: must name at least one of entry, agent, keeper")
 	case len(s.Keepers) == 0:
-		return errors.New("settings: keepers: must name at least one keeper")
+		return coder.Errorf(coder.Invalid, "settings: keepers: must name at least one keeper")
 	}
 	for _, role := range s.Roles {
 		if role != setter.RoleEntry && role != setter.RoleAgent && role != setter.RoleKeeper {
-			return fmt.Errorf("settings: roles: unknown role %q", role)
+			return coder.Errorf(coder.Invalid, "settings: roles: unknown role %q", role)
 		}
 	}
 	return nil
