Pass questions on to a leader that a node can't reach

Cause: a node asks the leading keeper itself; one that reaches only followers was refused with 2007 for as long as the cut lasted, though all keepers were well. Change: when the leader that a keeper names gives no answer, that keeper is asked to pass the question on, and for ten seconds asked first. The process tests now wait until both engines have answered: two of their specs failed now and then on a loaded VM, as all of the load went to one engine while the other's agent had not yet looked at it.

--- a/messenger/keeper.go
+++ b/messenger/keeper.go
@@ -116,6 +116,13 @@
 	Answer []byte     `msgpack:"answer"`
 }
 
+// Forward has a keeper pass a question on to the leader, for a node that can't
+// reach the leader itself.
+type Forward struct {
+	Kind Kind   `msgpack:"kind"`
+	Body []byte `msgpack:"body"`
+}
+
 // Propose carries an encoded command to the leading keeper.
 type Propose struct {
 	Data []byte `msgpack:"data"`
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -62,6 +62,8 @@
 	KindNodesListed
 	// Keeper to keeper: hand-over of the leadership.
 	KindStand
+	// Nodes to keepers: a question to be passed on to the leader.
+	KindForward
 )
 
 // Class is the length class of a prompt.
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -21,6 +21,8 @@
 	tryLimit = 1500 * time.Millisecond
 	// againAfter is the pause after a round over all keepers.
 	againAfter = 50 * time.Millisecond
+	// wayKept is how long a question goes by the keeper that reached the leader.
+	wayKept = 10 * time.Second
 	// hintTries is how many hints in a row are followed before the next keeper
 	// in order is asked.
 	hintTries = 2
@@ -34,6 +36,13 @@
 	Limit   time.Duration // of one question to one keeper; tryLimit if zero
 
 	leader atomic.Pointer[string] // address that answered last
+	way    atomic.Pointer[way]    // to a leader that can't be reached from here
+}
+
+// way is a keeper that reaches a leader which this process can't reach.
+type way struct {
+	addr  string
+	until time.Time
 }
 
 // Call sends v to the leading keeper and decodes its answer into out. It tries
@@ -67,24 +76,63 @@
 }
 
 // chase asks the keeper that led last, else the one given, and follows hints.
+// A leader that can't be reached is asked by the keeper that named it.
 func (p *Proposer) chase(ctx context.Context, addr string, kind messenger.Kind, v, out any) error {
+	if w := p.way.Load(); w != nil && time.Now().Before(w.until) {
+		if err := p.forward(ctx, w.addr, kind, v, out); err == nil || final(err) {
+			return err
+		}
+		p.way.Store(nil)
+	}
 	if l := p.leader.Load(); l != nil {
 		addr = *l
 	}
-	var err error
+	named, err := p.follow(ctx, addr, kind, v, out)
+	if named == "" || !lost(err) {
+		return err
+	}
+	return p.detour(ctx, named, kind, v, out)
+}
+
+// follow asks the keeper at addr and those that hints lead to. It returns the
+// keeper that gave the last hint.
+func (p *Proposer) follow(ctx context.Context, addr string, kind messenger.Kind, v, out any) (named string, err error) {
 	for range 1 + hintTries {
 		var hint string
 		hint, err = p.ask(ctx, addr, kind, v, out)
 		if err == nil || final(err) {
 			p.leader.Store(&addr)
-			return err
+			return "", err
 		}
 		p.leader.Store(nil)
 		if hint == "" || hint == addr {
-			return err
+			return named, err
 		}
-		addr = hint
+		named, addr = addr, hint
+	}
+	return named, err
+}
+
+// lost reports whether there was no answer at all.
+func lost(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || coder.Of(err).Code == coder.TargetLost || coder.Of(err).Code == coder.Silent
+}
+
+// detour has the keeper at addr ask the leader, and keeps to that way for a time.
+func (p *Proposer) detour(ctx context.Context, addr string, kind messenger.Kind, v, out any) error {
+	err := p.forward(ctx, addr, kind, v, out)
+	if err == nil || final(err) {
+		p.way.Store(&way{addr: addr, until: time.Now().Add(wayKept)})
+	}
+	return err
+}
+
+func (p *Proposer) forward(ctx context.Context, addr string, kind messenger.Kind, v, out any) error {
+	body, err := msgpack.Marshal(v)
+	if err != nil {
+		return coder.Errorf(coder.Internal, "encode %s: %v", kind, err)
 	}
+	_, err = p.ask(ctx, addr, messenger.KindForward, &messenger.Forward{Kind: kind, Body: body}, out)
 	return err
 }
 
--- a/proposer/proposer_test.go
+++ b/proposer/proposer_test.go
@@ -28,6 +28,7 @@
 	addr   string
 	asked  atomic.Int64
 	answer func(s *muxer.Stream)
+	pass   func(s *muxer.Stream) // answers what is to be passed on; as answer if nil
 }
 
 func start(answer func(s *muxer.Stream)) *fake {
@@ -48,10 +49,15 @@
 }
 
 func (f *fake) serve(ctx context.Context, s *muxer.Stream) {
-	if _, err := s.Receive(ctx); err != nil {
+	first, err := s.Receive(ctx)
+	if err != nil {
 		return
 	}
 	f.asked.Add(1)
+	if first.Kind == messenger.KindForward && f.pass != nil {
+		f.pass(s)
+		return
+	}
 	f.answer(s)
 }
 
@@ -108,6 +114,19 @@
 		Expect(leader.asked.Load()).To(BeEquivalentTo(2))
 	})
 
+	DescribeTable("has a leader that it can't reach asked by the keeper that named it", func(leader func() string) {
+		follower := start(refuse(coder.NotLeader, leader))
+		follower.pass = accept
+		p := proposerOf(follower)
+		expectAnswer(p)
+		asked := follower.asked.Load()
+		expectAnswer(p)
+		Expect(follower.asked.Load()).To(Equal(asked+1), "the way found is taken again")
+	},
+		Entry("one that refuses connections", func() string { return "127.0.0.1:1" }),
+		Entry("one that says nothing", func() string { return start(hang).addr }),
+	)
+
 	DescribeTable("goes on to the next keeper past one that", func(answer func(*muxer.Stream)) {
 		expectAnswer(proposerOf(start(answer), start(accept)))
 	},
--- a/prover/call_test.go
+++ b/prover/call_test.go
@@ -92,6 +92,20 @@
 	}
 }
 
+// reached waits until entry i has had a prompt answered by each engine numbered.
+func (f *fleet) reached(i int, engines ...int) {
+	GinkgoHelper()
+	seed := uint64(0)
+	for _, n := range engines {
+		Eventually(func() bool {
+			seed++
+			f.load(loader.Plan{Seed: seed, Requests: 4, Timeout: 5 * time.Second}, i)
+			r, err := f.driver(n).Report(context.Background())
+			return err == nil && r.Cached > 0
+		}).Should(BeTrue(), "engine %d through entry %d", n, i)
+	}
+}
+
 // load sends prompts through the entries numbered.
 func (f *fleet) load(plan loader.Plan, entries ...int) *loader.Report {
 	l := &loader.Loader{Token: token, Model: "m", Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
--- a/prover/traffic_test.go
+++ b/prover/traffic_test.go
@@ -35,7 +35,7 @@
 		f := newFleet(GinkgoTB())
 		one := f.engine(1)
 		f.engine(2)
-		f.served(0, "letters")
+		f.reached(0, 1, 2)
 		expectSettled(f.during(streams(8), f.used(1), f.engines[one].kill, 0, 1))
 	})
 
@@ -43,7 +43,7 @@
 		f := newFleet(GinkgoTB())
 		one := f.engine(1)
 		f.engine(2)
-		f.served(0, "letters")
+		f.reached(0, 1, 2)
 		expectSettled(f.during(streams(8), f.used(1), f.agents[one].kill, 0, 1))
 		f.agents[one].start()
 		Eventually(f.used(1)).Should(BeZero())
@@ -63,7 +63,7 @@
 		f := newFleet(GinkgoTB())
 		one := f.engine(1)
 		f.engine(2)
-		f.served(0, "letters")
+		f.reached(0, 1, 2)
 		expectWhole(f.during(streams(6), f.used(1), func() {
 			f.agents[one].signal(syscall.SIGTERM)
 			f.entries[0].signal(syscall.SIGTERM)
@@ -119,7 +119,7 @@
 		f := newFleet(GinkgoTB())
 		one := f.engine(1)
 		f.engine(2)
-		f.served(0, "letters")
+		f.reached(0, 1, 2)
 		r := f.during(streams(6), f.used(1), func() {
 			Expect(f.admin.Drain(GinkgoT().Context(), one)).To(Succeed())
 		}, 0)
--- a/publisher/fleet_test.go
+++ b/publisher/fleet_test.go
@@ -123,7 +123,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	p.keeper = k
 	pub, stopPublisher, err := publisher.New(publisher.Config{
-		Applier: &p.applier, Propose: k.Propose, Confirm: k.Confirm, Leader: func() string { return h.fleet.address(k.Status().Leader) },
+		Applier: &p.applier, Propose: k.Propose, Confirm: k.Confirm, Pool: pool, Leader: func() string { return h.fleet.address(k.Status().Leader) },
 	})
 	Expect(err).NotTo(HaveOccurred())
 	p.publisher = pub
--- /dev/null
+++ b/publisher/forward_test.go
@@ -0,0 +1,37 @@
+package publisher_test
+
+import (
+	"context"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+)
+
+// passed sends a question to be passed on to a keeper.
+func (f *fleet) passed(h *host, kind messenger.Kind, v, out any) error {
+	GinkgoHelper()
+	body, err := msgpack.Marshal(v)
+	Expect(err).NotTo(HaveOccurred())
+	conn, err := f.pool("cut-off").Get(context.Background(), f.address(h.node))
+	Expect(err).NotTo(HaveOccurred())
+	return conn.Call(context.Background(), messenger.KindForward, &messenger.Forward{Kind: kind, Body: body}, out)
+}
+
+var _ = Describe("a question of a node that can't reach the leader", func() {
+	It("is passed on by every keeper, and only if it is one for the leader", func() {
+		f := newFleet(GinkgoTB())
+		f.leader()
+		for _, h := range f.hosts {
+			c := &messenger.Claim{Account: "a", Service: "s", Key: h.node, Owner: "o", State: messenger.ClaimHeld}
+			var out messenger.Claimed
+			Eventually(func() error { return f.passed(h, messenger.KindClaim, c, &out) }).WithTimeout(patience).Should(Succeed())
+			Expect(out.State).To(Equal(messenger.ClaimHeld))
+			err := f.passed(h, messenger.KindAppend, c, &out)
+			Expect(coder.Of(err).Code).To(Equal(coder.BadFrame))
+		}
+	})
+})
--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -29,6 +29,8 @@
 		p.answer(s, first, p.suspect(ctx, first))
 	case messenger.KindPropose:
 		p.answer(s, first, p.propose(ctx, first))
+	case messenger.KindForward:
+		p.answer(s, first, p.forward(ctx, first))
 	case messenger.KindNodes:
 		p.answer(s, first, p.list(ctx))
 	default:
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -16,6 +16,7 @@
 
 	"bramleyshunt/applier"
 	"bramleyshunt/coder"
+	"bramleyshunt/pooler"
 	"bramleyshunt/registrar"
 )
 
@@ -38,8 +39,9 @@
 	Applier *applier.Applier
 	Propose func(ctx context.Context, command []byte) (uint64, []byte, error)
 	Confirm func(ctx context.Context) (uint64, error)
-	Leader  func() string // address of the leading keeper, empty if unknown
-	Every   time.Duration // between confirmations; DefaultEvery if zero
+	Leader  func() string  // address of the leading keeper, empty if unknown
+	Pool    *pooler.Pooler // towards the leader, for questions passed on; none are if nil
+	Every   time.Duration  // between confirmations; DefaultEvery if zero
 	Log     *logrus.Entry
 	Metrics metrics.Registry
 	Now     func() time.Time
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -49,7 +49,7 @@
 	r.Keeper = k
 	r.own(closer)
 	p, closer, err := publisher.New(publisher.Config{
-		Applier: a, Propose: k.Propose, Confirm: k.Confirm,
+		Applier: a, Propose: k.Propose, Confirm: k.Confirm, Pool: r.pool,
 		Leader: func() string { return k.Status().Address },
 		Log:    r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
