Record a claimed answer before its end is written

Change: the claim moves to done, with the answer in its kept form, before the last piece is written; without a quorum the caller waits a second at most and the record follows.

--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -54,8 +54,8 @@
 	Begin func() bool
 	Chunk func(messenger.Chunk) error
 	End   func(messenger.End) error
-	Kept  func() []byte      // the whole answer in its kept form; nil if too large
-	Reply func([]byte) error // writes an answer in its kept form
+	Kept  func(messenger.End) []byte // the whole answer in its kept form; nil if too large
+	Reply func([]byte) error         // writes an answer in its kept form
 }
 
 // Handler works on one request. Its error is what the caller is told.
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -14,8 +14,6 @@
 
 // text writes an engine's answer, as server-sent events or as one JSON object.
 type text struct {
-	closing
-
 	w     *tracked
 	r     *chainer.Request
 	whole strings.Builder
@@ -98,16 +96,20 @@
 }
 
 func (t *text) end(e messenger.End) error {
+	c := t.close(e)
+	return t.finish(c.Finish, c.Usage)
+}
+
+// close returns the last event of an answer that ended with e.
+func (t *text) close(e messenger.End) closing {
 	u := &usage{Prompt: e.Usage.Prompt, Completion: e.Usage.Output, Total: e.Usage.Prompt + e.Usage.Output, Cached: e.Usage.Cached}
-	finish := "stop"
 	if t.r.Bound > 0 && e.Usage.Output >= t.r.Bound {
-		finish = "length"
+		return closing{Finish: "length", Usage: u}
 	}
-	return t.finish(finish, u)
+	return closing{Finish: "stop", Usage: u}
 }
 
 func (t *text) finish(finish string, u *usage) error {
-	t.closing = closing{Finish: finish, Usage: u}
 	if !t.r.Stream {
 		return t.object(t.full(finish, u))
 	}
@@ -188,11 +190,11 @@
 }
 
 // kept returns the whole answer, for a resend with the same key.
-func (t *text) kept() []byte {
+func (t *text) kept(e messenger.End) []byte {
 	if t.whole.Len() > claimer.MostAnswer {
 		return nil
 	}
-	p, err := json.Marshal(memory{event{Text: t.whole.String()}, t.closing})
+	p, err := json.Marshal(memory{event{Text: t.whole.String()}, t.close(e)})
 	if err != nil {
 		return nil
 	}
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -12,6 +12,8 @@
 const (
 	// claimLimit bounds the settling of a claim after its request has ended.
 	claimLimit = 5 * time.Second
+	// recordLimit bounds the wait for the record of an answer before it is ended.
+	recordLimit = time.Second
 	// claimRenewal is the time between renewals while a request is queued. The
 	// keepers let a claim lapse that is not renewed for a minute.
 	claimRenewal = 15 * time.Second
@@ -37,9 +39,12 @@
 			return r.Answer.Reply(answer)
 		}
 		stop := e.renew(ctx, cl)
+		kept := e.record(ctx, r, cl)
 		err = next(ctx, r)
 		stop()
-		e.settle(r, cl, err)
+		if !kept.recorded {
+			e.settle(cl, kept.answer, err)
+		}
 		return err
 	}
 }
@@ -58,6 +63,27 @@
 	return stop
 }
 
+// record is the answer of a claimed request.
+type record struct {
+	answer   []byte // in its kept form
+	recorded bool   // at the keepers
+}
+
+// record has the answer recorded before its end is written, so that a resend by a
+// caller that has it all finds it. Without a quorum the caller doesn't wait.
+func (e *Entry) record(ctx context.Context, r *chainer.Request, cl messenger.Claim) *record {
+	kept := &record{}
+	end := r.Answer.End
+	r.Answer.End = func(m messenger.End) error {
+		ctx, stop := context.WithTimeout(ctx, recordLimit)
+		defer stop()
+		kept.answer = r.Answer.Kept(m)
+		kept.recorded = e.claims.Done(ctx, cl, kept.answer) == nil
+		return end(m)
+	}
+	return kept
+}
+
 func claimOf(r *chainer.Request) messenger.Claim {
 	return messenger.Claim{
 		Account: r.Account, Service: r.Service, Key: r.Key, Digest: r.Fingerprint, Owner: r.ID,
@@ -78,10 +104,9 @@
 
 // settle records the outcome. An unknown one leaves the claim as it is, so that
 // no resend runs.
-func (e *Entry) settle(r *chainer.Request, cl messenger.Claim, err error) {
+func (e *Entry) settle(cl messenger.Claim, answer []byte, err error) {
 	switch {
 	case err == nil:
-		answer := r.Answer.Kept()
 		e.later(func(ctx context.Context) error { return e.claims.Done(ctx, cl, answer) })
 	case coder.Of(err).Run == coder.NotRun:
 		e.later(func(ctx context.Context) error { return e.claims.Void(ctx, cl) })
--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -97,7 +97,7 @@
 			resp, text := b.call("POST", "/v1/completions", body, "Idempotency-Key: k")
 			Expect(resp.StatusCode).To(Equal(200), text)
 			Expect(text).To(ContainSubstring(`"text":"hello world"`))
-			Eventually(b.keeper.state("k")).Should(Equal(messenger.ClaimDone))
+			Expect(b.keeper.state("k")()).To(Equal(messenger.ClaimDone))
 		}
 		Expect(b.engine.runs()).To(HaveLen(1))
 	})
@@ -107,7 +107,7 @@
 			resp, text := b.call("POST", "/service/portal/ping", "p", "Idempotency-Key: k")
 			Expect(resp.StatusCode).To(Equal(201))
 			Expect(text).To(Equal("hello world"))
-			Eventually(b.keeper.state("k")).Should(Equal(messenger.ClaimDone))
+			Expect(b.keeper.state("k")()).To(Equal(messenger.ClaimDone))
 		}
 		Expect(b.plain.runs()).To(HaveLen(1))
 	})
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -76,7 +76,7 @@
 	return nil
 }
 
-func (p *plain) kept() []byte {
+func (p *plain) kept(messenger.End) []byte {
 	if p.full {
 		return nil
 	}
