--- a/scaler/group.go
+++ b/scaler/group.go
@@ -11,9 +11,10 @@
 // group is what is known of one service's lane.
 type group struct {
 	want    int
-	last    int     // wanted after the bounds, at the last step
-	need    float64 // replicas, moving average
-	seen    time.Time
+	last    int       // wanted after the bounds, at the last step
+	need    float64   // replicas, moving average
+	seen    time.Time // last sample that tells a need
+	listed  time.Time // last sample
 	began   time.Time // of the observations
 	reduced time.Time // last reduction
 
--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -68,7 +68,7 @@
 
 // Step takes one observation and returns the replicas wanted, in order of service
 // and lane. Call it about once a second. Samples without a configured service are
-// ignored, and a group that is no longer seen keeps its last number. A service
+// ignored; a group that is not sampled keeps its number for a calm window. A service
 // whose lanes together exceed its bound is cut, the lane with the least need
 // first, but each lane keeps one replica as long as the bound allows it: without
 // any, no need would be seen.
@@ -76,13 +76,15 @@
 	if s.groups == nil {
 		s.groups = map[Key]*group{}
 	}
-	maps.DeleteFunc(s.groups, func(k Key, _ *group) bool { return !has(services, k.Service) })
 	c := s.withDefaults()
 	for i := range samples {
 		if m := &samples[i]; has(services, m.Key.Service) {
 			s.group(now, m).observe(now, &c, m)
 		}
 	}
+	maps.DeleteFunc(s.groups, func(k Key, g *group) bool {
+		return !has(services, k.Service) || now.Sub(g.listed) > c.Calm
+	})
 	return s.wants(now, services)
 }
 
@@ -97,6 +99,7 @@
 		g = &group{want: m.Active, began: now, reduced: now}
 		s.groups[m.Key] = g
 	}
+	g.listed = now
 	return g
 }
 
