placer, scaler: specs for what mutations had passed

Cause: of 14 mutations by hand, 8 passed the specs (repetition after a loss, least number, one roll-out at a time, rate, lane preference, busy targets, pause, peak) and one did not apply. Change: a spec, or a stricter one, for each. Conclusion: no fault in the deciders was found by them.

--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -36,6 +36,7 @@
 	placer  placer.Placer
 	orders  map[string]int // by verb
 	reading int            // most reads under way
+	rolling int            // most changes of version under way
 	least   int            // fewest targets serving
 }
 
@@ -76,6 +77,13 @@
 		}
 	}
 	f.reading = max(f.reading, len(f.reads))
+	rolling := 0
+	for _, r := range f.reads {
+		if r.order.Verb == "version" {
+			rolling++
+		}
+	}
+	f.rolling = max(f.rolling, rolling)
 	return max(0, demand-float64(active))
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -56,7 +56,9 @@
 	})
 
 	It("loses no order, whether messages or leaders are lost", func() {
-		f.loss = 0.5
+		f.loss = 0.7
+		f.run(30*time.Minute, 2)
+		Expect(f.count(serves)).To(Equal(4))
 		for range 40 {
 			f.run(2*time.Minute, 2)
 			f.placer = placer.Placer{}
@@ -85,6 +87,7 @@
 			Expect(f.targets[i]).To(And(HaveField("Version", "2"), HaveField("Adapters", []string{"a"})))
 		}
 		Expect(f.least).To(Equal(8))
+		Expect(f.rolling).To(Equal(1))
 		Expect(f.orders["version"]).To(BeNumerically("<=", 8*5))
 	})
 
@@ -95,6 +98,38 @@
 		Expect(f.total()).To(BeZero())
 	})
 
+	It("reads the weight store no faster than its rate", func() {
+		f.run(3*time.Hour, 1)
+		f.placer.Loads, f.placer.Rate = 8, 0.5
+		f.run(4*time.Minute, 6)
+		Expect(f.reading).To(BeNumerically("<=", 2))
+	})
+
+	It("keeps the least number whatever is wanted", func() {
+		wants := []scaler.Want{{Key: scaler.Key{Service: "s"}, Replicas: 1}}
+		Expect(f.placer.Step(f.now, wants, f.targets, f.config)).To(HaveLen(5))
+	})
+
+	It("unloads nothing that works", func() {
+		t := &f.targets[7]
+		t.Leaving, t.Standby, t.Load.Running = true, true, 1
+		wants := []scaler.Want{{Key: scaler.Key{Service: "s"}, Replicas: 7}}
+		f.placer.Warm = time.Second
+		Expect(f.placer.Step(f.now, wants, f.targets, f.config)).To(BeEmpty())
+		Expect(f.placer.Step(f.now.Add(time.Minute), wants, f.targets, f.config)).To(BeEmpty())
+	})
+
+	It("prefers a loaded target of another lane to loading one", func() {
+		for i := range 2 {
+			f.targets[i].Leaving, f.targets[i].Standby = true, true
+		}
+		f.targets[0].Lane, f.targets[0].Version = "long", ""
+		wants := []scaler.Want{
+			{Key: scaler.Key{Service: "s"}, Replicas: 6}, {Key: scaler.Key{Service: "s", Lane: "long"}, Replicas: 1},
+		}
+		Expect(f.placer.Step(f.now, wants, f.targets, f.config)).To(Equal([]messenger.Order{{Target: "t01", Verb: "role", Lane: "long"}}))
+	})
+
 	It("moves a target to the lane that lacks one without a pause in service", func() {
 		var p placer.Placer
 		f.targets[7].Lane = "long"
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -107,6 +107,27 @@
 		}
 	})
 
+	It("keeps what a short rise needs that comes back within the calm window", func() {
+		r := rigOf(15)
+		rise := func() int {
+			if r.now.Sub(start)%(5*time.Minute) < 20*time.Second {
+				return 9000
+			}
+			return 2000
+		}
+		r.run(time.Hour, rise)
+		r.ups, r.downs = 0, 0
+		r.run(time.Hour, rise)
+		Expect(r.ups + r.downs).To(BeZero())
+		Expect(r.have).To(BeNumerically(">=", 11))
+	})
+
+	It("reduces at most once a pause while the load falls", func() {
+		r := rigOf(18)
+		r.run(40*time.Minute, func() int { return 12000 - int(r.now.Sub(start).Seconds()*5) })
+		Expect(r.downs).To(And(BeNumerically(">", 3), BeNumerically("<=", 7)))
+	})
+
 	It("splits the bounds over lanes by need", func() {
 		var s scaler.Scaler
 		samples := []scaler.Sample{
