--- a/administrator/fleet.go
+++ b/administrator/fleet.go
@@ -9,9 +9,9 @@
 
 	"github.com/sourcegraph/conc"
 
-	"bramleyshunt/applier"
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
+	"bramleyshunt/orderer"
 )
 
 const (
@@ -135,31 +135,12 @@
 	if err != nil {
 		return err
 	}
-	c := &applier.Command{Verb: applier.VerbFence, Target: id}
-	var out messenger.Proposed
-	if err := a.cfg.Call(ctx, messenger.KindPropose, &messenger.Propose{Data: c.Encode()}, &out); err != nil {
-		return err
-	}
-	answer, err := applier.DecodeAnswer(out.Data)
-	if err != nil {
-		return err
-	}
-	if err := answer.Err(); err != nil {
-		return err
-	}
-	conn, err := a.cfg.Pool.Get(ctx, t.Address)
+	o := orderer.Orderer{Call: a.cfg.Call, Pool: a.cfg.Pool}
+	fence, err := o.Fence(ctx, id)
 	if err != nil {
 		return err
 	}
-	o := &messenger.Order{Fence: answer.Fence, Target: id, Verb: "drain"}
-	var done messenger.Ordered
-	if err := conn.Call(ctx, messenger.KindOrder, o, &done); err != nil {
-		return err
-	}
-	if done.Code != coder.OK {
-		return coder.Errorf(done.Code, "target %q", id)
-	}
-	return nil
+	return o.Send(ctx, t.Address, messenger.Order{Fence: fence, Target: id, Verb: "drain"})
 }
 
 func (a *Administrator) target(id string) (messenger.Target, error) {
