--- a/runner/runner.go
+++ b/runner/runner.go
@@ -18,6 +18,7 @@
 
 	"bramleyshunt/agent"
 	"bramleyshunt/applier"
+	"bramleyshunt/coder"
 	"bramleyshunt/entry"
 	"bramleyshunt/keeper"
 	"bramleyshunt/muxer"
@@ -92,15 +93,15 @@
 	s := c.Settings
 	switch {
 	case s.Node == "":
-		return errors.New("settings: node: must name this process")
+		return coder.Errorf(coder.Invalid, "settings: node: must name this process")
 	case len(s.Roles) == 0:
-		return errors.New("settings: roles: must name at least one of entry, agent, keeper")
+		return coder.Errorf(coder.Invalid, "settings: roles: must name at least one of entry, agent, keeper")
 	case len(s.Keepers) == 0:
-		return errors.New("settings: keepers: must name at least one keeper")
+		return coder.Errorf(coder.Invalid, "settings: keepers: must name at least one keeper")
 	}
 	for _, role := range s.Roles {
 		if role != setter.RoleEntry && role != setter.RoleAgent && role != setter.RoleKeeper {
-			return fmt.Errorf("settings: roles: unknown role %q", role)
+			return coder.Errorf(coder.Invalid, "settings: roles: unknown role %q", role)
 		}
 	}
 	return nil
@@ -131,9 +132,21 @@
 			return fmt.Errorf("drain entry: %w", err)
 		}
 	}
+	r.retire(ctx)
 	return nil
 }
 
+// retire hands the leadership over. Keepers that can't take it elect a leader
+// after an election timeout, as after a kill, so a failure costs nothing more.
+func (r *Runner) retire(ctx context.Context) {
+	if r.Keeper == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, retireLimit)
+	defer cancel()
+	_ = r.Keeper.Retire(ctx)
+}
+
 // dispatch hands a stream to the role that knows its first message.
 func (r *Runner) dispatch(ctx context.Context, s *muxer.Stream) {
 	first, err := s.Receive(ctx)
@@ -164,4 +177,7 @@
 	}
 }
 
-const headerTimeout = 10 * time.Second
+const (
+	headerTimeout = 10 * time.Second
+	retireLimit   = 3 * time.Second
+)
