agent, placer: tell an engine without a model from one that tells no version

Cause: an agent announces the model of its settings when its engine has none loaded, and an empty version stood for both cases; an engine that reports no version would have been put on standby and loaded for ever. Change: Target.Empty from the engine's report; engines without a version get no version order.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -237,6 +237,8 @@
 		t.Lane = a.lane
 		if a.report.Model != "" {
 			t.Model = a.report.Model
+		} else {
+			t.Empty = s.Target.Kind == kindEngine && a.report.Incarnation != 0
 		}
 		t.Version = a.report.Version
 		t.Adapters = a.report.Adapters
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -133,6 +133,8 @@
 
 	// Standby says that it leaves by an order of the controllers, who may activate it.
 	Standby bool `msgpack:"standby,omitempty"`
+	// Empty says that the engine has no model loaded; Model is then the one it is for.
+	Empty bool `msgpack:"empty,omitempty"`
 }
 
 // Failed ends an exchange with a code.
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -116,8 +116,8 @@
 	return n
 }
 
-func serves(t *messenger.Target) bool { return !t.Leaving && t.Version != "" }
-func loaded(t *messenger.Target) bool { return t.Version != "" }
+func serves(t *messenger.Target) bool { return !t.Leaving && !t.Empty }
+func loaded(t *messenger.Target) bool { return !t.Empty }
 
 // obey does what the agent and the engine do.
 func (f *fleet) obey(o messenger.Order) {
@@ -130,7 +130,7 @@
 	case "role":
 		t.Lane = o.Lane
 	case "unload":
-		t.Version, t.Adapters = "", nil
+		t.Version, t.Adapters, t.Empty = "", nil, true
 	default:
 		if r, ok := f.reads[i]; !ok || r.order != o {
 			f.reads[i] = read{order: o, ready: f.now.Add(reading)}
@@ -151,6 +151,6 @@
 			t.Adapters = append(t.Adapters, r.order.Adapter)
 			continue
 		}
-		t.Version = r.order.Version
+		t.Version, t.Empty = r.order.Version, false
 	}
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -91,6 +91,14 @@
 		Expect(f.orders["version"]).To(BeNumerically("<=", 8*5))
 	})
 
+	It("leaves an engine alone that does not tell its version", func() {
+		for i := range f.targets {
+			f.targets[i].Version = ""
+		}
+		f.run(time.Hour, 5.5)
+		Expect(f.total()).To(BeZero())
+	})
+
 	It("leaves targets alone that an operator drained", func() {
 		f.targets[0].Leaving = true
 		f.run(time.Hour, 7)
@@ -123,7 +131,7 @@
 		for i := range 2 {
 			f.targets[i].Leaving, f.targets[i].Standby = true, true
 		}
-		f.targets[0].Lane, f.targets[0].Version = "long", ""
+		f.targets[0].Lane, f.targets[0].Empty = "long", true
 		wants := []scaler.Want{
 			{Key: scaler.Key{Service: "s"}, Replicas: 6}, {Key: scaler.Key{Service: "s", Lane: "long"}, Replicas: 1},
 		}
--- a/placer/service.go
+++ b/placer/service.go
@@ -118,7 +118,7 @@
 	var best *step
 	for i := range s.steps {
 		st := &s.steps[i]
-		if !st.loaded() || st.target.Version == s.model.Version {
+		if !st.outdated() {
 			continue
 		}
 		if under(st.target.ID) {
--- a/placer/step.go
+++ b/placer/step.go
@@ -15,14 +15,17 @@
 	rolls   bool // may change its model version now
 }
 
-// engine reports whether the target has weights to load. Without a configured
-// version, what is loaded cannot be told.
-func (s *step) engine() bool {
-	return s.service.spec.Kind != "plain" && s.service.model.Version != ""
-}
+// engine reports whether the target has weights to load.
+func (s *step) engine() bool { return s.service.spec.Kind != "plain" }
 
 func (s *step) loaded() bool {
-	return s.engine() && s.target.Version != "" && s.target.Model == s.service.spec.Model
+	return s.engine() && !s.target.Empty && s.target.Model == s.service.spec.Model
+}
+
+// outdated reports whether another than the configured version is loaded. An
+// engine that does not tell its version is left alone.
+func (s *step) outdated() bool {
+	return s.loaded() && s.target.Version != "" && s.target.Version != s.service.model.Version
 }
 
 // serves reports whether the target takes requests.
--- a/scaler/sample.go
+++ b/scaler/sample.go
@@ -20,7 +20,7 @@
 			m = &Sample{Key: k}
 			sums[k] = m
 		}
-		if !t.Leaving && (t.Model == "" || t.Version != "") {
+		if !t.Leaving && !t.Empty {
 			m.add(&t.Load)
 		}
 	}
