Run the controllers on the leading keeper

Scaler and placer decided but nothing ran them. Each keeper now starts the controller, which acts only while its lease says that no other keeper leads.

--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -273,7 +273,7 @@
 			return false
 		}
 		_ = resp.Body.Close()
-		if resp.StatusCode != http.StatusOK || e.runner.Targets() < engineCount+plainCount {
+		if resp.StatusCode != http.StatusOK || len(e.runner.Targets()) < engineCount+plainCount {
 			return false
 		}
 	}
--- a/runner/place_test.go
+++ b/runner/place_test.go
@@ -117,7 +117,7 @@
 
 func (d *deployment) startTarget(s setter.Setter, n int) {
 	GinkgoHelper()
-	cfg := faker.Config{Kind: s.Target.Kind, Model: s.Target.Model}
+	cfg := faker.Config{Kind: s.Target.Kind, Model: s.Target.Model, Version: "2026-11"}
 	f, stop, err := faker.New(cfg)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(stop)
@@ -164,7 +164,7 @@
 	}
 	for _, p := range d.places {
 		Eventually(func() bool {
-			return p.stop == nil || p.run.Version() == version && p.run.Targets() == total
+			return p.stop == nil || p.run.Version() == version && len(p.run.Targets()) == total
 		}).Should(BeTrue(), "%s: version %d", p.zone, version)
 	}
 }
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -4,14 +4,18 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"bramleyshunt/agent"
 	"bramleyshunt/applier"
 	"bramleyshunt/coder"
+	"bramleyshunt/configurer"
+	"bramleyshunt/controller"
 	"bramleyshunt/entry"
 	"bramleyshunt/keeper"
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
+	"bramleyshunt/orderer"
 	"bramleyshunt/pooler"
 	"bramleyshunt/proposer"
 	"bramleyshunt/publisher"
@@ -59,9 +63,27 @@
 	r.publisher = p
 	r.own(closer)
 	r.handlers = append(r.handlers, k.Handle, p.Handle)
+	r.startController()
 	return nil
 }
 
+// startController scales and places on whichever keeper leads.
+func (r *Runner) startController() {
+	o := &orderer.Orderer{Call: r.proposer.Call, Pool: r.pool}
+	_, closer := controller.New(controller.Config{
+		Targets: r.publisher.Targets, Leading: r.leading,
+		View:  func() *configurer.Configurer { return r.applier.View().Config },
+		Fence: o.Fence, Send: o.Send, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
+	})
+	r.own(closer)
+}
+
+// leading reports whether no other keeper can lead now.
+func (r *Runner) leading() bool {
+	st := r.Keeper.Status()
+	return st.Leader == st.Node && time.Now().Before(st.Lease)
+}
+
 // startWatcher follows configuration and targets. An agent needs no targets.
 func (r *Runner) startWatcher() error {
 	s := r.cfg.Settings
@@ -164,26 +186,18 @@
 
 // Version returns the configuration version in force in this process; zero for none.
 func (r *Runner) Version() uint64 {
-	if r.watcher == nil {
+	if r.watcher == nil || r.watcher.View() == nil {
 		return 0
 	}
-	v := r.watcher.View()
-	if v == nil {
-		return 0
-	}
-	return v.Version
+	return r.watcher.View().Version
 }
 
-// Targets returns how many live targets this process knows.
-func (r *Runner) Targets() int {
-	if r.watcher == nil {
-		return 0
-	}
-	v := r.watcher.View()
-	if v == nil {
-		return 0
+// Targets returns the live targets that this process knows.
+func (r *Runner) Targets() []messenger.Target {
+	if r.watcher == nil || r.watcher.View() == nil {
+		return nil
 	}
-	return len(v.Targets)
+	return r.watcher.View().Targets
 }
 
 func errUnknownKind(k messenger.Kind) error {
