agent: a spec for an engine that has no model loaded

Cause: Target.Empty was only tested through the stand-in fleet of the placer. Change: one spec. Conclusion: none further.

--- a/agent/keeper_test.go
+++ b/agent/keeper_test.go
@@ -90,6 +90,15 @@
 		expect(14, agent.VerbDrain, true, false)
 	})
 
+	It("announces an engine without a model as empty", func() {
+		n := beside(e, l, nil)
+		Expect(n.agent.Target().Empty).To(BeFalse())
+		e.mu.Lock()
+		e.empty = true
+		e.mu.Unlock()
+		Eventually(func() bool { return n.agent.Target().Empty }).Should(BeTrue())
+	})
+
 	It("executes no order on an unconfirmed number", func() {
 		l.confirmed.Store(false)
 		n := beside(e, l, nil)
--- a/agent/stub_test.go
+++ b/agent/stub_test.go
@@ -19,6 +19,7 @@
 	mu          sync.Mutex
 	incarnation uint64
 	down        bool
+	empty       bool // no model loaded
 	live        map[string]context.CancelCauseFunc
 	runs        map[string]int
 	cancels     map[string]int
@@ -117,6 +118,9 @@
 		return driver.Report{}, errRefused
 	}
 	r := driver.Report{Incarnation: e.incarnation, Memory: 1000, Model: "m", Version: "v1"}
+	if e.empty {
+		r.Model, r.Version = "", ""
+	}
 	for id := range e.live {
 		r.Live = append(r.Live, id)
 	}
