--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -11,7 +11,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -23,6 +22,7 @@
 	"bramleyshunt/applier"
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
+	"bramleyshunt/defaulter"
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
 	"bramleyshunt/setter"
@@ -80,17 +80,7 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Log == nil {
-		l := logrus.New()
-		l.SetOutput(io.Discard)
-		c.Log = logrus.NewEntry(l)
-	}
-	if c.Metrics == nil {
-		c.Metrics = metrics.NewRegistry()
-	}
-	if c.Now == nil {
-		c.Now = time.Now
-	}
+	defaulter.Fill(&c.Log, &c.Metrics, &c.Now)
 	return c
 }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"io"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +16,7 @@
 
 	"bramleyshunt/announcer"
 	"bramleyshunt/coder"
+	"bramleyshunt/defaulter"
 	"bramleyshunt/driver"
 	"bramleyshunt/fencer"
 	"bramleyshunt/messenger"
@@ -135,17 +135,7 @@
 	if c.Every <= 0 {
 		c.Every = DefaultEvery
 	}
-	if c.Now == nil {
-		c.Now = time.Now
-	}
-	if c.Metrics == nil {
-		c.Metrics = metrics.NewRegistry()
-	}
-	if c.Log == nil {
-		quiet := logrus.New()
-		quiet.SetOutput(io.Discard)
-		c.Log = logrus.NewEntry(quiet)
-	}
+	defaulter.Fill(&c.Log, &c.Metrics, &c.Now)
 	if c.Driver == nil {
 		c.Driver = &driver.Driver{Base: c.Settings.Target.URL}
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
@@ -14,6 +13,7 @@
 
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
+	"bramleyshunt/defaulter"
 	"bramleyshunt/messenger"
 	"bramleyshunt/placer"
 	"bramleyshunt/scaler"
@@ -67,17 +67,7 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Log == nil {
-		l := logrus.New()
-		l.SetOutput(io.Discard)
-		c.Log = logrus.NewEntry(l)
-	}
-	if c.Metrics == nil {
-		c.Metrics = metrics.NewRegistry()
-	}
-	if c.Now == nil {
-		c.Now = time.Now
-	}
+	defaulter.Fill(&c.Log, &c.Metrics, &c.Now)
 	return c
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,6 +17,7 @@
 	"bramleyshunt/chainer"
 	"bramleyshunt/claimer"
 	"bramleyshunt/coder"
+	"bramleyshunt/defaulter"
 	"bramleyshunt/dispatcher"
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
@@ -109,17 +109,7 @@
 	if cfg.Patience <= 0 {
 		cfg.Patience = DefaultPatience
 	}
-	if cfg.Now == nil {
-		cfg.Now = time.Now
-	}
-	if cfg.Metrics == nil {
-		cfg.Metrics = metrics.NewRegistry()
-	}
-	if cfg.Log == nil {
-		l := logrus.New()
-		l.SetOutput(io.Discard)
-		cfg.Log = logrus.NewEntry(l)
-	}
+	defaulter.Fill(&cfg.Log, &cfg.Metrics, &cfg.Now)
 	return cfg
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -17,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"bramleyshunt/coder"
+	"bramleyshunt/defaulter"
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
 	"bramleyshunt/recorder"
@@ -145,17 +145,7 @@
 }
 
 func (c *Config) fill() {
-	if c.Log == nil {
-		l := logrus.New()
-		l.SetOutput(io.Discard)
-		c.Log = logrus.NewEntry(l)
-	}
-	if c.Metrics == nil {
-		c.Metrics = metrics.NewRegistry()
-	}
-	if c.Now == nil {
-		c.Now = time.Now
-	}
+	defaulter.Fill(&c.Log, &c.Metrics, &c.Now)
 	if c.Seed == 0 {
 		c.Seed = rand.Uint64()
 	}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"io"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 
 	"bramleyshunt/applier"
 	"bramleyshunt/coder"
+	"bramleyshunt/defaulter"
 	"bramleyshunt/pooler"
 	"bramleyshunt/registrar"
 )
@@ -91,17 +91,7 @@
 	if c.Leader == nil {
 		c.Leader = func() string { return "" }
 	}
-	if c.Log == nil {
-		l := logrus.New()
-		l.SetOutput(io.Discard)
-		c.Log = logrus.NewEntry(l)
-	}
-	if c.Metrics == nil {
-		c.Metrics = metrics.NewRegistry()
-	}
-	if c.Now == nil {
-		c.Now = time.Now
-	}
+	defaulter.Fill(&c.Log, &c.Metrics, &c.Now)
 	return c
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"hash/fnv"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
+	"bramleyshunt/defaulter"
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
 	"bramleyshunt/setter"
@@ -90,17 +90,7 @@
 	if c.Silence <= 0 {
 		c.Silence = DefaultSilence
 	}
-	if c.Log == nil {
-		l := logrus.New()
-		l.SetOutput(io.Discard)
-		c.Log = logrus.NewEntry(l)
-	}
-	if c.Metrics == nil {
-		c.Metrics = metrics.NewRegistry()
-	}
-	if c.Now == nil {
-		c.Now = time.Now
-	}
+	defaulter.Fill(&c.Log, &c.Metrics, &c.Now)
 	return c
 }
 
