--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -20,6 +20,7 @@
 	"bramleyshunt/operator"
 	"bramleyshunt/runner"
 	"bramleyshunt/setter"
+	"bramleyshunt/sleeper"
 )
 
 const (
@@ -254,10 +255,8 @@
 		if f.served(ctx) {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if sleeper.Sleep(ctx, pollEvery) != nil {
 			return errors.New("entries did not become ready")
-		case <-time.After(pollEvery):
 		}
 	}
 }
--- a/demonstrator/pings.go
+++ b/demonstrator/pings.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"bramleyshunt/sleeper"
 )
 
 const (
@@ -33,7 +35,7 @@
 		for _, e := range f.entries {
 			p.note(i, ping(ctx, e.http, fmt.Sprintf("ping-%d", i), body))
 		}
-		if !pause(ctx, pingEvery) {
+		if sleeper.Sleep(ctx, pingEvery) != nil {
 			return
 		}
 	}
@@ -48,15 +50,6 @@
 	p.refused++
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // ping reports whether the call was answered as run.
 func ping(ctx context.Context, base, key, body string) bool {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
--- a/demonstrator/storm.go
+++ b/demonstrator/storm.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"bramleyshunt/loader"
+	"bramleyshunt/sleeper"
 )
 
 // fault is one thing that goes wrong during the load.
@@ -59,12 +60,8 @@
 	start := time.Now()
 	var errs []error
 	for _, f := range faults {
-		t := time.NewTimer(time.Until(start.Add(f.after)))
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return ctx.Err()
-		case <-t.C:
+		if err := sleeper.Sleep(ctx, time.Until(start.Add(f.after))); err != nil {
+			return err
 		}
 		d.say("fault: %s", f.title)
 		if err := f.inject(ctx, d); err != nil {
@@ -97,11 +94,7 @@
 	e := d.fleet.engines[3]
 	e.Freeze()
 	defer e.Thaw()
-	select {
-	case <-ctx.Done():
-	case <-time.After(freezeTime):
-	}
-	return nil
+	return sleeper.Sleep(ctx, freezeTime)
 }
 
 func stopLeader(_ context.Context, d *Demonstrator) error {
@@ -132,10 +125,8 @@
 	accepted := time.Since(began)
 	for _, e := range d.fleet.entries {
 		for e.runner.Version() < version {
-			select {
-			case <-ctx.Done():
+			if sleeper.Sleep(ctx, pollEvery) != nil {
 				return fmt.Errorf("version %d is not in force at %s", version, e.node)
-			case <-time.After(pollEvery):
 			}
 		}
 	}
--- a/dispatcher/recover.go
+++ b/dispatcher/recover.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
+	"bramleyshunt/sleeper"
 )
 
 // again goes on after a lost stream: it withdraws the attempt if nothing is
@@ -20,7 +20,7 @@
 				return s, err
 			}
 		}
-		if err := pause(ctx, delay); err != nil {
+		if err := sleeper.Sleep(ctx, delay); err != nil {
 			x.d.cancel(ctx, x.job)
 			return nil, x.ended(ctx)
 		}
@@ -141,20 +141,9 @@
 			if err == nil && coder.Of(send(bound, conn)) == nil {
 				return
 			}
-			if pause(bound, firstDelay) != nil {
+			if sleeper.Sleep(bound, firstDelay) != nil {
 				return
 			}
 		}
 	})
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -7,6 +7,7 @@
 	"bramleyshunt/chainer"
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
+	"bramleyshunt/sleeper"
 )
 
 const (
@@ -54,7 +55,7 @@
 func (e *Entry) renew(ctx context.Context, cl messenger.Claim) (stop func()) {
 	ctx, stop = context.WithCancel(ctx)
 	e.wg.Go(func() {
-		for sleep(ctx, claimRenewal) == nil {
+		for sleeper.Sleep(ctx, claimRenewal) == nil {
 			if _, err := e.claims.Hold(ctx, cl); coder.Of(err) != nil && coder.Of(err).Code != coder.NoQuorum {
 				return
 			}
@@ -121,18 +122,7 @@
 	e.wg.Go(func() {
 		ctx, stop := context.WithTimeout(e.ctx, claimLimit)
 		defer stop()
-		for f(ctx) != nil && sleep(ctx, tick) == nil {
+		for f(ctx) != nil && sleeper.Sleep(ctx, tick) == nil {
 		}
 	})
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/entry/run.go
+++ b/entry/run.go
@@ -17,6 +17,7 @@
 	"bramleyshunt/retrier"
 	"bramleyshunt/router"
 	"bramleyshunt/scheduler"
+	"bramleyshunt/sleeper"
 )
 
 // lostAside is how long a target that can't be reached is left alone.
@@ -224,7 +225,7 @@
 	}
 	x.exclude = append(x.exclude, pick.Target.ID)
 	x.e.meter.count("retries")
-	if sleep(ctx, delay) != nil {
+	if sleeper.Sleep(ctx, delay) != nil {
 		return x.unplaced(ctx)
 	}
 	return nil
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"bramleyshunt/messenger"
+	"bramleyshunt/sleeper"
 )
 
 const (
@@ -114,7 +115,7 @@
 	p := pool.New().WithMaxGoroutines(conc)
 	start := time.Now()
 	for i, j := range jobs {
-		if !wait(ctx, time.Until(start.Add(j.after))) {
+		if sleeper.Sleep(ctx, time.Until(start.Add(j.after))) != nil {
 			outcomes = outcomes[:i]
 			break
 		}
@@ -124,20 +125,6 @@
 	return &Report{Outcomes: outcomes, Took: time.Since(start)}
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // aloneRequests is how many requests of each share Alone sends.
 const aloneRequests = 3
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -19,6 +19,7 @@
 	"bramleyshunt/administrator"
 	"bramleyshunt/coder"
 	"bramleyshunt/merger"
+	"bramleyshunt/sleeper"
 )
 
 const (
@@ -113,10 +114,8 @@
 		if err != nil || confirmed(&out) || time.Now().After(give) {
 			return out, err
 		}
-		select {
-		case <-ctx.Done():
+		if sleeper.Sleep(ctx, againAfter) != nil {
 			return out, nil
-		case <-time.After(againAfter):
 		}
 	}
 }
@@ -157,10 +156,8 @@
 		if err == nil || !again(err, asked < len(o.Bases)) {
 			return err
 		}
-		select {
-		case <-ctx.Done():
+		if sleeper.Sleep(ctx, againAfter) != nil {
 			return err
-		case <-time.After(againAfter):
 		}
 	}
 	return err
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -14,6 +14,7 @@
 	"bramleyshunt/muxer"
 	"bramleyshunt/pooler"
 	"bramleyshunt/setter"
+	"bramleyshunt/sleeper"
 )
 
 const (
@@ -61,20 +62,11 @@
 				break
 			}
 		}
-		pause(ctx, againAfter)
+		_ = sleeper.Sleep(ctx, againAfter)
 	}
 	return &coder.Error{Code: coder.NoQuorum, Run: coder.NotRun, Retry: time.Second, Cause: errors.Join(last, ctx.Err())}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // chase asks the keeper that led last, else the one given, and follows hints.
 // A leader that can't be reached is asked by the keeper that named it.
 func (p *Proposer) chase(ctx context.Context, addr string, kind messenger.Kind, v, out any) error {
--- a/publisher/confirmer.go
+++ b/publisher/confirmer.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"bramleyshunt/sleeper"
 )
 
 // confirmer shares confirmations by a quorum between all who wait for one. A
@@ -73,7 +75,7 @@
 	for ctx.Err() == nil {
 		c.once(ctx, confirm)
 		told()
-		pause(ctx, min(confirmGap, every))
+		_ = sleeper.Sleep(ctx, min(confirmGap, every))
 		select {
 		case <-ctx.Done():
 		case <-c.want:
@@ -82,15 +84,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (c *confirmer) once(ctx context.Context, confirm func(context.Context) (uint64, error)) {
 	c.mu.Lock()
 	r := c.next
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -20,6 +20,7 @@
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
 	"bramleyshunt/setter"
+	"bramleyshunt/sleeper"
 )
 
 const (
@@ -135,16 +136,7 @@
 		w.follow(k.Address)
 		metrics.GetOrRegisterCounter("watcher.keeper.left", w.cfg.Metrics).Inc(1)
 		w.note()
-		pause(w.ctx, againAfter)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		_ = sleeper.Sleep(w.ctx, againAfter)
 	}
 }
 
