--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -25,6 +25,7 @@
 	"bramleyshunt/defaulter"
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
+	"bramleyshunt/reporter"
 	"bramleyshunt/setter"
 )
 
@@ -49,7 +50,7 @@
 	Call    func(ctx context.Context, kind messenger.Kind, v, out any) error // asks the leading keeper
 	Keepers []setter.Keeper
 	Pool    *pooler.Pooler
-	Status  func() any                                     // of this process, may be nil
+	Status  func() *reporter.Process                       // of this process, may be nil
 	Targets func() []messenger.Target                      // may be nil
 	Drain   func(ctx context.Context, target string) error // replaces the order to the agent; may be nil
 	Log     *logrus.Entry
--- a/administrator/fleet.go
+++ b/administrator/fleet.go
@@ -12,6 +12,7 @@
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
 	"bramleyshunt/orderer"
+	"bramleyshunt/reporter"
 )
 
 const (
@@ -89,15 +90,8 @@
 	return out.Nodes, err
 }
 
-// Status is the body of GET /v1/status.
-type Status struct {
-	Process any                `json:"process"` // roles of the process asked
-	Targets []messenger.Target `json:"targets"` // announced to it
-	Claims  int                `json:"claims"`
-}
-
 func (a *Administrator) status(*request) (any, error) {
-	var out Status
+	var out reporter.Reporter
 	if a.cfg.Status != nil {
 		out.Process = a.cfg.Status()
 	}
--- a/commander/folder.go
+++ b/commander/folder.go
@@ -128,20 +128,25 @@
 
 func statusCommand() *cobra.Command {
 	f := &fleetFlags{}
+	var asJSON bool
 	cmd := &cobra.Command{
 		Use:     "status",
-		Short:   "Show keepers, targets, lanes, leases and memory",
-		Example: "  bramleyshunt status --token-file office.token",
+		Short:   "Show keepers, entries, targets, lanes, leases, queues and memory",
+		Example: "  bramleyshunt status --token-file office.token\n  bramleyshunt status --token-file office.token --json",
 		Args:    exactly(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			o, err := f.operator()
 			if err != nil {
 				return err
 			}
+			if asJSON {
+				return o.StatusJSON(cmd.Context(), cmd.OutOrStdout())
+			}
 			return o.Status(cmd.Context(), cmd.OutOrStdout())
 		},
 	}
 	f.add(cmd)
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON by listener in place of tables")
 	return cmd
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,10 +62,10 @@
 
 // Status is an Entry at a glance.
 type Status struct {
-	Ready   bool
-	Leaving bool
-	Active  int // requests in hand
-	Queued  int // of these, waiting for a target
+	Ready   bool `json:"ready"`
+	Leaving bool `json:"leaving"`
+	Active  int  `json:"active"` // requests in hand
+	Queued  int  `json:"queued"` // of these, waiting for a target
 }
 
 // New returns an Entry and the function that ends it. Drain first, as the
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -60,22 +60,22 @@
 
 // Status is a view of a keeper for operators.
 type Status struct {
-	Node     string
-	Disk     uint64 // identity of the disk
-	Group    uint64 // zero before it belongs to a group
-	Term     uint64
-	Role     replicator.Role
-	Leader   string // node; empty if unknown
-	Address  string // of the leader
-	Last     uint64 // last index of the log, synced
-	Commit   uint64
-	Applied  uint64
-	Snapshot uint64 // index of the latest snapshot
-	Voters   []messenger.Member
-	Learners []messenger.Member
-	Waiting  []messenger.Member // leader: keepers that ask to be members
-	Repaired bool               // leader: every voter holds all that is committed, and no member waits
-	Lease    time.Time          // leader: no other leads before; zero for none
+	Node     string             `json:"node"`
+	Disk     uint64             `json:"disk"`  // identity of the disk
+	Group    uint64             `json:"group"` // zero before it belongs to a group
+	Term     uint64             `json:"term"`
+	Role     replicator.Role    `json:"role"`
+	Leader   string             `json:"leader"`  // node; empty if unknown
+	Address  string             `json:"address"` // of the leader
+	Last     uint64             `json:"last"`    // last index of the log, synced
+	Commit   uint64             `json:"commit"`
+	Applied  uint64             `json:"applied"`
+	Snapshot uint64             `json:"snapshot"` // index of the latest snapshot
+	Voters   []messenger.Member `json:"voters"`
+	Learners []messenger.Member `json:"learners"`
+	Waiting  []messenger.Member `json:"waiting"`  // leader: keepers that ask to be members
+	Repaired bool               `json:"repaired"` // leader: every voter holds all that is committed, and no member waits
+	Lease    time.Time          `json:"lease"`    // leader: no other leads before; zero for none
 }
 
 // Keeper hosts one replica.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -106,32 +106,32 @@
 
 // Load is what an agent reports of its target. Counts are tokens but for Running.
 type Load struct {
-	Seq     uint64 `msgpack:"seq"`     // rises with each report of an incarnation
-	Waiting int    `msgpack:"waiting"` // prompt tokens accepted but not yet prefilled
-	Running int    `msgpack:"running"` // requests in flight
-	Used    int    `msgpack:"used"`    // reserved engine memory
-	Memory  int    `msgpack:"memory"`  // total engine memory
-	Speed   int    `msgpack:"speed"`   // prefill tokens a second, measured
-	Pace    int    `msgpack:"pace"`    // decode tokens a second and request, measured
+	Seq     uint64 `msgpack:"seq" json:"seq"`         // rises with each report of an incarnation
+	Waiting int    `msgpack:"waiting" json:"waiting"` // prompt tokens accepted but not yet prefilled
+	Running int    `msgpack:"running" json:"running"` // requests in flight
+	Used    int    `msgpack:"used" json:"used"`       // reserved engine memory
+	Memory  int    `msgpack:"memory" json:"memory"`   // total engine memory
+	Speed   int    `msgpack:"speed" json:"speed"`     // prefill tokens a second, measured
+	Pace    int    `msgpack:"pace" json:"pace"`       // decode tokens a second and request, measured
 
-	ByClass [Classes]int `msgpack:"byclass"` // Waiting by length class
+	ByClass [Classes]int `msgpack:"byclass" json:"byclass"` // Waiting by length class
 }
 
 // Target describes one back end as its agent announces it.
 type Target struct {
-	ID          string   `msgpack:"id"`
-	Service     string   `msgpack:"service"`
-	Model       string   `msgpack:"model"`   // empty for plain services
-	Version     string   `msgpack:"version"` // model version loaded
-	Adapters    []string `msgpack:"adapters"`
-	Address     string   `msgpack:"address"` // of the agent, host:port
-	Zone        string   `msgpack:"zone"`
-	Lane        string   `msgpack:"lane"` // "", "short" or "long"
-	Incarnation uint64   `msgpack:"incarnation"`
-	Leaving     bool     `msgpack:"leaving"`
-	Fence       uint64   `msgpack:"fence"` // highest order number executed
-	Config      uint64   `msgpack:"config"`
-	Load        Load     `msgpack:"load"`
+	ID          string   `msgpack:"id" json:"id"`
+	Service     string   `msgpack:"service" json:"service"`
+	Model       string   `msgpack:"model" json:"model"`     // empty for plain services
+	Version     string   `msgpack:"version" json:"version"` // model version loaded
+	Adapters    []string `msgpack:"adapters" json:"adapters"`
+	Address     string   `msgpack:"address" json:"address"` // of the agent, host:port
+	Zone        string   `msgpack:"zone" json:"zone"`
+	Lane        string   `msgpack:"lane" json:"lane"` // "", "short" or "long"
+	Incarnation uint64   `msgpack:"incarnation" json:"incarnation"`
+	Leaving     bool     `msgpack:"leaving" json:"leaving"`
+	Fence       uint64   `msgpack:"fence" json:"fence"` // highest order number executed
+	Config      uint64   `msgpack:"config" json:"config"`
+	Load        Load     `msgpack:"load" json:"load"`
 
 	// Standby says that it leaves by an order of the controllers, who may activate it.
 	Standby bool `msgpack:"standby,omitempty"`
--- a/messenger/raft.go
+++ b/messenger/raft.go
@@ -5,9 +5,9 @@
 // Member is one replica of the keepers' log. Its identity is that of its disk:
 // an emptied or swapped disk makes another member of the same node.
 type Member struct {
-	Node    string `msgpack:"node"`
-	Address string `msgpack:"address"` // host:port
-	Disk    uint64 `msgpack:"disk"`    // random number written when the disk was formatted
+	Node    string `msgpack:"node" json:"node"`
+	Address string `msgpack:"address" json:"address"` // host:port
+	Disk    uint64 `msgpack:"disk" json:"disk"`       // random number written when the disk was formatted
 }
 
 // Members is the set of replicas of a group. Learners hold the log without a vote.
--- a/operator/show.go
+++ b/operator/show.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 
 	"bramleyshunt/administrator"
+	"bramleyshunt/reporter"
 )
 
 // shown is what Show prints.
@@ -30,26 +33,45 @@
 	return printJSON(w, shown{Shown: cfg, Nodes: nodes})
 }
 
-// Status prints the status of each listener's process, as JSON by URL.
+// Status prints the status of each listener's process as tables. It fails if
+// none answered.
 func (o *Operator) Status(ctx context.Context, w io.Writer) error {
+	reports, errs := o.reports(ctx)
+	if err := reporter.WriteTable(w, o.Bases, reports, errs); err != nil {
+		return err
+	}
+	if slices.Contains(errs, nil) {
+		return nil
+	}
+	return errors.Join(errs...)
+}
+
+// StatusJSON prints the status of each listener's process as JSON by URL.
+func (o *Operator) StatusJSON(ctx context.Context, w io.Writer) error {
+	reports, errs := o.reports(ctx)
 	all := map[string]any{}
-	var last error
-	for _, base := range o.Bases {
-		one := Operator{Bases: []string{base}, Token: o.Token, Client: o.Client}
-		var out administrator.Status
-		if last = one.once(ctx, base, http.MethodGet, "/v1/status", nil, &out); last != nil {
-			all[base] = last.Error()
-			continue
+	for i, base := range o.Bases {
+		all[base] = reports[i]
+		if errs[i] != nil {
+			all[base] = errs[i].Error()
 		}
-		all[base] = out
 	}
 	if err := printJSON(w, all); err != nil {
 		return err
 	}
-	if len(o.Bases) == 1 {
-		return last
+	if slices.Contains(errs, nil) {
+		return nil
 	}
-	return nil
+	return errors.Join(errs...)
+}
+
+func (o *Operator) reports(ctx context.Context) ([]*reporter.Reporter, []error) {
+	reports, errs := make([]*reporter.Reporter, len(o.Bases)), make([]error, len(o.Bases))
+	for i, base := range o.Bases {
+		reports[i] = &reporter.Reporter{}
+		errs[i] = o.once(ctx, base, http.MethodGet, "/v1/status", nil, reports[i])
+	}
+	return reports, errs
 }
 
 func printJSON(w io.Writer, v any) error {
--- a/prover/commands_test.go
+++ b/prover/commands_test.go
@@ -44,7 +44,8 @@
 			_, out := f.command("show")
 			return out
 		}).Should(And(ContainSubstring(`"confirmed": true`), ContainSubstring(`"node": "entry-1"`)))
-		f.expectCommand(commander.ExitOK, `"Role"`, "status")
+		f.expectCommand(commander.ExitOK, "Leader (lease", "status")
+		f.expectCommand(commander.ExitOK, `"role": "Leader"`, "status", "--json")
 		f.expectCommand(commander.ExitRefused, "2004", "drain", "nobody")
 		f.expectCommand(commander.ExitOK, "", "drain", one)
 		f.admin.Token = "wrong"
--- a/replicator/role.go
+++ b/replicator/role.go
@@ -1,5 +1,7 @@
 package replicator
 
+import "fmt"
+
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Role,Verb -output=role_string.go
 
 // Role is what a replica does in its term.
@@ -13,6 +15,20 @@
 	Leader
 )
 
+// MarshalText returns the name of the role.
+func (r Role) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText reads the name of a role.
+func (r *Role) UnmarshalText(text []byte) error {
+	for known := Outside; known <= Leader; known++ {
+		if known.String() == string(text) {
+			*r = known
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown role %q", text)
+}
+
 // Verb says how an operator changes the members.
 type Verb uint8
 
--- /dev/null
+++ b/reporter/reporter.go
@@ -0,0 +1,111 @@
+// Package reporter is the status of processes as operators see it: as JSON from
+// the administration listener and as tables on the command line.
+package reporter
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"bramleyshunt/entry"
+	"bramleyshunt/keeper"
+	"bramleyshunt/messenger"
+)
+
+// Process is what one process says of itself.
+type Process struct {
+	Node    string            `json:"node"`
+	Zone    string            `json:"zone"`
+	Roles   []string          `json:"roles"`
+	Version uint64            `json:"version"` // configuration in force here
+	Keeper  *keeper.Status    `json:"keeper,omitempty"`
+	Entry   *entry.Status     `json:"entry,omitempty"`
+	Target  *messenger.Target `json:"target,omitempty"`
+}
+
+// Reporter is the answer of one administration listener.
+type Reporter struct {
+	Process *Process           `json:"process"`
+	Targets []messenger.Target `json:"targets"` // announced to it
+	Claims  int                `json:"claims"`  // idempotency claims kept
+}
+
+// WriteTable writes the status of several processes, by the URL of their
+// listeners, as tables of processes and of targets. An error stands in for a
+// process that did not answer.
+func WriteTable(w io.Writer, urls []string, reports []*Reporter, errs []error) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "LISTENER\tNODE\tZONE\tROLES\tVERSION\tKEEPER\tTERM\tAPPLIED\tVOTERS\tREPAIRED\tREADY\tACTIVE\tQUEUED\tCLAIMS")
+	for i, url := range urls {
+		if errs[i] != nil || reports[i].Process == nil {
+			_, _ = fmt.Fprintf(t, "%s\t%v\n", url, errs[i])
+			continue
+		}
+		p := reports[i].Process
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\n", url, p.Node, p.Zone, strings.Join(p.Roles, ","), p.Version,
+			keeperCells(p.Keeper), entryCells(p.Entry), reports[i].Claims)
+	}
+	_, _ = fmt.Fprintln(t, "\nTARGET\tSERVICE\tZONE\tLANE\tMODEL\tSTATE\tRUNNING\tWAITING\tUSED\tMEMORY\tFENCE\tINCARNATION")
+	for _, target := range targets(reports) {
+		writeTarget(t, target)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write status: %w", err)
+	}
+	return nil
+}
+
+// targets returns those of the first report that has any: each keeper knows all.
+func targets(reports []*Reporter) []messenger.Target {
+	for _, r := range reports {
+		if r != nil && len(r.Targets) > 0 {
+			return r.Targets
+		}
+	}
+	return nil
+}
+
+func keeperCells(k *keeper.Status) string {
+	if k == nil {
+		return "-\t-\t-\t-\t-"
+	}
+	role, repaired := k.Role.String(), "-" // only a leader knows
+	if k.Leader == k.Node {
+		role += fmt.Sprintf(" (lease %.1fs)", max(0, time.Until(k.Lease).Seconds()))
+		repaired = strconv.FormatBool(k.Repaired)
+	}
+	return fmt.Sprintf("%s\t%d\t%d\t%d\t%s", role, k.Term, k.Applied, len(k.Voters), repaired)
+}
+
+func entryCells(e *entry.Status) string {
+	if e == nil {
+		return "-\t-\t-"
+	}
+	return fmt.Sprintf("%t\t%d\t%d", e.Ready, e.Active, e.Queued)
+}
+
+func writeTarget(w io.Writer, t messenger.Target) {
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", t.ID, t.Service, t.Zone, dash(t.Lane),
+		dash(strings.Trim(t.Model+" "+t.Version, " ")), state(t), t.Load.Running, t.Load.Waiting, t.Load.Used, t.Load.Memory, t.Fence, t.Incarnation)
+}
+
+func state(t messenger.Target) string {
+	switch {
+	case t.Standby:
+		return "standby"
+	case t.Leaving:
+		return "leaving"
+	default:
+		return "serving"
+	}
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- a/runner/admin.go
+++ b/runner/admin.go
@@ -4,26 +4,13 @@
 	"net/http"
 
 	"bramleyshunt/administrator"
-	"bramleyshunt/entry"
-	"bramleyshunt/keeper"
-	"bramleyshunt/messenger"
+	"bramleyshunt/reporter"
 )
 
-// status is what GET /v1/status shows of this process.
-type status struct {
-	Node    string            `json:"node"`
-	Zone    string            `json:"zone"`
-	Roles   []string          `json:"roles"`
-	Version uint64            `json:"version"` // configuration in force here
-	Keeper  *keeper.Status    `json:"keeper,omitempty"`
-	Entry   *entry.Status     `json:"entry,omitempty"`
-	Target  *messenger.Target `json:"target,omitempty"`
-}
-
 // status returns a view of this process for operators.
-func (r *Runner) status() any {
+func (r *Runner) status() *reporter.Process {
 	s := r.cfg.Settings
-	st := status{Node: s.Node, Zone: s.Zone, Roles: s.Roles, Version: r.Version()}
+	st := &reporter.Process{Node: s.Node, Zone: s.Zone, Roles: s.Roles, Version: r.Version()}
 	if r.Keeper != nil {
 		k := r.Keeper.Status()
 		st.Keeper = &k
