--- a/agent/drain.go
+++ b/agent/drain.go
@@ -62,9 +62,9 @@
 	})
 }
 
-// stand starts or ends a standby. It leaves a drain, which is an operator's or
+// setStandby starts or ends a standby. It leaves a drain, which is an operator's or
 // the process's own, as it is.
-func (a *Agent) stand(by bool) error {
+func (a *Agent) setStandby(by bool) error {
 	return a.step(func(time.Time) {
 		if a.draining == by || !by && !a.standby {
 			return
--- a/agent/order.go
+++ b/agent/order.go
@@ -91,14 +91,14 @@
 	case <-ctx.Done():
 		return false
 	}
-	answer, err := a.obey(ctx, &m)
+	answer, err := a.executeOrder(ctx, &m)
 	if err != nil {
 		return a.refuse(s, "", err)
 	}
 	return s.Send(messenger.KindOrdered, &answer) == nil
 }
 
-func (a *Agent) obey(ctx context.Context, m *messenger.Order) (messenger.Ordered, error) {
+func (a *Agent) executeOrder(ctx context.Context, m *messenger.Order) (messenger.Ordered, error) {
 	var begin bool
 	var answer messenger.Ordered
 	var err error
@@ -132,7 +132,7 @@
 	case VerbStay:
 		return a.depart(false)
 	case VerbStandby, VerbActivate:
-		return a.stand(m.Verb == VerbStandby)
+		return a.setStandby(m.Verb == VerbStandby)
 	}
 	if _, err := a.engine.Order(context.WithoutCancel(ctx), *m); err != nil {
 		return err
--- a/agent/run.go
+++ b/agent/run.go
@@ -217,7 +217,7 @@
 	})
 	a.ended = append(a.ended, at)
 	if code == coder.TargetLost {
-		a.hurry()
+		a.requestReport()
 	}
 }
 
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -43,8 +43,8 @@
 	return h.refused >= deadRefusals
 }
 
-// hurry asks for a report at once.
-func (a *Agent) hurry() {
+// requestReport asks for a report at once.
+func (a *Agent) requestReport() {
 	select {
 	case a.urgent <- struct{}{}:
 	default:
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -50,7 +50,7 @@
 	d.say("measuring each length class alone")
 	alone := l.Alone(ctx, loader.Plan{Seed: d.Seed, Timeout: timeout})
 	d.say("sending %d prompts of 1,000 to 1,000,000 tokens, %d a second, with faults", loadRequests, loadRate)
-	report, pings, faults := d.storm(ctx, l)
+	report, pings, faults := d.loadWithFaults(ctx, l)
 	if err := report.WriteTable(w, alone); err != nil {
 		return err
 	}
--- a/demonstrator/storm.go
+++ b/demonstrator/faults.go
@@ -36,8 +36,8 @@
 	freezeTime  = time.Second
 )
 
-// storm sends the load and the pings while it injects the faults.
-func (d *Demonstrator) storm(ctx context.Context, l *loader.Loader) (*loader.Report, *pings, error) {
+// loadWithFaults sends the load and the pings while it injects the faults.
+func (d *Demonstrator) loadWithFaults(ctx context.Context, l *loader.Loader) (*loader.Report, *pings, error) {
 	var (
 		wg     conc.WaitGroup
 		report *loader.Report
@@ -45,7 +45,7 @@
 		failed error
 	)
 	wg.Go(func() {
-		report = l.Run(ctx, loader.Plan{Seed: d.Seed + seedStorm, Requests: loadRequests, Rate: loadRate, Timeout: timeout})
+		report = l.Run(ctx, loader.Plan{Seed: d.Seed + seedFaults, Requests: loadRequests, Rate: loadRate, Timeout: timeout})
 	})
 	wg.Go(func() { p.send(ctx, d.fleet) })
 	wg.Go(func() { failed = d.inject(ctx) })
@@ -53,8 +53,8 @@
 	return report, p, failed
 }
 
-// seedStorm sets the seeds of the load apart from those of the classes alone.
-const seedStorm = 1000
+// seedFaults sets the seeds of the load apart from those of the classes alone.
+const seedFaults = 1000
 
 func (d *Demonstrator) inject(ctx context.Context) error {
 	start := time.Now()
--- a/entry/control.go
+++ b/entry/control.go
@@ -177,8 +177,8 @@
 	}
 }
 
-// calm ends what enqueue notes of a risky request.
-func (c *control) calm(id string) { c.do(func() { delete(c.risky, id) }) }
+// endRisk ends what enqueue notes of a risky request.
+func (c *control) endRisk(id string) { c.do(func() { delete(c.risky, id) }) }
 
 // apart adds the targets to exclude that have a request which lost another
 // target, so that one of them can't take the others down with it. If no target
@@ -202,7 +202,7 @@
 }
 
 // enqueue puts a ticket in its queue; its placement comes on the channel. A
-// risky one, which lost a target before, is kept apart from its like until calm.
+// risky one, which lost a target before, is placed apart from others of its kind until endRisk.
 func (c *control) enqueue(t *scheduler.Ticket, risky bool) chan scheduler.Placement {
 	placed := make(chan scheduler.Placement, 1)
 	c.do(func() {
--- a/entry/run.go
+++ b/entry/run.go
@@ -43,7 +43,7 @@
 		return e.spread(ctx, r)
 	}
 	x := &running{e: e, r: r}
-	defer x.calm()
+	defer x.endRisk()
 	for {
 		pick, err := x.place(ctx)
 		if err != nil {
@@ -51,7 +51,7 @@
 		}
 		x.tries++
 		err = x.attempt(ctx, pick)
-		x.calm()
+		x.endRisk()
 		if err == nil {
 			return nil
 		}
@@ -194,9 +194,9 @@
 	return router.Span(u.Prompt-u.Cached, pick.Speed) + router.Span(u.Output, pick.Pace)
 }
 
-func (x *running) calm() {
+func (x *running) endRisk() {
 	if x.losses > 0 {
-		x.e.control.calm(x.r.ID)
+		x.e.control.endRisk(x.r.ID)
 	}
 }
 
--- a/entry/segment.go
+++ b/entry/segment.go
@@ -160,16 +160,16 @@
 	s.got++
 	if s.got == 1 {
 		x.e.meter.first(x.r, x.e.cfg.Now().Sub(x.r.Arrived))
-		if x.r.Stream && !x.firm(s, false) {
+		if x.r.Stream && !x.commit(s, false) {
 			return former(s.attempt)
 		}
 	}
 	return x.outlet.pass(s.attempt, func() error { return x.r.Answer.Chunk(c) })
 }
 
-// firm reports whether a member is still its gang's; from then on the gang does
+// commit reports whether a member is still its gang's; from then on the gang does
 // not start anew. With ending set, its outcome is left to the member's writer.
-func (x *gang) firm(s *segment, ending bool) (current bool) {
+func (x *gang) commit(s *segment, ending bool) (current bool) {
 	x.e.control.do(func() {
 		if current = x.members[s.attempt] == s; !current {
 			return
@@ -197,7 +197,7 @@
 		return coder.Errorf(coder.TargetLost, "%d of %d chunks", s.got, end.Count)
 	}
 	end.Usage.Prompt = x.r.Prompt
-	if !x.firm(s, true) {
+	if !x.commit(s, true) {
 		return former(s.attempt)
 	}
 	err := x.outlet.pass(s.attempt, func() error { return x.r.Answer.End(end) })
--- a/ganger/gang.go
+++ b/ganger/gang.go
@@ -68,7 +68,7 @@
 			g.end(x, coder.Errorf(coder.DeadlineExceeded, "gang of %d tries", x.tries))
 		case len(x.members) > 0:
 			g.watch(x)
-		case g.hopeless(x):
+		case g.failExpired(x):
 		case active[x.Model] < g.most() && g.start(x):
 			active[x.Model]++
 		}
@@ -76,8 +76,8 @@
 	g.gangs = slices.DeleteFunc(g.gangs, func(x *gang) bool { return x.over })
 }
 
-// hopeless ends a waiting gang that nothing can serve in time any more.
-func (g *Ganger) hopeless(x *gang) bool {
+// failExpired ends a waiting gang that nothing can serve in time any more.
+func (g *Ganger) failExpired(x *gang) bool {
 	candidates := g.offers[x.Model]
 	if len(candidates) == 0 {
 		g.end(x, &coder.Error{Code: coder.NoTarget, Text: x.Model, Retry: retryAfter})
@@ -223,7 +223,7 @@
 func (g *Ganger) finish(x *gang) {
 	x.over = true
 	g.act(Action{Kind: Done, ID: x.ID})
-	g.disband(x)
+	g.releaseMembers(x)
 }
 
 // restart frees all members after one failed, and lets the gang start anew
@@ -233,7 +233,7 @@
 		g.end(x, &coder.Error{Code: coder.GangLost, Text: "target " + x.members[i].ID, Cause: err})
 		return
 	}
-	g.disband(x)
+	g.releaseMembers(x)
 	x.later = g.now.Add(min(firstDelay<<min(x.tries, 10), longDelay))
 }
 
@@ -249,11 +249,11 @@
 	}
 	x.over = true
 	g.act(Action{Kind: Failed, ID: x.ID, Err: &e})
-	g.disband(x)
+	g.releaseMembers(x)
 }
 
-// disband frees every member that was asked.
-func (g *Ganger) disband(x *gang) {
+// releaseMembers frees every member that was asked.
+func (g *Ganger) releaseMembers(x *gang) {
 	for i := range x.members {
 		if x.members[i].phase != unasked {
 			g.release(x.members[i].action(x))
--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -87,7 +87,7 @@
 		return err
 	}
 	if e.Rev > before {
-		p.stir()
+		p.notify()
 	}
 	if e.Since.Equal(now) {
 		p.cfg.Log.WithField("target", a.Target.ID).WithField("incarnation", a.Target.Incarnation).Info("target announced")
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -75,9 +75,9 @@
 	}
 	p.confirm.init()
 	p.board.Store(&board{view: p.cfg.Applier.View(), next: make(chan struct{})})
-	p.cfg.Applier.Subscribe(p.stir)
+	p.cfg.Applier.Subscribe(p.notify)
 	p.wg.Go(p.control)
-	p.wg.Go(func() { p.confirm.run(ctx, p.cfg.Every, p.cfg.Confirm, p.stir) })
+	p.wg.Go(func() { p.confirm.run(ctx, p.cfg.Every, p.cfg.Confirm, p.notify) })
 	return p, func() {
 		cancel()
 		p.wg.Wait()
@@ -95,8 +95,8 @@
 	return c
 }
 
-// stir has the control goroutine make a new board.
-func (p *Publisher) stir() {
+// notify has the control goroutine make a new board.
+func (p *Publisher) notify() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -73,7 +73,7 @@
 	if !r.ours(&m.Route) {
 		return
 	}
-	r.notice(&m.Route)
+	r.noteOutsider(&m.Route)
 	if m.Pre {
 		r.onPreVote(m)
 		return
@@ -178,8 +178,8 @@
 	r.role, r.leader, r.pre = Follower, messenger.Member{}, false
 }
 
-// obey follows the leader that sent a message of the current or a newer term.
-func (r *Replicator) obey(m *messenger.Route) {
+// followLeader follows the leader that sent a message of the current or a newer term.
+func (r *Replicator) followLeader(m *messenger.Route) {
 	if m.Term > r.state.Term || r.role != Follower {
 		r.stepDown(m.Term)
 	}
@@ -197,7 +197,7 @@
 	if r.now >= r.beat {
 		r.beat = r.now + r.cfg.Heartbeat
 		r.repair()
-		r.hail()
+		r.heartbeatAll()
 	}
 }
 
--- a/replicator/founding.go
+++ b/replicator/founding.go
@@ -85,7 +85,7 @@
 
 func (r *Replicator) onProbe(m *messenger.Probe) {
 	if m.Group == 0 || m.Group == r.state.Group {
-		r.notice(&m.Route)
+		r.noteOutsider(&m.Route)
 	}
 	answer := &messenger.Probed{Route: r.route(m.From, r.state.Term), Nonce: m.Nonce, Formed: r.state.Group != 0}
 	if r.founds(m.From.Node) {
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -96,8 +96,8 @@
 	p.sent, p.told = r.now, r.commit
 }
 
-// hail has every member hear the leader now.
-func (r *Replicator) hail() {
+// heartbeatAll has every member hear the leader now.
+func (r *Replicator) heartbeatAll() {
 	for _, m := range r.everyone() {
 		if p := r.peers[m.Disk]; p.sent < r.now {
 			p.sent = never
@@ -113,7 +113,7 @@
 		r.answer(m, false, 0, 0)
 		return
 	}
-	r.obey(&m.Route)
+	r.followLeader(&m.Route)
 	if m.Prev > r.log.last() {
 		r.answer(m, false, 0, r.log.last())
 		return
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -52,7 +52,7 @@
 	if !r.joins(&m.Route, true) || m.Term < r.state.Term {
 		return
 	}
-	r.obey(&m.Route)
+	r.followLeader(&m.Route)
 	if m.Index <= r.commit || r.log.has(m.Index, m.IndexTerm) {
 		r.commitTo(m.Index)
 		r.installed(m, m.Total, true)
--- a/replicator/voters.go
+++ b/replicator/voters.go
@@ -45,8 +45,8 @@
 	return slices.Contains(r.everyone(), m)
 }
 
-// notice remembers the sender of a message that is no member, or one that moved.
-func (r *Replicator) notice(m *messenger.Route) {
+// noteOutsider remembers the sender of a message that is no member, or one that moved.
+func (r *Replicator) noteOutsider(m *messenger.Route) {
 	if r.role != Leader || r.known(m.From) {
 		return
 	}
--- a/reserver/ending.go
+++ b/reserver/ending.go
@@ -19,7 +19,7 @@
 	switch {
 	case rec == nil && m.Incarnation != r.Incarnation:
 	case rec == nil:
-		if r.bury(m.Attempt, coder.Voided, r.forgot) && !r.forgot {
+		if r.placeTombstone(m.Attempt, coder.Voided, r.forgot) && !r.forgot {
 			answer.Run = coder.NotRun
 		}
 	case rec.phase == Reserved:
@@ -33,10 +33,10 @@
 	return answer
 }
 
-// bury leaves a tombstone for an attempt without a record. Unsure says that the
+// placeTombstone leaves a tombstone for an attempt without a record. Unsure says that the
 // attempt may have run before, in a time without record. It returns false if
 // there is no room for a tombstone.
-func (r *Reserver) bury(attempt string, c coder.Code, unsure bool) bool {
+func (r *Reserver) placeTombstone(attempt string, c coder.Code, unsure bool) bool {
 	if len(r.records) >= MaxRecords {
 		return false
 	}
@@ -68,7 +68,7 @@
 	rec := r.records[attempt]
 	if rec == nil {
 		// A Cancel doesn't say which incarnation it means.
-		r.bury(attempt, coder.Cancelled, true)
+		r.placeTombstone(attempt, coder.Cancelled, true)
 		return false
 	}
 	switch rec.phase {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -105,7 +105,7 @@
 func (r *Reserver) again(rec *record) (messenger.Reserved, error) {
 	switch rec.phase {
 	case Reserved:
-		return r.prolong(rec)
+		return r.renewReservation(rec)
 	case Withdrawn:
 		return messenger.Reserved{}, rec.refusal()
 	default:
@@ -113,8 +113,8 @@
 	}
 }
 
-// prolong answers a repeated Reserve of an unused reservation.
-func (r *Reserver) prolong(rec *record) (messenger.Reserved, error) {
+// renewReservation answers a repeated Reserve of an unused reservation.
+func (r *Reserver) renewReservation(rec *record) (messenger.Reserved, error) {
 	if !rec.gang {
 		return r.grant(rec), nil
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -183,7 +183,7 @@
 	var best Pick
 	n, found := len(set), 0
 	for i := range min(n, draws(n)) {
-		p, ok := r.weigh(now, r.swap(set, i), c)
+		p, ok := r.score(now, r.swap(set, i), c)
 		if !ok {
 			continue
 		}
@@ -224,7 +224,7 @@
 	if !r.Off.Lanes && !s.open(c.Prompt > r.long()) {
 		return Pick{}, false
 	}
-	return r.weigh(now, s, c)
+	return r.score(now, s, c)
 }
 
 // open applies the rule of draw's sets to one target.
--- a/router/score.go
+++ b/router/score.go
@@ -7,8 +7,8 @@
 	"bramleyshunt/messenger"
 )
 
-// weigh predicts the wait at one target and reports whether it may be sent to.
-func (r *Router) weigh(now time.Time, s *state, c Case) (Pick, bool) {
+// score predicts the wait at one target and reports whether it may be sent to.
+func (r *Router) score(now time.Time, s *state, c Case) (Pick, bool) {
 	r.Examined++
 	l := s.target.Load
 	p := Pick{Target: s.target, Speed: first(l.Speed, DefaultSpeed), Pace: first(l.Pace, DefaultPace)}
--- a/watcher/state.go
+++ b/watcher/state.go
@@ -84,7 +84,7 @@
 		s.targets, s.until = map[string]messenger.Target{}, map[string]time.Time{}
 	}
 	if s.fresh {
-		s.doubt(now)
+		s.graceTargets(now)
 	}
 	for _, t := range u.Targets {
 		delete(s.until, t.ID)
@@ -100,7 +100,7 @@
 	}
 	gone := s.lapsed(now)
 	if s.mass(u.Gone) {
-		s.doubt(now)
+		s.graceTargets(now)
 		s.left = true
 	} else {
 		gone = append(gone, u.Gone...)
@@ -118,8 +118,8 @@
 	return len(gone) >= massCount && 2*len(gone) > len(s.targets)
 }
 
-// doubt gives every target a time by which the new keeper must list it.
-func (s *state) doubt(now time.Time) {
+// graceTargets gives every target a time by which the new keeper must list it.
+func (s *state) graceTargets(now time.Time) {
 	for id := range s.targets {
 		if _, waiting := s.until[id]; !waiting {
 			s.until[id] = now.Add(targetGrace)
