Go on accepting connections after accepting has failed

Cause: a failed accept, as when files run out, ended the listener of the system's own processes for good, without a word. Change: it tries again after 50 ms. The new spec failed first. Goroutines of connections and of the entry's control are waited for on the way out.

--- a/entry/control.go
+++ b/entry/control.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"bramleyshunt/admitter"
 	"bramleyshunt/chainer"
 	"bramleyshunt/configurer"
@@ -64,10 +66,11 @@
 		},
 	}
 	stop := make(chan struct{})
-	go c.run(stop)
+	var wg conc.WaitGroup
+	wg.Go(func() { c.run(stop) })
 	return c, func() {
 		close(stop)
-		<-c.done
+		wg.Wait()
 	}
 }
 
--- a/muxer/muxer.go
+++ b/muxer/muxer.go
@@ -13,11 +13,13 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"bramleyshunt/coder"
 	"bramleyshunt/framer"
 	"bramleyshunt/messenger"
+	"bramleyshunt/sleeper"
 )
 
 const (
@@ -30,6 +32,7 @@
 	firstOpen    = 1 // streams opened by the dialing end are odd
 	firstAccept  = 2
 	streamStride = 2
+	acceptPause  = 50 * time.Millisecond
 )
 
 // Config says who this end is. Zero durations take the defaults.
@@ -108,21 +111,26 @@
 	return context.Cause(m.ctx)
 }
 
-// Serve accepts connections on l until ctx ends, then closes l and every connection.
+// Serve accepts connections on l until ctx ends, then closes l and every
+// connection. When accepting fails, it tries again after a pause. It returns an
+// error only if l was closed by another.
 func Serve(ctx context.Context, l net.Listener, cfg Config, handle func(context.Context, *Stream)) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
-	var wg sync.WaitGroup
+	var wg conc.WaitGroup
 	defer wg.Wait()
 	for {
 		conn, err := l.Accept()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept: %w", err)
+		case err != nil:
+			_ = sleeper.Sleep(ctx, acceptPause)
+		default:
+			wg.Go(func() { _ = Accept(ctx, conn, cfg, handle) })
 		}
-		wg.Go(func() { _ = Accept(ctx, conn, cfg, handle) })
 	}
 }
 
@@ -148,13 +156,15 @@
 	if handle != nil {
 		cut = context.AfterFunc(ctx, func() { m.fail(context.Cause(ctx)) })
 	}
-	go m.read()
-	go m.beat()
+	var wg conc.WaitGroup
+	wg.Go(m.read)
+	wg.Go(m.beat)
 	closer := func() {
 		if cut != nil {
 			cut()
 		}
 		m.fail(net.ErrClosed)
+		wg.Wait()
 	}
 	return m, closer, nil
 }
--- a/muxer/muxer_test.go
+++ b/muxer/muxer_test.go
@@ -56,6 +56,20 @@
 	_ = s.Send(messenger.KindCancelled, &messenger.Cancelled{Attempt: c.Attempt})
 }
 
+// failing is a listener whose first calls fail, as when files run out.
+type failing struct {
+	net.Listener
+	left int
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if f.left > 0 {
+		f.left--
+		return nil, errors.New("too many open files")
+	}
+	return f.Listener.Accept()
+}
+
 var _ = Describe("a connection", func() {
 	key := muxer.Config{Node: "a", Key: []byte("fleet")}
 
@@ -69,6 +83,24 @@
 		Expect(out.Attempt).To(Equal("x"))
 	})
 
+	It("is still accepted after accepting has failed", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = muxer.Serve(ctx, &failing{Listener: l, left: 2}, key, echo)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+		_, closer, err := muxer.Dial(context.Background(), l.Addr().String(), muxer.Config{Key: key.Key, Silence: time.Second})
+		Expect(err).NotTo(HaveOccurred())
+		closer()
+	})
+
 	It("refuses a peer without the fleet key", func() {
 		_, _, err := muxer.Dial(context.Background(), serve(key, echo), muxer.Config{Key: []byte("other")})
 		expectCode(err, coder.BadProof)
