--- a/runner/roles.go
+++ b/runner/roles.go
@@ -160,7 +160,11 @@
 	if err != nil {
 		return err
 	}
-	r.wg.Go(func() { _ = muxer.Serve(r.ctx, l, r.muxing(), r.dispatch) })
+	r.wg.Go(func() {
+		if err := muxer.Serve(r.ctx, l, r.muxing(), r.dispatch); err != nil {
+			r.fatal(fmt.Errorf("serve %s: %w", l.Addr(), err))
+		}
+	})
 	return nil
 }
 
