--- a/commander/demo.go
+++ b/commander/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -12,6 +13,9 @@
 	"bramleyshunt/storer"
 )
 
+// demoBound ends a demo that hangs.
+const demoBound = 60 * time.Second
+
 func demoCommand() *cobra.Command {
 	d := &demonstrator.Demonstrator{}
 	var verbose bool
--- a/commander/load.go
+++ b/commander/load.go
@@ -5,7 +5,6 @@
 	"io"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -105,6 +104,3 @@
 	}
 	return nil
 }
-
-// demoBound ends a demo that hangs.
-const demoBound = 60 * time.Second
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -54,6 +54,9 @@
 	if err := report.WriteTable(w, alone); err != nil {
 		return err
 	}
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("the demo was not finished: %w", err)
+	}
 	return d.judge([]*loader.Report{alone, report}, pings, faults)
 }
 
