--- a/muxer/muxer_test.go
+++ b/muxer/muxer_test.go
@@ -163,27 +163,3 @@
 		Expect(errors.Is(err, context.Canceled)).To(BeFalse())
 	})
 })
-
-// BenchmarkExchange reports what one exchange costs, both ends together.
-func BenchmarkExchange(b *testing.B) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	cfg := muxer.Config{Node: "a", Key: []byte("fleet")}
-	go func() { _ = muxer.Serve(ctx, l, cfg, echo) }()
-	m, closer, err := muxer.Dial(ctx, l.Addr().String(), cfg)
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer closer()
-	b.ReportAllocs()
-	for b.Loop() {
-		var out messenger.Cancelled
-		if err := m.Call(ctx, messenger.KindCancel, &messenger.Cancel{Attempt: "x"}, &out); err != nil {
-			b.Fatal(err)
-		}
-	}
-}
