List a known fault: one greedy account delays the others' longest prompts

The bound on fairness covered short prompts alone. TestPolicyFairLong holds the others' medium, long and huge prompts to the same 1.5 times. Likely cause, not proved: engines prefill shorter classes first, whoever sends them, and the queue's turns only order what waits at the entry.

--- a/bencher/policy_test.go
+++ b/bencher/policy_test.go
@@ -120,3 +120,17 @@
 		atMost(t, "short p99, ms", float64(r.First(messenger.Short, 0.99).Milliseconds()), 480)
 	})
 }
+
+// TestPolicyFairLong checks the same for the others' longer prompts.
+func TestPolicyFairLong(t *testing.T) {
+	each(t, 0.8, func(t *testing.T, b bencher.Bencher) {
+		greedy := b
+		greedy.Greedy = 10
+		others := func(account int) bool { return account != len(b.Deployment.Accounts)-1 }
+		before, after := b.Run(), greedy.Run()
+		for _, c := range []messenger.Class{messenger.Medium, messenger.Long, messenger.Huge} {
+			was, is := before.Account(c, 0.5, others), after.Account(c, 0.5, others)
+			atMost(t, c.String()+" p50 of the others, ms", float64(is.Milliseconds()), 1.5*float64(was.Milliseconds()))
+		}
+	})
+}
