Check that a late answer of the keepers takes no fencing number back

The checks of package fencer were broken by hand again: without the refusal of lower numbers, and with orders taken before a number is known, TestInvariants caught it (executed 0 after 1). With a Learn that may lower the number nothing did: the random runs only ever learned the newest one. A spec and a late answer in the random runs now catch that break too; all three breaks were reverted.

--- a/fencer/fencer_test.go
+++ b/fencer/fencer_test.go
@@ -50,6 +50,14 @@
 		expectRefused(f, order(10, "load"), coder.NotReady)
 	})
 
+	It("does not go back when an older answer of the keepers comes late", func() {
+		f := &fencer.Fencer{}
+		f.Learn(5)
+		expectBegun(f, order(7, "load"))
+		f.Learn(5)
+		expectRefused(f, order(6, "load"), coder.Fenced)
+	})
+
 	It("answers a repeated order as the first time and refuses another with its number", func() {
 		f := &fencer.Fencer{}
 		f.Learn(1)
@@ -79,6 +87,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fencer.Fencer{}
 		var issued, highest uint64
+		learned := false // since the restart
 		verbs := map[uint64]string{}
 		t.Repeat(map[string]func(*rapid.T){
 			"issue": func(t *rapid.T) {
@@ -98,9 +107,20 @@
 				highest = n
 				f.Finish(o, rapid.SampledFrom([]coder.Code{coder.OK, coder.TargetLost}).Draw(t, "outcome"))
 			},
-			"learn":   func(*rapid.T) { f.Learn(issued) },
-			"lapse":   func(*rapid.T) { f.Forget() },
-			"restart": func(*rapid.T) { f = &fencer.Fencer{} },
+			"learn": func(*rapid.T) {
+				f.Learn(issued)
+				learned = true
+			},
+			"learn late": func(t *rapid.T) {
+				if learned {
+					f.Learn(rapid.Uint64Range(0, issued).Draw(t, "older"))
+				}
+			},
+			"lapse": func(*rapid.T) { f.Forget() },
+			"restart": func(*rapid.T) {
+				f = &fencer.Fencer{}
+				learned = false
+			},
 		})
 	})
 }
