Let a group of keepers grow from its seeds

Where nobody keeps a list of keepers, a process knows three addresses and nothing else. The replica now asks the leader that an answer names, not only the founding nodes; with Grow the leader takes in every replica that probes it, puts it in the place of a silent voter, and removes a voter of a group above three that has been silent for ten election timeouts. Join keeps a replica whose deployment is not new from founding.

--- a/messenger/raft.go
+++ b/messenger/raft.go
@@ -102,6 +102,7 @@
 	Route  `msgpack:",inline"`
 	Nonce  uint64 `msgpack:"nonce"`  // of the Probe
 	Formed bool   `msgpack:"formed"` // belongs to a group
+	Leader Member `msgpack:"leader"` // of that group, zero if unknown
 	Token  uint64 `msgpack:"token"`  // must come back in Found; a later Probe voids it
 }
 
--- a/replicator/founding.go
+++ b/replicator/founding.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"slices"
 	"time"
 
 	"bramleyshunt/messenger"
@@ -14,9 +15,11 @@
 	nonce uint64                       // of the round
 	disks map[string]*messenger.Probed // answers of the round, by node
 	token uint64                       // given in the last Probed
+	leads messenger.Member             // leader of a group that an answer named
 }
 
-// probe asks the founding nodes who they are.
+// probe asks the founding nodes who they are, and the members and the leader that
+// this replica knows of: the founding nodes may be gone.
 func (r *Replicator) probe() {
 	if r.now < r.founder.next {
 		return
@@ -24,11 +27,14 @@
 	r.founder.next = r.now + probeBeats*r.cfg.Heartbeat
 	r.founder.nonce = r.rng.Uint64()
 	r.founder.disks = map[string]*messenger.Probed{}
-	for _, p := range r.cfg.Peers {
-		if p.Node != r.cfg.Self.Node {
-			to := messenger.Member{Node: p.Node, Address: p.Address}
-			r.send(to, &messenger.Probe{Route: r.route(to, r.state.Term), Nonce: r.founder.nonce})
+	asked := map[string]bool{r.cfg.Self.Address: true, "": true}
+	for _, p := range slices.Concat(r.cfg.Peers, r.everyone(), []messenger.Member{r.founder.leads}) {
+		if asked[p.Address] || p.Node == r.cfg.Self.Node {
+			continue
 		}
+		asked[p.Address] = true
+		to := messenger.Member{Node: p.Node, Address: p.Address}
+		r.send(to, &messenger.Probe{Route: r.route(to, r.state.Term), Nonce: r.founder.nonce})
 	}
 	r.found()
 }
@@ -54,7 +60,7 @@
 // found forms a group of the disks that all founding nodes have now, if each of
 // them says within one round that it belongs to no group.
 func (r *Replicator) found() {
-	if r.role != Outside || !r.founds(r.cfg.Self.Node) {
+	if r.role != Outside || r.cfg.Join || !r.founds(r.cfg.Self.Node) {
 		return
 	}
 	voters := make([]messenger.Member, 0, len(r.cfg.Peers))
@@ -87,7 +93,7 @@
 	if m.Group == 0 || m.Group == r.state.Group {
 		r.noteOutsider(&m.Route)
 	}
-	answer := &messenger.Probed{Route: r.route(m.From, r.state.Term), Nonce: m.Nonce, Formed: r.state.Group != 0}
+	answer := &messenger.Probed{Route: r.route(m.From, r.state.Term), Nonce: m.Nonce, Formed: r.state.Group != 0, Leader: r.leader}
 	if r.founds(m.From.Node) {
 		r.founder.token++
 		answer.Token = r.founder.token
@@ -100,6 +106,9 @@
 		return
 	}
 	r.founder.disks[m.From.Node] = m
+	if m.Leader.Address != "" {
+		r.founder.leads = m.Leader
+	}
 	if r.founding() && !m.Formed && r.voter(m.From.Disk) {
 		r.send(m.From, &messenger.Found{Route: r.route(m.From, r.state.Term), Token: m.Token, Entry: r.log.entries[0]})
 	}
--- a/replicator/node_test.go
+++ b/replicator/node_test.go
@@ -42,6 +42,8 @@
 	frozen bool
 	lag    time.Duration // of its clock
 	drawer []spare       // disks that were taken out
+	joins  bool          // never founds
+	gone   bool          // for good
 
 	synced  store // survives a kill
 	written store // what the process sees
@@ -81,8 +83,12 @@
 }
 
 func (n *node) start() {
-	peers := make([]messenger.Member, 0, len(n.w.nodes))
-	for _, o := range n.w.nodes {
+	known := n.w.nodes
+	if n.w.seeds > 0 {
+		known = n.w.present()[:n.w.seeds] // settings are written anew for each start
+	}
+	peers := make([]messenger.Member, 0, len(known))
+	for _, o := range known {
 		peers = append(peers, messenger.Member{Node: o.name, Address: o.name})
 	}
 	n.written = n.synced.clone()
@@ -90,6 +96,7 @@
 	n.rep = replicator.New(n.w.now-n.lag, replicator.Config{
 		Self:  messenger.Member{Node: n.name, Address: n.name, Disk: n.disk},
 		Peers: peers, Heartbeat: n.w.beat, Election: n.w.timeout, Seed: n.w.rng.Uint64(), Trail: 4,
+		Grow: n.w.seeds > 0, Join: n.joins,
 	}, replicator.Saved{State: saved.state, Snapshot: saved.snap, Entries: saved.entries})
 	n.restore(saved.snap)
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -27,6 +27,12 @@
 	Election  time.Duration // least time without a leader before an election
 	Seed      uint64        // another one for each start of the process
 	Trail     uint64        // entries kept behind a snapshot for slow followers
+
+	// Join has the replica wait to be taken into a group; it never founds one.
+	Join bool
+	// Grow has the leader make a voter of every replica that probes it. One that
+	// is silent by then gives its place to the new one.
+	Grow bool
 }
 
 // State is what a replica must not forget beside its log.
--- a/replicator/voters.go
+++ b/replicator/voters.go
@@ -7,7 +7,11 @@
 	"bramleyshunt/messenger"
 )
 
-const strangerTimeouts = 3 // election timeouts after which a silent stranger is forgotten
+const (
+	strangerTimeouts = 3  // election timeouts after which a silent stranger is forgotten
+	expelTimeouts    = 10 // election timeouts, above the time that a restart takes
+	leastVoters      = 3  // the least group that outlives the loss of one
+)
 
 // stranger is a disk that was heard of and is no member.
 type stranger struct {
@@ -132,6 +136,9 @@
 	if !ok {
 		next, ok = r.admit()
 	}
+	if !ok {
+		next, ok = r.expel()
+	}
 	if ok {
 		r.add(messenger.Entry{Members: &next})
 	}
@@ -145,7 +152,7 @@
 			continue
 		}
 		next := r.copied()
-		v := named(next.Voters, l.Node)
+		v := r.replaced(next.Voters, l)
 		switch {
 		case v < 0:
 			next.Learners = slices.Delete(next.Learners, i, i+1)
@@ -162,11 +169,46 @@
 	return messenger.Members{}, false
 }
 
+// replaced returns the voter whose place a learner takes: that of its own node,
+// or in a group that grows a silent one. It is negative if there is none.
+func (r *Replicator) replaced(voters []messenger.Member, l messenger.Member) int {
+	if v := named(voters, l.Node); v >= 0 || !r.cfg.Grow {
+		return v
+	}
+	return slices.IndexFunc(voters, func(m messenger.Member) bool { return r.silent(m, r.cfg.Election) })
+}
+
+// expel removes a voter of a grown group that has been silent for long: one that
+// is gone for good would count towards the quorum for ever. It is taken in again
+// when it comes back.
+func (r *Replicator) expel() (messenger.Members, bool) {
+	if !r.cfg.Grow || len(r.members.Voters) <= leastVoters {
+		return messenger.Members{}, false
+	}
+	next := r.copied()
+	i := slices.IndexFunc(next.Voters, func(m messenger.Member) bool {
+		return r.silent(m, expelTimeouts*r.cfg.Election)
+	})
+	if i < 0 {
+		return messenger.Members{}, false
+	}
+	next.Voters = slices.Delete(next.Voters, i, i+1)
+	return next, r.reached(next.Voters)
+}
+
+// silent reports whether a member has not answered this leadership for a time.
+func (r *Replicator) silent(m messenger.Member, d time.Duration) bool {
+	return m.Disk != r.cfg.Self.Disk && r.now >= max(r.peers[m.Disk].stamp, r.elected)+d
+}
+
 // dismiss removes a silent learner whose node has its voter's disk back.
 func (r *Replicator) dismiss() (messenger.Members, bool) {
 	for i, l := range r.members.Learners {
+		if r.live(l) {
+			continue
+		}
 		v := named(r.members.Voters, l.Node)
-		if v < 0 || r.live(l) || !r.live(r.members.Voters[v]) {
+		if v < 0 && !r.cfg.Grow || v >= 0 && !r.live(r.members.Voters[v]) {
 			continue
 		}
 		next := r.copied()
@@ -198,7 +240,7 @@
 		}
 		next := r.copied()
 		v, l := named(next.Voters, s.member.Node), named(next.Learners, s.member.Node)
-		if v < 0 && l < 0 || v >= 0 && r.live(next.Voters[v]) {
+		if v < 0 && l < 0 && !r.cfg.Grow || v >= 0 && r.live(next.Voters[v]) {
 			continue
 		}
 		return learn(next, s.member), true
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -49,6 +49,7 @@
 	lost    int             // node whose disk was lost last
 	out     *node           // node that is being removed and added again; nil for none
 	disks   uint64
+	seeds   int            // nodes that all others know; zero for all, in a group that doesn't grow
 	sent    func(body any) // sees each message sent; may be nil
 
 	leaders map[[2]uint64]uint64 // group and term: disk
@@ -61,7 +62,14 @@
 }
 
 func newWorld(seed uint64, n int, fail func(string, ...any)) *world {
+	return newSeededWorld(seed, n, 0, fail)
+}
+
+// newSeededWorld makes a group that grows from its first nodes.
+func newSeededWorld(seed uint64, n, seeds int, fail func(string, ...any)) *world {
 	w := &world{
+		seeds: seeds,
+
 		fail: fail, beat: heartbeat, timeout: election, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]int]bool{},
 		leaders: map[[2]uint64]uint64{}, history: map[[2]uint64]uint64{}, groups: map[uint64]bool{}, asked: map[uint64]uint64{},
 	}
@@ -201,7 +209,7 @@
 	w.cut = map[[2]int]bool{}
 	for _, n := range w.nodes {
 		n.frozen = false
-		if n.rep == nil {
+		if n.rep == nil && !n.gone {
 			n.start()
 		}
 	}
