Let keepers be found through each other and targets announce to one of them

Announcements of one incarnation count by their sequence, a target that deregistered stays leaving for that incarnation, and of two targets at one address the later start has it. Watchers and proposers ask the members that keepers name, beside those in the settings.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -39,7 +39,10 @@
 // take defaults.
 type Config struct {
 	Node     string
-	Peers    []setter.Keeper // founding voters including this node
+	Peers    []setter.Keeper // founding voters; of a group that grows, those it grows from
+	Address  string          // where the other keepers reach this one, if Peers doesn't say
+	Join     bool            // never founds a group, as its deployment is not new
+	Grow     bool            // every keeper that asks is taken in
 	Folder   string          // data folder
 	Pool     *pooler.Pooler
 	Apply    func(index uint64, command []byte) []byte
@@ -111,11 +114,11 @@
 }
 
 // New opens the folder and starts the replica. The returned function stops it.
-// Errors: Invalid if Peers doesn't name the node, Damaged if the folder is
+// Errors: Invalid if neither Peers nor Address says where the node is, Damaged if the folder is
 // refused, DiskFailed.
 func New(cfg Config) (*Keeper, func(), error) {
 	cfg.fill()
-	if !slices.ContainsFunc(cfg.Peers, func(p setter.Keeper) bool { return p.Node == cfg.Node }) {
+	if cfg.Address == "" && !slices.ContainsFunc(cfg.Peers, func(p setter.Keeper) bool { return p.Node == cfg.Node }) {
 		return nil, nil, coder.Errorf(coder.Invalid, "keeper %q is not among the keepers in its settings", cfg.Node)
 	}
 	rec, closeFolder, err := recorder.New(recorder.Config{
@@ -176,7 +179,7 @@
 		}
 	}
 	k.applied, k.snapshot, k.size = saved.Snapshot.Index, saved.Snapshot.Index, len(saved.Snapshot.Data)
-	self := messenger.Member{Node: k.cfg.Node, Disk: k.rec.Disk()}
+	self := messenger.Member{Node: k.cfg.Node, Address: k.cfg.Address, Disk: k.rec.Disk()}
 	peers := make([]messenger.Member, 0, len(k.cfg.Peers))
 	for _, p := range k.cfg.Peers {
 		peers = append(peers, messenger.Member{Node: p.Node, Address: p.Address})
@@ -187,6 +190,7 @@
 	k.rep = replicator.New(k.now(), replicator.Config{
 		Self: self, Peers: peers, Heartbeat: k.cfg.Heartbeat, Election: k.cfg.Election,
 		Seed: k.cfg.Seed ^ uint64(k.start.UnixNano()), Trail: trailCount,
+		Join: k.cfg.Join, Grow: k.cfg.Grow,
 	}, saved)
 	return nil
 }
--- a/merger/merger.go
+++ b/merger/merger.go
@@ -35,6 +35,10 @@
 	Tree   *decoder.Node // the merged folder with the position of every value
 }
 
+// Reader makes a configuration of the files that operators handed in. Merge is the
+// product's own; a deployment whose operators write another format has its own.
+type Reader func(files []messenger.File) (*Merger, decoder.Faults)
+
 // Merge merges files in byte order of their names, in whatever order they are
 // given. Faults tell what is wrong with any of them; the Merger is then nil.
 func Merge(files []messenger.File) (*Merger, decoder.Faults) {
--- a/messenger/keeper.go
+++ b/messenger/keeper.go
@@ -10,6 +10,10 @@
 type Announce struct {
 	Target Target        `msgpack:"target"`
 	Lease  time.Duration `msgpack:"lease"`
+	// Gone says that the target leaves without having said so before.
+	Gone bool `msgpack:"gone,omitempty"`
+	// Relayed says that another keeper passed it on.
+	Relayed bool `msgpack:"relayed,omitempty"`
 }
 
 // Announced answers an Announce with what the target must know.
@@ -44,6 +48,9 @@
 // one of a stream carries all targets and the whole quarantine. A watcher sends
 // another Watch on the stream to report the version it has put in force.
 type Update struct {
+	// Keepers are the members of the keepers' group; none if they have not changed.
+	Keepers []Member `msgpack:"keepers,omitempty"`
+
 	Version   uint64   `msgpack:"version"`
 	Full      bool     `msgpack:"full"` // Files is the whole folder
 	Files     []File   `msgpack:"files"`
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -132,6 +132,10 @@
 	Fence       uint64   `msgpack:"fence" json:"fence"` // highest order number executed
 	Config      uint64   `msgpack:"config" json:"config"`
 	Load        Load     `msgpack:"load" json:"load"`
+	Slots       int      `msgpack:"slots,omitempty" json:"slots,omitempty"` // requests at once; zero if unknown
+	// Seq rises with each announcement of an incarnation; zero where they can't
+	// overtake each other.
+	Seq uint64 `msgpack:"seq,omitempty" json:"seq,omitempty"`
 
 	// Standby says that it leaves by an order of the controllers, who may activate it.
 	Standby bool `msgpack:"standby,omitempty"`
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"bramleyshunt/coder"
+	"bramleyshunt/locator"
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
 	"bramleyshunt/pooler"
@@ -33,6 +34,7 @@
 // than once: what keepers take is idempotent.
 type Proposer struct {
 	Keepers []setter.Keeper
+	Locator *locator.Locator // in place of Keepers, where their group grows
 	Pool    *pooler.Pooler
 	Limit   time.Duration // of one question to one keeper; tryLimit if zero
 
@@ -52,7 +54,7 @@
 func (p *Proposer) Call(ctx context.Context, kind messenger.Kind, v, out any) error {
 	var last error
 	for round := 0; ctx.Err() == nil; round++ {
-		for _, k := range p.Keepers {
+		for _, k := range p.keepers() {
 			err := p.chase(ctx, k.Address, kind, v, out)
 			if err == nil || final(err) {
 				return err
@@ -67,6 +69,13 @@
 	return &coder.Error{Code: coder.NoQuorum, Run: coder.NotRun, Retry: time.Second, Cause: errors.Join(last, ctx.Err())}
 }
 
+func (p *Proposer) keepers() []setter.Keeper {
+	if p.Locator != nil {
+		return p.Locator.Keepers()
+	}
+	return p.Keepers
+}
+
 // chase asks the keeper that led last, else the one given, and follows hints.
 // A leader that can't be reached is asked by the keeper that named it.
 func (p *Proposer) chase(ctx context.Context, addr string, kind messenger.Kind, v, out any) error {
--- a/publisher/board.go
+++ b/publisher/board.go
@@ -40,7 +40,8 @@
 	rev       uint64 // of the leases
 	confirmed bool   // the last round reached a quorum
 	round     uint64
-	next      chan struct{} // closed when the next board is there
+	next      chan struct{}      // closed when the next board is there
+	members   []messenger.Member // keepers
 }
 
 // cursor is what one stream has been told.
@@ -54,6 +55,7 @@
 	rev     uint64
 	blocked []uint64
 	round   uint64
+	members []messenger.Member
 	sent    time.Time
 	proofs  proofs
 	loads   map[string]uint64 // Loaded of each target as told
@@ -73,7 +75,10 @@
 		c.digests(u, b, now)
 		c.quarantine(u, b)
 	}
-	empty := !u.Full && len(u.Files)+len(u.Targets)+len(u.Gone)+len(u.Blocked)+len(u.Freed)+len(u.Loads) == 0
+	if !slices.Equal(c.members, b.members) {
+		u.Keepers, c.members = b.members, b.members
+	}
+	empty := !u.Full && len(u.Keepers) == 0 && len(u.Files)+len(u.Targets)+len(u.Gone)+len(u.Blocked)+len(u.Freed)+len(u.Loads) == 0
 	urgent := now.Sub(c.proved) > proofGap && b.confirmed && c.proofs.ready(b.round)
 	if empty && c.begun && !urgent && now.Sub(c.sent) < idleGap {
 		return nil
--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -6,6 +6,8 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/sirupsen/logrus"
+
 	"bramleyshunt/applier"
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
@@ -62,13 +64,12 @@
 	if err := m.Decode(&a); err != nil {
 		return reply{err: err}
 	}
-	var err error
-	if !p.do(ctx, func() { err = p.renew(&a) }) {
-		return reply{err: coder.Errorf(coder.NotReady, "keeper is ending")}
-	}
-	if err != nil {
+	if err := p.take(ctx, &a); err != nil {
 		return reply{err: err}
 	}
+	if a.Relayed {
+		return reply{kind: messenger.KindAnnounced, body: &messenger.Announced{Leader: p.cfg.Leader()}}
+	}
 	wait, cancel := context.WithTimeout(ctx, announceLimit)
 	defer cancel()
 	ok := p.confirm.wait(wait)
@@ -78,10 +79,24 @@
 	}}
 }
 
+// take has the control goroutine take an announcement.
+func (p *Publisher) take(ctx context.Context, a *messenger.Announce) (err error) {
+	if !p.do(ctx, func() { err = p.renew(a) }) {
+		return coder.Errorf(coder.NotReady, "keeper is ending")
+	}
+	return err
+}
+
 // renew runs on the control goroutine.
 func (p *Publisher) renew(a *messenger.Announce) error {
 	now := p.cfg.Now()
 	before := p.leases.Rev()
+	if a.Gone {
+		p.leases.Leave(now, a.Target.ID, a.Target.Incarnation)
+		p.cfg.Log.WithFields(logrus.Fields{"target": a.Target.ID, "incarnation": a.Target.Incarnation}).Info("target deregistered")
+		p.notify()
+		return nil
+	}
 	e, err := p.leases.Announce(now, *a)
 	if err != nil {
 		return err
@@ -89,8 +104,11 @@
 	if e.Rev > before {
 		p.notify()
 	}
-	if e.Since.Equal(now) {
-		p.cfg.Log.WithField("target", a.Target.ID).WithField("incarnation", a.Target.Incarnation).Info("target announced")
+	if e.Since.Equal(now) || e.Rev > before && a.Target.Leaving {
+		p.cfg.Log.WithFields(logrus.Fields{
+			"target": a.Target.ID, "incarnation": a.Target.Incarnation, "seq": a.Target.Seq,
+			"service": a.Target.Service, "address": a.Target.Address, "leaving": a.Target.Leaving,
+		}).Info("target announced")
 	}
 	return nil
 }
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -16,6 +16,7 @@
 	"bramleyshunt/applier"
 	"bramleyshunt/coder"
 	"bramleyshunt/defaulter"
+	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
 	"bramleyshunt/registrar"
 )
@@ -39,12 +40,17 @@
 	Applier *applier.Applier
 	Propose func(ctx context.Context, command []byte) (uint64, []byte, error)
 	Confirm func(ctx context.Context) (uint64, error)
-	Leader  func() string  // address of the leading keeper, empty if unknown
-	Pool    *pooler.Pooler // towards the leader, for questions passed on; none are if nil
-	Every   time.Duration  // between confirmations; DefaultEvery if zero
-	Log     *logrus.Entry
-	Metrics metrics.Registry
-	Now     func() time.Time
+	Leader  func() string             // address of the leading keeper, empty if unknown
+	Pool    *pooler.Pooler            // towards the leader, for questions passed on; none are if nil
+	Members func() []messenger.Member // of the keepers' group; watchers aren't told if nil
+	Address string                    // of this keeper, as Members has it
+
+	// Exclusive says that two live targets never share an address.
+	Exclusive bool
+	Every     time.Duration // between confirmations; DefaultEvery if zero
+	Log       *logrus.Entry
+	Metrics   metrics.Registry
+	Now       func() time.Time
 }
 
 // Publisher is the keeper's face to the other nodes.
@@ -71,7 +77,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Publisher{
 		cfg: cfg.withDefaults(), ctx: ctx, nodes: map[string]node{},
-		inbox: make(chan func(), inboxCount), wake: make(chan struct{}, 1),
+		leases: registrar.Registrar{Exclusive: cfg.Exclusive},
+		inbox:  make(chan func(), inboxCount), wake: make(chan struct{}, 1),
 	}
 	p.confirm.init()
 	p.board.Store(&board{view: p.cfg.Applier.View(), next: make(chan struct{})})
@@ -91,6 +98,9 @@
 	if c.Leader == nil {
 		c.Leader = func() string { return "" }
 	}
+	if c.Members == nil {
+		c.Members = func() []messenger.Member { return nil }
+	}
 	defaulter.Fill(&c.Log, &c.Metrics, &c.Now)
 	return c
 }
@@ -164,7 +174,7 @@
 	b := &board{
 		view: p.cfg.Applier.View(), blocked: p.cfg.Applier.Blocked(p.cfg.Now()),
 		live: old.live, gone: old.gone, rev: p.leases.Rev(),
-		confirmed: ok, round: round, next: make(chan struct{}),
+		confirmed: ok, round: round, next: make(chan struct{}), members: p.cfg.Members(),
 	}
 	if b.rev != old.rev {
 		b.live, b.gone = p.leases.Live(), p.leases.Gone()
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -51,10 +51,15 @@
 
 // Registrar holds the leases. The zero value is ready.
 type Registrar struct {
+	// Exclusive says that two live targets never share an address: the one that
+	// started later has taken it over.
+	Exclusive bool
+
 	rev  uint64
 	last time.Time // of the last Expire
 	live map[string]*Entry
 	gone map[string]Gone
+	left map[string]Gone // targets that said that they leave for good
 }
 
 // Announce renews a lease. The error carries WrongIncarnation for an incarnation
@@ -68,7 +73,16 @@
 	if seen := r.seen(t.ID); t.Incarnation < seen {
 		return Entry{}, coder.Errorf(coder.WrongIncarnation, "target %q: %d is below %d", t.ID, t.Incarnation, seen)
 	}
+	if err := r.settle(now, t); err != nil {
+		return Entry{}, err
+	}
 	e := r.live[t.ID]
+	if e != nil && e.Target.Incarnation == t.Incarnation {
+		if t.Seq < e.Target.Seq {
+			return *e, nil // overtaken by a later announcement
+		}
+	}
+	t.Leaving = t.Leaving || t.Incarnation <= r.left[t.ID].Incarnation
 	if e == nil && len(r.live) >= MaxTargets {
 		return Entry{}, coder.Errorf(coder.Overloaded, "%d targets are announced", len(r.live))
 	}
@@ -83,10 +97,55 @@
 		r.rev++
 		e.Loaded, e.Target = r.rev, t
 	}
+	e.Target.Seq = t.Seq
 	e.Until = now.Add(lease(a.Lease))
 	return *e, nil
 }
 
+// Leave marks a target as leaving for the rest of an incarnation, the present one
+// if it is zero. Announcements of it that arrive later change nothing.
+func (r *Registrar) Leave(now time.Time, id string, incarnation uint64) {
+	if incarnation == 0 {
+		incarnation = r.seen(id)
+	}
+	if r.left == nil {
+		r.left = map[string]Gone{}
+	}
+	if incarnation > r.left[id].Incarnation {
+		r.left[id] = Gone{ID: id, Incarnation: incarnation, At: now}
+	}
+	e := r.live[id]
+	if e == nil || e.Target.Incarnation > incarnation || e.Target.Leaving {
+		return
+	}
+	r.rev++
+	e.Rev, e.Target.Leaving = r.rev, true
+}
+
+// settle decides between two targets at one address.
+func (r *Registrar) settle(now time.Time, t messenger.Target) error {
+	if !r.Exclusive || t.Address == "" {
+		return nil
+	}
+	for id, e := range r.live {
+		switch {
+		case id == t.ID || e.Target.Address != t.Address:
+		case e.Target.Incarnation > t.Incarnation:
+			return coder.Errorf(coder.WrongIncarnation, "target %q: %q has taken over %s", t.ID, id, t.Address)
+		default:
+			r.end(now, id)
+		}
+	}
+	return nil
+}
+
+// end ends a lease.
+func (r *Registrar) end(now time.Time, id string) {
+	r.rev++
+	r.gone[id] = Gone{ID: id, Incarnation: r.live[id].Target.Incarnation, At: now, Rev: r.rev}
+	delete(r.live, id)
+}
+
 func lease(d time.Duration) time.Duration {
 	if d <= 0 {
 		return DefaultLease
@@ -119,6 +178,7 @@
 	}
 	old.Load, t.Load = messenger.Load{}, messenger.Load{}
 	old.Config, t.Config = 0, 0
+	old.Seq, t.Seq = 0, 0
 	return !reflect.DeepEqual(old, t)
 }
 
@@ -157,9 +217,7 @@
 	}
 	slices.Sort(ended)
 	for _, id := range ended {
-		r.rev++
-		r.gone[id] = Gone{ID: id, Incarnation: r.live[id].Target.Incarnation, At: now, Rev: r.rev}
-		delete(r.live, id)
+		r.end(now, id)
 	}
 	r.forget(now)
 	return ended
@@ -171,6 +229,11 @@
 			delete(r.gone, id)
 		}
 	}
+	for id, g := range r.left {
+		if now.Sub(g.At) >= Remembered {
+			delete(r.left, id)
+		}
+	}
 }
 
 // Rev returns the number of the last change of any kind.
--- a/watcher/state.go
+++ b/watcher/state.go
@@ -22,6 +22,7 @@
 
 // state is what the keepers told. It is a pure decider.
 type state struct {
+	read    merger.Reader // merger.Merge if nil
 	version uint64
 	files   map[string][]byte
 	config  *configurer.Configurer
@@ -47,7 +48,7 @@
 		return changed, nil
 	}
 	files := s.merged(u)
-	m, faults := merger.Merge(list(files))
+	m, faults := s.reader()(list(files))
 	if len(faults) > 0 {
 		return changed, coder.Errorf(coder.Invalid, "version %d: %v", u.Version, faults)
 	}
@@ -55,6 +56,13 @@
 	return true, nil
 }
 
+func (s *state) reader() merger.Reader {
+	if s.read == nil {
+		return merger.Merge
+	}
+	return s.read
+}
+
 // merged returns the folder of the update's version.
 func (s *state) merged(u *messenger.Update) map[string][]byte {
 	files := map[string][]byte{}
@@ -88,7 +96,7 @@
 	}
 	for _, t := range u.Targets {
 		delete(s.until, t.ID)
-		if old, held := s.targets[t.ID]; !held || old.Incarnation <= t.Incarnation {
+		if old, held := s.targets[t.ID]; !held || !older(t, old) {
 			s.targets[t.ID] = t
 		}
 	}
@@ -112,6 +120,15 @@
 	return len(u.Targets)+len(u.Loads)+len(gone) > 0
 }
 
+// older reports whether a is what a target said before it said b. One that leaves
+// goes on leaving, whatever a keeper says that has not heard of it.
+func older(a, b messenger.Target) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation < b.Incarnation
+	}
+	return a.Seq < b.Seq || b.Seq > 0 && b.Leaving && !a.Leaving
+}
+
 // mass reports whether so many targets have gone at once that the keeper, not
 // they, is likely to be cut off from the others.
 func (s *state) mass(gone []string) bool {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -17,6 +17,8 @@
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
 	"bramleyshunt/defaulter"
+	"bramleyshunt/locator"
+	"bramleyshunt/merger"
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
 	"bramleyshunt/setter"
@@ -40,9 +42,12 @@
 type Config struct {
 	Node    string
 	Keepers []setter.Keeper
+	Locator *locator.Locator // in place of Keepers, where their group grows
 	Pool    *pooler.Pooler
 	Lean    bool          // configuration only, no targets and no quarantine
 	Silence time.Duration // DefaultSilence if zero
+	Stale   time.Duration // how long a view holds without a confirmation; StaleAfter if zero
+	Read    merger.Reader // reads the files of a configuration; merger.Merge if nil
 	Log     *logrus.Entry
 	Metrics metrics.Registry
 	Now     func() time.Time
@@ -75,11 +80,12 @@
 
 // New returns a Watcher and the function that ends it.
 func New(cfg Config) (*Watcher, func(), error) {
-	if len(cfg.Keepers) == 0 || cfg.Pool == nil {
+	cfg = cfg.withDefaults()
+	if len(cfg.Locator.Keepers()) == 0 || cfg.Pool == nil {
 		return nil, nil, coder.Errorf(coder.Internal, "watcher needs Keepers and Pool")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &Watcher{cfg: cfg.withDefaults(), ctx: ctx, changed: make(chan struct{}), stale: true}
+	w := &Watcher{cfg: cfg, ctx: ctx, changed: make(chan struct{}), stale: true, state: state{read: cfg.Read}}
 	w.wg.Go(w.run)
 	return w, func() {
 		cancel()
@@ -91,6 +97,15 @@
 	if c.Silence <= 0 {
 		c.Silence = DefaultSilence
 	}
+	if c.Stale <= 0 {
+		c.Stale = StaleAfter
+	}
+	if c.Locator == nil {
+		c.Locator = &locator.Locator{Seeds: c.Keepers}
+	}
+	if c.Read == nil {
+		c.Read = merger.Merge
+	}
 	defaulter.Fill(&c.Log, &c.Metrics, &c.Now)
 	return c
 }
@@ -114,13 +129,13 @@
 }
 
 // Ready returns code Stale if there is no view or it was not confirmed for
-// StaleAfter. A process that was frozen finds itself stale when it wakes.
+// the time that a view holds. A process that was frozen finds itself stale when it wakes.
 func (w *Watcher) Ready() error {
 	at := w.Confirmed()
 	if w.View() == nil || at.IsZero() {
 		return coder.Errorf(coder.Stale, "no configuration was confirmed yet")
 	}
-	if age := w.cfg.Now().Sub(at); age > StaleAfter {
+	if age := w.cfg.Now().Sub(at); age > w.cfg.Stale {
 		return coder.Errorf(coder.Stale, "configuration %d was last confirmed %s ago", w.View().Version, age.Round(time.Second))
 	}
 	return nil
@@ -131,9 +146,11 @@
 func (w *Watcher) run() {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(w.cfg.Node))
-	for i := int(h.Sum32() % uint32(len(w.cfg.Keepers))); w.ctx.Err() == nil; i++ {
-		k := w.cfg.Keepers[i%len(w.cfg.Keepers)]
+	for i := int(h.Sum32() >> 1); w.ctx.Err() == nil; i++ {
+		all := w.cfg.Locator.Keepers()
+		k := all[i%len(all)]
 		w.follow(k.Address)
+		w.cfg.Log.WithField("keeper", k.Node).Info("keeper left")
 		metrics.GetOrRegisterCounter("watcher.keeper.left", w.cfg.Metrics).Inc(1)
 		w.note()
 		_ = sleeper.Sleep(w.ctx, againAfter)
