Add paths by host and prefix, keys, declared speeds and highest-version changes

A configuration can send callers' requests for a host and prefix to services by weight, with kind, tries, time and whether streams resume; accounts may have several keys; services may declare their engine. A change may ask for the highest version to win, which answers resends and older changes with success. Files are read by a seam, for deployments whose operators write another format.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -17,6 +17,8 @@
 // Applier holds the state. Apply, Restore and Snapshot are called by one
 // goroutine; the other methods may be called by any.
 type Applier struct {
+	Read merger.Reader // reads the files of a configuration; merger.Merge if nil
+
 	mu      sync.RWMutex
 	index   uint64 // of the last command applied
 	now     int64  // latest time of any command, nanoseconds since the epoch
@@ -56,8 +58,9 @@
 
 func (a *Applier) apply(index uint64, c *Command) (*Answer, bool) {
 	a.index = index
+	a.config.read = a.Read
 	a.now = max(a.now, c.Time)
-	m := moment{index: index, now: time.Unix(0, a.now), config: a.config.merge()}
+	m := moment{index: index, now: time.Unix(0, a.now), config: a.config.current()}
 	a.claims.sweep(m.now)
 	switch {
 	case c.Verb == VerbChange && c.Change != nil:
--- a/applier/command.go
+++ b/applier/command.go
@@ -32,6 +32,10 @@
 	Operator string           `msgpack:"operator"`
 	Rules    int              `msgpack:"rules"` // checker.Rules of the process that checked Files
 	Files    []messenger.File `msgpack:"files"`
+
+	// Highest has the highest version win, whatever the change started from. One
+	// that is not above the version in force is answered with success and changes nothing.
+	Highest bool `msgpack:"highest,omitempty"`
 }
 
 // Command is one entry of the replicated log. The proposing leader stamps Time.
--- a/applier/config.go
+++ b/applier/config.go
@@ -28,6 +28,7 @@
 
 // config is the configuration in force with the changes that led to it.
 type config struct {
+	read    merger.Reader // merger.Merge if nil
 	version uint64
 	digest  []byte
 	files   []messenger.File // in byte order of names
@@ -39,18 +40,26 @@
 	aliases map[uint64][]string // further ids in byID, by version
 }
 
-// merge returns the merged configuration, never nil.
-func (c *config) merge() *configurer.Configurer {
+// current returns the merged configuration, never nil.
+func (c *config) current() *configurer.Configurer {
 	if c.merged == nil {
 		return &configurer.Configurer{}
 	}
 	return c.merged.Config
 }
 
+// merge reads files in the format of this deployment.
+func (c *config) merge(files []messenger.File) (*merger.Merger, decoder.Faults) {
+	if c.read != nil {
+		return c.read(files)
+	}
+	return merger.Merge(files)
+}
+
 func (c *config) view() *View {
 	return &View{
 		Version: c.version, Digest: c.digest, Files: c.files,
-		Merger: c.merged, Config: c.merge(), Stamps: c.stamps, Floor: c.floor,
+		Merger: c.merged, Config: c.current(), Stamps: c.stamps, Floor: c.floor,
 	}
 }
 
@@ -76,6 +85,9 @@
 
 // change answers a Change: resends first, then conflicts, then the folder itself.
 func (c *config) change(m moment, ch *Change) *Answer {
+	if ch.Highest {
+		return c.raise(m, ch)
+	}
 	if a := c.known(ch); a != nil {
 		return a
 	}
@@ -85,7 +97,7 @@
 	if a := malformed(ch); a != nil {
 		return a
 	}
-	merged, faults := judge(ch)
+	merged, faults := c.judge(ch)
 	if len(faults) > 0 {
 		return &Answer{Code: coder.Invalid, Text: faults.Error(), Version: c.version}
 	}
@@ -93,6 +105,23 @@
 	return &Answer{Version: c.version, Winner: c.last()}
 }
 
+// raise takes a valid change whose version is above the one in force.
+func (c *config) raise(m moment, ch *Change) *Answer {
+	if a := malformed(ch); a != nil {
+		return a
+	}
+	merged, faults := c.judge(ch)
+	if len(faults) > 0 {
+		return &Answer{Code: coder.Invalid, Text: faults.Error(), Version: c.version}
+	}
+	if ch.Version <= c.version {
+		return &Answer{Version: c.version, Winner: c.last()}
+	}
+	ch.Base = c.version
+	c.accept(m, ch, merged)
+	return &Answer{Version: c.version, Winner: c.last()}
+}
+
 // known answers a resend of an accepted change, a second use of its id, and a
 // change for a version that another one has taken. An id whose folder already is
 // a version's stands for that version from then on.
@@ -140,7 +169,7 @@
 	switch {
 	case ch.ID == "" || len(ch.ID) > maxID || len(ch.Operator) > maxID:
 		return &Answer{Code: coder.Invalid, Text: fmt.Sprintf("a change needs an id of 1 to %d bytes", maxID)}
-	case ch.Version-ch.Base > maxStep:
+	case !ch.Highest && ch.Version-ch.Base > maxStep:
 		return &Answer{Code: coder.Invalid, Text: fmt.Sprintf("version is more than %d above base", maxStep)}
 	case !bytes.Equal(ch.Digest, merger.Digest(ch.Files)):
 		return &Answer{Code: coder.Invalid, Text: "digest does not match the files"}
@@ -152,8 +181,8 @@
 // judge merges and checks the folder. A folder judged by a process with other
 // rules is taken as that process found it, so that keepers of two releases
 // never decide the same entry differently.
-func judge(ch *Change) (*merger.Merger, decoder.Faults) {
-	m, faults := merger.Merge(ch.Files)
+func (c *config) judge(ch *Change) (*merger.Merger, decoder.Faults) {
+	m, faults := c.merge(ch.Files)
 	if ch.Rules != checker.Rules {
 		return m, nil
 	}
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -99,7 +99,7 @@
 	a.mu.Lock()
 	a.index = s.Index
 	a.now = s.Now
-	a.config = s.config()
+	a.config = s.config(a.Read)
 	a.claims = s.claims()
 	a.fences = fences{issued: mapOf(s.Fences), floor: s.Passed}
 	a.suspect = s.suspects()
@@ -111,13 +111,14 @@
 	return nil
 }
 
-func (s *snapshot) config() config {
+func (s *snapshot) config(read merger.Reader) config {
 	c := config{
+		read:    read,
 		version: s.Version, digest: s.Digest, files: s.Files, stamps: mapOf(s.Stamps), floor: s.Floor,
 		records: s.Records, byID: map[string]uint64{}, aliases: map[uint64][]string{},
 	}
 	if s.Version > 0 {
-		c.merged, _ = merger.Merge(s.Files)
+		c.merged, _ = c.merge(s.Files)
 	}
 	for _, r := range s.Records {
 		c.byID[r.Change] = r.Version
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -20,7 +20,7 @@
 
 // Rules is the number of the set of rules below and of those of packages
 // decoder and merger. It rises whenever a folder could be judged otherwise.
-const Rules = 1
+const Rules = 2
 
 const (
 	tokenBytes  = 32
@@ -52,6 +52,7 @@
 func CheckMerged(m *merger.Merger) decoder.Faults {
 	c := Checker{merged: m}
 	c.services()
+	c.paths()
 	c.models()
 	c.accounts()
 	c.operators()
@@ -162,7 +163,12 @@
 	for _, name := range sorted(c.merged.Config.Accounts) {
 		a := c.merged.Config.Accounts[name]
 		c.name("accounts", name)
-		c.token(a.Token, "accounts", name, "token")
+		if a.Token != "" || len(a.Keys) == 0 {
+			c.token(a.Token, "accounts", name, "token")
+		}
+		for i, k := range a.Keys {
+			c.token(k, "accounts", name, "keys", strconv.Itoa(i))
+		}
 		c.in(float64(a.Share), 0, maxShare, "accounts", name, "share")
 		c.in(float64(a.Priority), -maxPriority, maxPriority, "accounts", name, "priority")
 		c.in(a.Rate, 0, 1e12, "accounts", name, "rate")
@@ -207,4 +213,7 @@
 	c.in(float64(l.Crashes), 0, 100, "limits", "crashes")
 	c.in(l.Banned, 0, maxSeconds, "limits", "banned")
 	c.in(l.Kept, 0, maxSeconds, "limits", "kept")
+	c.in(float64(l.Header), 0, maxBody, "limits", "header")
+	c.in(l.Begin, 0, maxSeconds, "limits", "begin")
+	c.in(l.Idle, 0, maxSeconds, "limits", "idle")
 }
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -8,6 +8,7 @@
 // Configurer is one whole configuration.
 type Configurer struct {
 	Services  map[string]Service  `json:"services"`
+	Paths     []Path              `json:"paths"`
 	Models    map[string]Model    `json:"models"`
 	Accounts  map[string]Account  `json:"accounts"`
 	Limits    Limits              `json:"limits"`
@@ -25,6 +26,56 @@
 	Priority int     `json:"priority"` // higher goes first
 	Least    int     `json:"least"`    // replicas kept
 	Most     int     `json:"most"`     // replicas at most
+	Conns    int     `json:"conns"`    // connections that one replica accepts; zero for no bound
+	Engine   Engine  `json:"engine"`   // declared speed; zero if unknown
+}
+
+// Engine is the declared speed of one replica of an engine service. It works in
+// passes: while it writes, a pass is a fixed number of steps, and each of its
+// streams gets one event a pass.
+type Engine struct {
+	Slots   int     `json:"slots"`   // requests at once
+	Memory  int     `json:"memory"`  // tokens
+	Stride  int     `json:"stride"`  // steps of a pass
+	Chunk   int     `json:"chunk"`   // prompt tokens read in a step at most
+	Step    float64 `json:"step"`    // milliseconds of a step
+	Seq     float64 `json:"seq"`     // milliseconds more for each stream
+	Context float64 `json:"context"` // milliseconds more for 1,000 tokens of context
+	Read    float64 `json:"read"`    // prompt tokens a second
+	Pairs   float64 `json:"pairs"`   // milliseconds for a million pairs of a prompt token and an earlier one
+	Hop     float64 `json:"hop"`     // milliseconds a step more while others hold a part of the prompt
+	Prompt  float64 `json:"prompt"`  // tokens, usual mean
+	Answer  float64 `json:"answer"`  // tokens, usual mean
+}
+
+// Kinds of requests of a Path.
+const (
+	KindSafe   = "safe"   // may run any number of times
+	KindUnsafe = "unsafe" // may run once
+	KindStream = "stream" // server-sent events; may run once unless it resumes
+)
+
+// Path sends callers' requests for a host and the longest matching prefix to services.
+type Path struct {
+	Name     string  `json:"name"`
+	Host     string  `json:"host"`
+	Prefix   string  `json:"prefix"` // of the path; begins and ends with /
+	Kind     string  `json:"kind"`   // "safe", "unsafe" or "stream"
+	Split    []Split `json:"split"`
+	Tries    int     `json:"tries"`    // targets that a request is sent to at most; 1 if zero
+	Timeout  float64 `json:"timeout"`  // seconds
+	Aim      float64 `json:"aim"`      // seconds to the answer, of a stream to its first event
+	Gap      float64 `json:"gap"`      // seconds between the events of a stream
+	Priority int     `json:"priority"` // higher goes first
+	Open     bool    `json:"open"`     // no account is needed
+	Resume   bool    `json:"resume"`   // another target goes on after Last-Event-Id
+	Tokens   bool    `json:"tokens"`   // callers tell the token counts
+}
+
+// Split is the share of a Path's requests that one service gets.
+type Split struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // Route says whether calls of a plain service may be repeated.
@@ -46,6 +97,7 @@
 // Account is one client account.
 type Account struct {
 	Token    string   `json:"token"`    // hex SHA-256 of the bearer token
+	Keys     []string `json:"keys"`     // hex SHA-256 of further keys
 	Services []string `json:"services"` // allowed; none means all
 	Share    int      `json:"share"`    // weight in fair queueing
 	Priority int      `json:"priority"` // added to the service's
@@ -62,6 +114,9 @@
 // Limits hold for the whole fleet.
 type Limits struct {
 	Body    int     `json:"body"`    // bytes of a request at most
+	Header  int     `json:"header"`  // bytes of a request's header at most
+	Begin   float64 `json:"begin"`   // seconds that a caller may take to send a header
+	Idle    float64 `json:"idle"`    // seconds that a caller's connection may stay idle
 	Retries float64 `json:"retries"` // share of a service's traffic that may be retries
 	Crashes int     `json:"crashes"` // distinct incarnations before a request is quarantined
 	Banned  float64 `json:"banned"`  // seconds a quarantine lasts
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -17,12 +17,14 @@
 	byHash map[string]string
 }
 
-// New returns the Identifier of a configuration's accounts.
+// New returns the Identifier of a configuration's accounts with their tokens and keys.
 func New(accounts map[string]configurer.Account) *Identifier {
 	m := make(map[string]string, len(accounts))
 	for name, a := range accounts {
-		if a.Token != "" {
-			m[strings.ToLower(a.Token)] = name
+		for _, token := range append([]string{a.Token}, a.Keys...) {
+			if token != "" {
+				m[strings.ToLower(token)] = name
+			}
 		}
 	}
 	return &Identifier{byHash: m}
--- a/merger/merger_test.go
+++ b/merger/merger_test.go
@@ -65,7 +65,7 @@
 	It("refuses a wrong file even where a later one hides it", func() {
 		expectFaults(folder("1.json", `{"limits": {"body": "x"}}`, "2.json", `{"limits": {"body": 1}, "acounts": {}}`),
 			"1.json:1:21: want number, found string\n"+
-				`2.json:1:25: unknown key "acounts"; known are services, models, accounts, limits, operators`)
+				`2.json:1:25: unknown key "acounts"; known are services, paths, models, accounts, limits, operators`)
 	})
 
 	DescribeTable("refuses names", func(name string) {
