Split the request path from the product's HTTP

Package conductor carries a request from its arrival to the end of its answer, whatever it came by: filters, deciders, runs, claims, gangs. Package entry keeps the product's HTTP. A refactoring: no behaviour changes, and the tests of entry are as they were. Names that a newcomer had to decode became the field's words: outcome for told, runGang for spread, label for own, limitTime for bound, Disabled for the router's and the bencher's Off switches.

--- a/bencher/bencher.go
+++ b/bencher/bencher.go
@@ -28,7 +28,7 @@
 	Length     time.Duration // of the trace; requests in flight then run to their end
 	Seed       uint64
 	Kind       Kind
-	Off        Off
+	Disabled   Disabled
 	NoLong     bool    // leaves prompts above the short and medium classes out of the trace
 	Kill       bool    // one target is lost at half time, and comes back 10 s later
 	Greedy     float64 // factor on the requests of the last account; one if zero
@@ -46,8 +46,8 @@
 	left    int // requests without an outcome
 }
 
-// Off names what is switched off in the policy.
-type Off struct {
+// Disabled names what is switched off in the policy.
+type Disabled struct {
 	Router    router.Parts
 	Priority  bool // short before long inside the engine
 	Fair      bool // queueing by account
--- a/bencher/entry.go
+++ b/bencher/entry.go
@@ -42,7 +42,7 @@
 		retrier: retrier.Retrier{Seed: seed},
 		scheduler: scheduler.Scheduler{
 			Admitter: admitter.Admitter{Seed: seed},
-			Router:   router.Router{Seed: seed, Off: b.Off.Router, Wait: b.Wait},
+			Router:   router.Router{Seed: seed, Disabled: b.Disabled.Router, Wait: b.Wait},
 		},
 	}
 }
@@ -62,7 +62,7 @@
 		return
 	}
 	t := e.ticket(r)
-	if !e.b.Off.Admission {
+	if !e.b.Disabled.Admission {
 		if err := e.scheduler.Admit(e.b.now, t); err != nil {
 			e.finish(r, err)
 			return
@@ -76,7 +76,7 @@
 func (e *entry) ticket(r *request) *scheduler.Ticket {
 	size := e.measurer.Predict("m", configurer.Model{}, r.part()*bytesPerToken, 2*r.output)
 	account := fmt.Sprint("a", r.account)
-	if e.b.Off.Fair {
+	if e.b.Disabled.Fair {
 		account = "all"
 	}
 	return &scheduler.Ticket{
@@ -195,7 +195,7 @@
 }
 
 func (a *attempt) priority() int {
-	if a.e.b.Off.Priority {
+	if a.e.b.Disabled.Priority {
 		return 0
 	}
 	return messenger.Classes - 1 - int(a.r.class)
--- a/bencher/table_test.go
+++ b/bencher/table_test.go
@@ -104,17 +104,17 @@
 func parts() []variant {
 	return []variant{
 		{"ours", func(*bencher.Bencher) {}},
-		{"no engine priority", func(b *bencher.Bencher) { b.Off.Priority = true }},
-		{"no own sends", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Own: true} }},
-		{"no aging of reports", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Aging: true} }},
-		{"no cached prefix", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Cached: true} }},
-		{"no wait by class", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Class: true} }},
-		{"no check at the edge", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Edge: true} }},
-		{"no bound on the wait", func(b *bencher.Bencher) { b.Off.Router = router.Parts{Gate: true} }},
-		{"no fair queue", func(b *bencher.Bencher) { b.Off.Fair = true }},
-		{"no admission", func(b *bencher.Bencher) { b.Off.Admission = true }},
+		{"no engine priority", func(b *bencher.Bencher) { b.Disabled.Priority = true }},
+		{"no own sends", func(b *bencher.Bencher) { b.Disabled.Router = router.Parts{OwnSends: true} }},
+		{"no aging of reports", func(b *bencher.Bencher) { b.Disabled.Router = router.Parts{Aging: true} }},
+		{"no cached prefix", func(b *bencher.Bencher) { b.Disabled.Router = router.Parts{Cached: true} }},
+		{"no wait by class", func(b *bencher.Bencher) { b.Disabled.Router = router.Parts{ClassWait: true} }},
+		{"no check at the edge", func(b *bencher.Bencher) { b.Disabled.Router = router.Parts{RoomCheck: true} }},
+		{"no bound on the wait", func(b *bencher.Bencher) { b.Disabled.Router = router.Parts{WaitBound: true} }},
+		{"no fair queue", func(b *bencher.Bencher) { b.Disabled.Fair = true }},
+		{"no admission", func(b *bencher.Bencher) { b.Disabled.Admission = true }},
 		{"tight", func(b *bencher.Bencher) { b.Tight = 0.3 }},
-		{"tight, no admission", func(b *bencher.Bencher) { b.Tight, b.Off.Admission = 0.3, true }},
+		{"tight, no admission", func(b *bencher.Bencher) { b.Tight, b.Disabled.Admission = 0.3, true }},
 	}
 }
 
@@ -124,10 +124,10 @@
 	}
 	return []variant{
 		{"no lanes", set(0)}, {"short 20 %", set(0.2)}, {"short 35 %", set(0.35)}, {"short 50 %", set(0.5)},
-		{"no engine priority", func(b *bencher.Bencher) { b.Off.Priority = true }},
+		{"no engine priority", func(b *bencher.Bencher) { b.Disabled.Priority = true }},
 		{"no engine priority, short 35 %", func(b *bencher.Bencher) {
 			set(0.35)(b)
-			b.Off.Priority = true
+			b.Disabled.Priority = true
 		}},
 	}
 }
@@ -136,6 +136,6 @@
 	return []variant{
 		{"one target lost", func(b *bencher.Bencher) { b.Kill = true }},
 		{"one account tenfold", func(b *bencher.Bencher) { b.Greedy = 10 }},
-		{"tenfold, no fair queue", func(b *bencher.Bencher) { b.Greedy, b.Off.Fair = 10, true }},
+		{"tenfold, no fair queue", func(b *bencher.Bencher) { b.Greedy, b.Disabled.Fair = 10, true }},
 	}
 }
--- a/entry/claim.go
+++ b/conductor/claim.go
@@ -1,4 +1,4 @@
-package entry
+package conductor
 
 import (
 	"context"
@@ -22,7 +22,7 @@
 
 // claim keeps a request that is not idempotent to one run, and answers a resend
 // with what was kept. Idempotent requests pass without a keeper.
-func (e *Entry) claim(next chainer.Handler) chainer.Handler {
+func (cd *Conductor) claim(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
 		if !r.Once {
 			return next(ctx, r)
@@ -31,20 +31,20 @@
 			return coder.Errorf(coder.KeyRequired, "")
 		}
 		cl := claimOf(r)
-		answer, err := e.claims.Hold(ctx, cl)
+		answer, err := cd.claims.Hold(ctx, cl)
 		if err != nil {
-			return e.unclaimed(cl, err)
+			return cd.unclaimed(cl, err)
 		}
 		if answer != nil {
-			e.meter.count("replayed")
+			cd.meter.count("replayed")
 			return r.Answer.Reply(answer)
 		}
-		stop := e.renew(ctx, cl)
-		kept := e.record(ctx, r, cl)
+		stop := cd.renew(ctx, cl)
+		kept := cd.record(ctx, r, cl)
 		err = next(ctx, r)
 		stop()
 		if !kept.recorded {
-			e.settle(cl, kept.answer, err)
+			cd.settle(cl, kept.answer, err)
 		}
 		return err
 	}
@@ -52,11 +52,11 @@
 
 // renew keeps a claim alive until the returned function is called or its run
 // has begun.
-func (e *Entry) renew(ctx context.Context, cl messenger.Claim) (stop func()) {
+func (cd *Conductor) renew(ctx context.Context, cl messenger.Claim) (stop func()) {
 	ctx, stop = context.WithCancel(ctx)
-	e.wg.Go(func() {
+	cd.wg.Go(func() {
 		for sleeper.Sleep(ctx, claimRenewal) == nil {
-			if _, err := e.claims.Hold(ctx, cl); coder.Of(err) != nil && coder.Of(err).Code != coder.NoQuorum {
+			if _, err := cd.claims.Hold(ctx, cl); coder.Of(err) != nil && coder.Of(err).Code != coder.NoQuorum {
 				return
 			}
 		}
@@ -72,14 +72,14 @@
 
 // record has the answer recorded before its end is written, so that a resend by a
 // caller that has it all finds it. Without a quorum the caller doesn't wait.
-func (e *Entry) record(ctx context.Context, r *chainer.Request, cl messenger.Claim) *record {
+func (cd *Conductor) record(ctx context.Context, r *chainer.Request, cl messenger.Claim) *record {
 	kept := &record{}
 	end := r.Answer.End
 	r.Answer.End = func(m messenger.End) error {
 		ctx, stop := context.WithTimeout(ctx, recordLimit)
 		defer stop()
 		kept.answer = r.Answer.Kept(m)
-		kept.recorded = e.claims.Done(ctx, cl, kept.answer) == nil
+		kept.recorded = cd.claims.Done(ctx, cl, kept.answer) == nil
 		return end(m)
 	}
 	return kept
@@ -92,35 +92,35 @@
 }
 
 // unclaimed gives back a claim that may have been recorded though no answer came.
-func (e *Entry) unclaimed(cl messenger.Claim, err error) error {
+func (cd *Conductor) unclaimed(cl messenger.Claim, err error) error {
 	c := coder.Of(err)
 	if c.Code == coder.NoQuorum {
-		e.later(func(ctx context.Context) error { return e.claims.Void(ctx, cl) })
+		cd.later(func(ctx context.Context) error { return cd.claims.Void(ctx, cl) })
 	}
 	if c.Code == coder.NoQuorum || c.Code == coder.ClaimHeld {
-		return retry(c, time.Second)
+		return Retry(c, time.Second)
 	}
 	return c
 }
 
 // settle records the outcome. An unknown one leaves the claim as it is, so that
 // no resend runs.
-func (e *Entry) settle(cl messenger.Claim, answer []byte, err error) {
+func (cd *Conductor) settle(cl messenger.Claim, answer []byte, err error) {
 	switch {
 	case err == nil:
-		e.later(func(ctx context.Context) error { return e.claims.Done(ctx, cl, answer) })
+		cd.later(func(ctx context.Context) error { return cd.claims.Done(ctx, cl, answer) })
 	case coder.Of(err).Run == coder.NotRun:
-		e.later(func(ctx context.Context) error { return e.claims.Void(ctx, cl) })
+		cd.later(func(ctx context.Context) error { return cd.claims.Void(ctx, cl) })
 	case coder.Of(err).Run == coder.Ran:
-		e.later(func(ctx context.Context) error { return e.claims.Done(ctx, cl, nil) })
+		cd.later(func(ctx context.Context) error { return cd.claims.Done(ctx, cl, nil) })
 	}
 }
 
-// later runs f until it succeeds, its time is up or the Entry ends, after the
+// later runs f until it succeeds, its time is up or the Conductor ends, after the
 // caller's answer.
-func (e *Entry) later(f func(context.Context) error) {
-	e.wg.Go(func() {
-		ctx, stop := context.WithTimeout(e.ctx, claimLimit)
+func (cd *Conductor) later(f func(context.Context) error) {
+	cd.wg.Go(func() {
+		ctx, stop := context.WithTimeout(cd.ctx, claimLimit)
 		defer stop()
 		for f(ctx) != nil && sleeper.Sleep(ctx, tick) == nil {
 		}
--- a/entry/filters.go
+++ b/conductor/filters.go
@@ -1,4 +1,4 @@
-package entry
+package conductor
 
 import (
 	"context"
@@ -31,29 +31,29 @@
 }
 
 // chain returns the filters in the order in which a request passes them.
-func (e *Entry) chain() chainer.Handler {
+func (cd *Conductor) chain() chainer.Handler {
 	c := chainer.Chainer{Filters: []chainer.Filter{
-		e.allow, e.bound, e.measure, e.quarantine, e.limit, e.claim, e.admit,
+		cd.allow, cd.limitTime, cd.measure, cd.quarantine, cd.limit, cd.claim, cd.admit,
 	}}
-	return c.Then(e.run)
+	return c.Then(cd.run)
 }
 
-// identify returns the client account of a call's token.
-func (e *Entry) identify(hr *http.Request) (string, error) {
-	v := e.cfg.View()
+// Identify returns the client account of a token or key.
+func (cd *Conductor) Identify(token string) (string, error) {
+	v := cd.cfg.View()
 	if v == nil {
 		return "", coder.Errorf(coder.NotReady, "")
 	}
-	a := e.accounts.Load()
+	a := cd.accounts.Load()
 	if a == nil || a.config != v.Config {
 		a = &accounts{config: v.Config, identifier: identifier.New(v.Config.Accounts)}
-		e.accounts.Store(a)
+		cd.accounts.Store(a)
 	}
-	return a.identifier.Identify(bearer(hr.Header))
+	return a.identifier.Identify(token)
 }
 
 // allow checks the service and the account's right to it.
-func (e *Entry) allow(next chainer.Handler) chainer.Handler {
+func (cd *Conductor) allow(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
 		spec, ok := r.Config.Services[r.Service]
 		if !ok || (spec.Kind == "engine") != (r.Model != "") {
@@ -66,7 +66,7 @@
 		r.Spec = spec
 		r.Priority = spec.Priority + a.Priority
 		r.Once = once(spec, r.Method, r.Path)
-		e.own(r)
+		cd.label(r)
 		return next(ctx, r)
 	}
 }
@@ -85,8 +85,8 @@
 	return method == http.MethodPost || method == http.MethodPatch
 }
 
-// bound sets the deadline and ends the request at it.
-func (e *Entry) bound(next chainer.Handler) chainer.Handler {
+// limitTime sets the deadline and ends the request at it.
+func (cd *Conductor) limitTime(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
 		longest := seconds(r.Spec.Longest, DefaultLongest)
 		if r.Timeout > longest {
@@ -97,7 +97,7 @@
 		}
 		r.Deadline = r.Arrived.Add(r.Timeout)
 		r.Answer.Until(r.Deadline.Add(writeSlack))
-		ctx, stop := context.WithTimeout(ctx, r.Deadline.Sub(e.cfg.Now()))
+		ctx, stop := context.WithTimeout(ctx, r.Deadline.Sub(cd.cfg.Now()))
 		defer stop()
 		return next(ctx, r)
 	}
@@ -111,9 +111,9 @@
 }
 
 // measure predicts the tokens and learns from what the engine reports.
-func (e *Entry) measure(next chainer.Handler) chainer.Handler {
+func (cd *Conductor) measure(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
-		e.control.measure(r)
+		cd.control.measure(r)
 		r.Class = messenger.ClassOf(r.Prompt)
 		if w := r.Config.Models[r.Model].Window; w > 0 && r.Prompt > w {
 			return coder.Errorf(coder.PromptTooLong, "about %d tokens of %d", r.Prompt, w)
@@ -123,10 +123,10 @@
 }
 
 // quarantine refuses requests that crashed targets.
-func (e *Entry) quarantine(next chainer.Handler) chainer.Handler {
+func (cd *Conductor) quarantine(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
 		r.Fingerprint = fingerprint(r)
-		if e.cfg.View().Blocked[r.Fingerprint] {
+		if cd.cfg.View().Blocked[r.Fingerprint] {
 			return coder.Errorf(coder.Quarantined, "")
 		}
 		return next(ctx, r)
@@ -145,31 +145,31 @@
 }
 
 // limit holds the account to its rate and number of requests.
-func (e *Entry) limit(next chainer.Handler) chainer.Handler {
+func (cd *Conductor) limit(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
-		if err := e.control.take(r, r.Config.Accounts[r.Account]); err != nil {
+		if err := cd.control.take(r, r.Config.Accounts[r.Account]); err != nil {
 			return err
 		}
 		spare := r.Prompt + r.Output
 		end := r.Answer.End
 		r.Answer.End = func(m messenger.End) error {
 			spare -= m.Usage.Prompt + m.Usage.Output
-			e.control.learn(r, m.Usage)
+			cd.control.learn(r, m.Usage)
 			return end(m)
 		}
 		err := next(ctx, r)
 		if err != nil && coder.Of(err).Run != coder.NotRun {
 			spare = 0
 		}
-		e.control.give(r, spare)
+		cd.control.give(r, spare)
 		return err
 	}
 }
 
 // admit refuses a request that can't finish in its time.
-func (e *Entry) admit(next chainer.Handler) chainer.Handler {
+func (cd *Conductor) admit(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
-		if err := e.control.admit(r); err != nil {
+		if err := cd.control.admit(r); err != nil {
 			return err
 		}
 		return next(ctx, r)
--- a/entry/gang.go
+++ b/conductor/gang.go
@@ -1,4 +1,4 @@
-package entry
+package conductor
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 // fields but done and outlet belong to the control goroutine.
 type gang struct {
 	outlet  outlet
-	e       *Entry
+	cd      *Conductor
 	ctx     context.Context
 	r       *chainer.Request
 	done    chan error
@@ -38,21 +38,21 @@
 	cancel  context.CancelFunc
 }
 
-// spread runs a request as a gang.
-func (e *Entry) spread(ctx context.Context, r *chainer.Request) error {
-	x := &gang{e: e, ctx: ctx, r: r, done: make(chan error, 1), members: map[string]*segment{}}
+// runGang runs a request as a gang.
+func (cd *Conductor) runGang(ctx context.Context, r *chainer.Request) error {
+	x := &gang{cd: cd, ctx: ctx, r: r, done: make(chan error, 1), members: map[string]*segment{}}
 	defer x.outlet.shut()
-	e.control.do(func() { e.control.begin(x) })
+	cd.control.do(func() { cd.control.begin(x) })
 	select {
 	case err := <-x.done:
 		return err
 	case <-ctx.Done():
 	}
-	e.control.step(ganger.Event{Kind: ganger.Cancel, ID: r.ID})
+	cd.control.step(ganger.Event{Kind: ganger.Cancel, ID: r.ID})
 	select {
 	case err := <-x.done:
 		return x.ended(coder.Of(err))
-	case <-e.ctx.Done():
+	case <-cd.ctx.Done():
 		return coder.Errorf(coder.OutcomeUnknown, "entry stopped")
 	}
 }
@@ -134,22 +134,22 @@
 func (x *gang) act(a ganger.Action) {
 	s := x.members[a.Attempt]
 	if s == nil {
-		s = &segment{attempt: a.Attempt, address: x.e.control.scheduler.Router.Target(a.Target).Address}
+		s = &segment{attempt: a.Attempt, address: x.cd.control.scheduler.Router.Target(a.Target).Address}
 		x.members[a.Attempt] = s
-		x.e.control.segments[a.Attempt] = s
+		x.cd.control.segments[a.Attempt] = s
 	}
 	switch a.Kind {
 	case ganger.Reserve:
-		ctx, cancel := context.WithCancel(x.e.ctx)
+		ctx, cancel := context.WithCancel(x.cd.ctx)
 		s.cancel = cancel
-		x.e.wg.Go(func() { x.member(ctx, s, a) })
+		x.cd.wg.Go(func() { x.member(ctx, s, a) })
 	case ganger.Renew:
 		if s.stream != nil {
 			_ = s.stream.Send(messenger.KindReserve, x.reserve(a))
 		}
 	case ganger.Run:
 		s.prefill = a.Prefill
-		x.e.wg.Go(func() { x.run(s, a) })
+		x.cd.wg.Go(func() { x.run(s, a) })
 	}
 }
 
--- a/entry/meter.go
+++ b/conductor/meter.go
@@ -1,4 +1,4 @@
-package entry
+package conductor
 
 import (
 	"fmt"
--- a/entry/run.go
+++ b/conductor/run.go
@@ -1,4 +1,4 @@
-package entry
+package conductor
 
 import (
 	"context"
@@ -20,12 +20,12 @@
 	"bramleyshunt/sleeper"
 )
 
-// lostAside is how long a target that can't be reached is left alone.
-const lostAside = time.Second
+// lostBackoff is how long a target that can't be reached is left alone.
+const lostBackoff = time.Second
 
 // running is one request from its queue to the end of its answer.
 type running struct {
-	e       *Entry
+	cd      *Conductor
 	r       *chainer.Request
 	ticket  *scheduler.Ticket
 	exclude []string
@@ -38,16 +38,16 @@
 }
 
 // run queues a request, has attempts made and passes the answer on.
-func (e *Entry) run(ctx context.Context, r *chainer.Request) error {
+func (cd *Conductor) run(ctx context.Context, r *chainer.Request) error {
 	if r.Gang {
-		return e.spread(ctx, r)
+		return cd.runGang(ctx, r)
 	}
-	x := &running{e: e, r: r}
+	x := &running{cd: cd, r: r}
 	defer x.endRisk()
 	for {
 		pick, err := x.place(ctx)
 		if err != nil {
-			return x.told(err)
+			return x.outcome(err)
 		}
 		x.tries++
 		err = x.attempt(ctx, pick)
@@ -59,14 +59,14 @@
 			x.failed = c
 		}
 		if err := x.again(ctx, pick, err); err != nil {
-			return x.told(err)
+			return x.outcome(err)
 		}
 	}
 }
 
-// told returns what the caller is told. Nothing that follows an attempt which
+// outcome returns what the caller is told. Nothing that follows an attempt which
 // may have run says that the request did not run.
-func (x *running) told(err error) error {
+func (x *running) outcome(err error) error {
 	if x.failed == nil || coder.Of(err).Run != coder.NotRun {
 		return err
 	}
@@ -81,15 +81,15 @@
 // place waits for a target until it is too late to finish in time.
 func (x *running) place(ctx context.Context) (router.Pick, error) {
 	x.ticket = ticket(x.r, x.exclude)
-	need := x.e.control.needs(x.ticket)
+	need := x.cd.control.needs(x.ticket)
 	bound, stop := context.WithTimeoutCause(ctx, x.left()-need, errTooLate)
 	defer stop()
-	placed := x.e.control.enqueue(x.ticket, x.losses > 0)
+	placed := x.cd.control.enqueue(x.ticket, x.losses > 0)
 	select {
 	case p := <-placed:
 		return p.Pick, p.Err
 	case <-bound.Done():
-		x.e.control.abandon(x.ticket, placed)
+		x.cd.control.abandon(x.ticket, placed)
 		return router.Pick{}, x.unplaced(bound)
 	}
 }
@@ -101,7 +101,7 @@
 	e := *coder.Of(cause)
 	switch {
 	case cause == errTooLate:
-		e.Retry = x.e.control.backoff(x.ticket)
+		e.Retry = x.cd.control.backoff(x.ticket)
 	case cause == context.DeadlineExceeded:
 		e = *coder.Errorf(coder.DeadlineExceeded, "")
 	case cause == context.Canceled:
@@ -111,32 +111,32 @@
 	return &e
 }
 
-func (x *running) left() time.Duration { return x.r.Deadline.Sub(x.e.cfg.Now()) }
+func (x *running) left() time.Duration { return x.r.Deadline.Sub(x.cd.cfg.Now()) }
 
 // attempt runs the request at one target.
 func (x *running) attempt(ctx context.Context, pick router.Pick) error {
 	if !x.r.Answer.Begin() {
 		return coder.Errorf(coder.Internal, "second answer")
 	}
-	counted, placed := true, x.e.cfg.Now()
+	counted, placed := true, x.cd.cfg.Now()
 	started := func(after time.Duration) {
 		if counted {
 			counted = false
-			x.e.control.started(x.ticket, pick, after)
+			x.cd.control.started(x.ticket, pick, after)
 		}
 	}
 	defer started(0)
 	j := x.job(pick)
 	j.Emit = func(c messenger.Chunk) error {
-		started(x.e.cfg.Now().Sub(placed))
+		started(x.cd.cfg.Now().Sub(placed))
 		x.time()
 		return x.r.Answer.Chunk(c)
 	}
-	end, err := x.e.dispatch.Do(ctx, j)
+	end, err := x.cd.dispatch.Do(ctx, j)
 	if err != nil {
 		return err
 	}
-	x.e.meter.slowdown(x.r, x.e.cfg.Now().Sub(x.r.Arrived), x.alone(pick, end.Usage))
+	x.cd.meter.slowdown(x.r, x.cd.cfg.Now().Sub(x.r.Arrived), x.alone(pick, end.Usage))
 	return x.r.Answer.End(end)
 }
 
@@ -156,7 +156,7 @@
 			Method: x.r.Method, Path: x.r.Path, Headers: x.r.Headers, Body: x.r.Body,
 		},
 		Before: func(ctx context.Context) error { return x.claim(ctx, t.ID) },
-		Load:   func(l messenger.Load) { x.e.control.report(pick, l) },
+		Load:   func(l messenger.Load) { x.cd.control.report(pick, l) },
 	}
 }
 
@@ -170,16 +170,16 @@
 	if !x.r.Once {
 		return nil
 	}
-	return x.e.claims.Run(ctx, claimOf(x.r), target)
+	return x.cd.claims.Run(ctx, claimOf(x.r), target)
 }
 
 // time takes the histograms' samples.
 func (x *running) time() {
-	now := x.e.cfg.Now()
+	now := x.cd.cfg.Now()
 	if !x.begun {
 		x.begun = true
-		x.gaps = x.e.meter.between(x.r)
-		x.e.meter.first(x.r, now.Sub(x.r.Arrived))
+		x.gaps = x.cd.meter.between(x.r)
+		x.cd.meter.first(x.r, now.Sub(x.r.Arrived))
 	} else {
 		x.gaps.Update(now.Sub(x.last).Microseconds())
 	}
@@ -196,14 +196,14 @@
 
 func (x *running) endRisk() {
 	if x.losses > 0 {
-		x.e.control.endRisk(x.r.ID)
+		x.cd.control.endRisk(x.r.ID)
 	}
 }
 
 // again waits before the next attempt, or returns what the caller is told.
 func (x *running) again(ctx context.Context, pick router.Pick, err error) error {
 	c := coder.Of(err)
-	x.e.meter.count(fmt.Sprintf("attempt.%d", c.Code))
+	x.cd.meter.count(fmt.Sprintf("attempt.%d", c.Code))
 	if err := x.suspect(pick, c); err != nil {
 		return err
 	}
@@ -211,12 +211,12 @@
 		return err
 	}
 	if c.Run == coder.NotRun && c.Code != coder.Voided {
-		x.e.control.refused(pick, aside(c))
+		x.cd.control.refused(pick, aside(c))
 	}
 	if refusal(c.Code) && c.Run == coder.NotRun {
 		return nil
 	}
-	delay, err := x.e.control.again(retrier.Case{
+	delay, err := x.cd.control.again(retrier.Case{
 		Service: x.r.Service, Err: err, Once: x.r.Once, Sent: !x.r.Answer.Begin(),
 		Tries: x.tries, Left: x.left(), Share: x.r.Config.Limits.Retries,
 	})
@@ -224,7 +224,7 @@
 		return err
 	}
 	x.exclude = append(x.exclude, pick.Target.ID)
-	x.e.meter.count("retries")
+	x.cd.meter.count("retries")
 	if sleeper.Sleep(ctx, delay) != nil {
 		return x.unplaced(ctx)
 	}
@@ -238,7 +238,7 @@
 	if c.Code != coder.TargetLost || c.Run == coder.NotRun {
 		return nil
 	}
-	x.e.report(x.r, pick.Target.ID, pick.Target.Incarnation)
+	x.cd.report(x.r, pick.Target.ID, pick.Target.Incarnation)
 	x.losses++
 	if x.losses < crashes(x.r.Config.Limits) {
 		return nil
@@ -254,15 +254,15 @@
 }
 
 // report tells the keepers that a request was running when its target was lost.
-func (e *Entry) report(r *chainer.Request, target string, incarnation uint64) {
-	if e.cfg.Call == nil {
+func (cd *Conductor) report(r *chainer.Request, target string, incarnation uint64) {
+	if cd.cfg.Call == nil {
 		return
 	}
 	m := messenger.Suspect{Fingerprint: r.Fingerprint, Target: target, Incarnation: incarnation}
-	e.meter.count("suspects")
-	e.later(func(ctx context.Context) error {
+	cd.meter.count("suspects")
+	cd.later(func(ctx context.Context) error {
 		var out messenger.Proposed
-		return e.cfg.Call(ctx, messenger.KindSuspect, &m, &out)
+		return cd.cfg.Call(ctx, messenger.KindSuspect, &m, &out)
 	})
 }
 
@@ -275,7 +275,7 @@
 // aside returns how long a target is left alone that did not take a request.
 func aside(c *coder.Error) time.Duration {
 	if c.Code == coder.TargetLost || c.Code == coder.Silent {
-		return lostAside
+		return lostBackoff
 	}
 	return c.Retry
 }
--- a/entry/segment.go
+++ b/conductor/segment.go
@@ -1,4 +1,4 @@
-package entry
+package conductor
 
 import (
 	"context"
@@ -23,12 +23,12 @@
 func (x *gang) member(ctx context.Context, s *segment, a ganger.Action) {
 	tell := func(k ganger.EventKind, err error) {
 		if coder.Of(err).Code == coder.Cancelled && ctx.Err() == nil {
-			x.e.control.step(ganger.Event{Kind: ganger.Cancel, ID: x.r.ID})
+			x.cd.control.step(ganger.Event{Kind: ganger.Cancel, ID: x.r.ID})
 			return
 		}
-		x.e.control.step(ganger.Event{Kind: k, Attempt: a.Attempt, Err: err})
+		x.cd.control.step(ganger.Event{Kind: k, Attempt: a.Attempt, Err: err})
 	}
-	conn, err := x.e.cfg.Pool.Get(ctx, s.address)
+	conn, err := x.cd.cfg.Pool.Get(ctx, s.address)
 	if err != nil {
 		tell(ganger.Refused, err)
 		return
@@ -39,7 +39,7 @@
 		return
 	}
 	defer stream.Close()
-	x.e.control.do(func() { s.stream = stream })
+	x.cd.control.do(func() { s.stream = stream })
 	for granted := false; ; granted = true {
 		msg, err := stream.Receive(ctx)
 		if err == nil {
@@ -74,7 +74,7 @@
 // suspect reports the request if a target was lost with its segment.
 func (x *gang) suspect(a ganger.Action, err *coder.Error) {
 	if err.Code == coder.TargetLost && err.Run != coder.NotRun {
-		x.e.report(x.r, a.Target, a.Incarnation)
+		x.cd.report(x.r, a.Target, a.Incarnation)
 	}
 }
 
@@ -88,7 +88,7 @@
 		})
 	}
 	if err != nil {
-		x.e.control.step(ganger.Event{Kind: ganger.Lost, Attempt: a.Attempt, Err: err})
+		x.cd.control.step(ganger.Event{Kind: ganger.Lost, Attempt: a.Attempt, Err: err})
 	}
 }
 
@@ -105,11 +105,11 @@
 		return nil
 	}
 	if x.started {
-		x.e.control.step(ganger.Event{Kind: ganger.Cancel, ID: x.r.ID})
+		x.cd.control.step(ganger.Event{Kind: ganger.Cancel, ID: x.r.ID})
 		return coder.Errorf(coder.OutcomeUnknown, "the first run of the answer was lost")
 	}
 	x.started = true
-	return x.e.claims.Run(x.ctx, claimOf(x.r), a.Target)
+	return x.cd.claims.Run(x.ctx, claimOf(x.r), a.Target)
 }
 
 // body is the segment's text with the request's other fields.
@@ -134,7 +134,7 @@
 func (x *gang) take(s *segment, msg muxer.Message) error {
 	switch msg.Kind {
 	case messenger.KindReserved:
-		x.e.control.step(ganger.Event{Kind: ganger.Granted, Attempt: s.attempt})
+		x.cd.control.step(ganger.Event{Kind: ganger.Granted, Attempt: s.attempt})
 		return nil
 	case messenger.KindChunk:
 		return x.chunk(s, msg)
@@ -159,7 +159,7 @@
 	}
 	s.got++
 	if s.got == 1 {
-		x.e.meter.first(x.r, x.e.cfg.Now().Sub(x.r.Arrived))
+		x.cd.meter.first(x.r, x.cd.cfg.Now().Sub(x.r.Arrived))
 		if x.r.Stream && !x.commit(s, false) {
 			return former(s.attempt)
 		}
@@ -170,12 +170,12 @@
 // commit reports whether a member is still its gang's; from then on the gang does
 // not start anew. With ending set, its outcome is left to the member's writer.
 func (x *gang) commit(s *segment, ending bool) (current bool) {
-	x.e.control.do(func() {
+	x.cd.control.do(func() {
 		if current = x.members[s.attempt] == s; !current {
 			return
 		}
 		x.ending = x.ending || ending
-		x.e.control.gang(ganger.Event{Kind: ganger.First, Attempt: s.attempt})
+		x.cd.control.gang(ganger.Event{Kind: ganger.First, Attempt: s.attempt})
 	})
 	return current
 }
@@ -190,7 +190,7 @@
 	}
 	if s.prefill {
 		s.held = true
-		x.e.control.step(ganger.Event{Kind: ganger.Exported, Attempt: s.attempt, Export: end.Export})
+		x.cd.control.step(ganger.Event{Kind: ganger.Exported, Attempt: s.attempt, Export: end.Export})
 		return nil
 	}
 	if end.Count != s.got {
@@ -201,7 +201,7 @@
 		return former(s.attempt)
 	}
 	err := x.outlet.pass(s.attempt, func() error { return x.r.Answer.End(end) })
-	x.e.control.step(ganger.Event{Kind: ganger.Ended, Attempt: s.attempt})
+	x.cd.control.step(ganger.Event{Kind: ganger.Ended, Attempt: s.attempt})
 	x.done <- err
 	return nil
 }
--- a/entry/failure.go
+++ b/entry/failure.go
@@ -29,7 +29,7 @@
 // ends with an error event or an aborted connection, never cleanly.
 func (e *Entry) fail(w http.ResponseWriter, err error) {
 	c := coder.Of(err)
-	e.meter.code(c.Code)
+	e.Count(c)
 	body, merr := json.Marshal(failure{Error: failureBody{
 		Code: c.Code, Name: c.Code.String(), Message: message(c), Run: c.Run.Header(),
 	}})
--- a/entry/http.go
+++ b/entry/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -21,10 +20,7 @@
 const (
 	// DefaultBody is the largest request body when the configuration names none, in bytes.
 	DefaultBody = 8 << 20
-	// DefaultPatience is how long a caller may take to send its request's body.
-	DefaultPatience = 30 * time.Second
-
-	mostPrefix = len("Bearer ")
+	mostPrefix  = len("Bearer ")
 )
 
 // Header fields of the caller's interface.
@@ -60,7 +56,7 @@
 }
 
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	if err := e.ready(); err != nil {
+	if err := e.Ready(); err != nil {
 		e.fail(w, err)
 		return
 	}
@@ -99,29 +95,27 @@
 
 // serve reads a request, runs it and tells the caller of a failure.
 func (e *Entry) serve(w http.ResponseWriter, hr *http.Request, fill func(*tracked, *chainer.Request) error) {
-	ctx, cancel := context.WithCancelCause(hr.Context())
-	defer cancel(nil)
 	t := &tracked{ResponseWriter: w}
 	t.wait(time.Now().Add(e.cfg.Patience))
-	r := &chainer.Request{ID: e.id(), Arrived: e.cfg.Now()}
-	if err := e.enter(r.ID, cancel); err != nil {
-		e.fail(t, retry(coder.Of(err), time.Second))
+	ctx, r, end, err := e.Begin(hr.Context())
+	if err != nil {
+		e.fail(t, err)
 		return
 	}
-	defer e.leave(r.ID)
+	defer end()
 	defer t.until(time.Time{})
 	if err := e.answer(ctx, t, hr, r, fill); err != nil {
 		e.fail(t, coder.Of(err))
 		return
 	}
-	e.meter.code(coder.OK)
+	e.Count(nil)
 }
 
 func (e *Entry) answer(ctx context.Context, w *tracked, hr *http.Request, r *chainer.Request, fill func(*tracked, *chainer.Request) error) error {
-	if err := e.ready(); err != nil {
+	if err := e.Ready(); err != nil {
 		return err
 	}
-	account, err := e.identify(hr)
+	account, err := e.Identify(bearer(hr.Header))
 	if err != nil {
 		return err
 	}
@@ -132,16 +126,7 @@
 	if err := fill(w, r); err != nil {
 		return err
 	}
-	return e.handler(ctx, r)
-}
-
-func (e *Entry) id() string {
-	return fmt.Sprintf("%s%d", e.prefix(), e.nextID.Add(1))
-}
-
-// prefix is what the ids of this entry's requests and attempts begin with.
-func (e *Entry) prefix() string {
-	return fmt.Sprintf("%s-%x-", e.cfg.Settings.Node, e.cfg.Seed)
+	return e.Do(ctx, r)
 }
 
 // read takes headers and body.
--- a/router/router.go
+++ b/router/router.go
@@ -54,10 +54,10 @@
 
 // Router keeps what is known of targets. Zero fields take the defaults.
 type Router struct {
-	Seed uint64
-	Long int           // tokens
-	Wait time.Duration // most predicted wait
-	Off  Parts         // parts switched off, for measurements
+	Seed     uint64
+	Long     int           // tokens
+	Wait     time.Duration // most predicted wait
+	Disabled Parts         // parts switched off, for measurements
 
 	Examined uint64 // candidates looked at, for measurements
 
@@ -69,13 +69,13 @@
 
 // Parts names what can be switched off.
 type Parts struct {
-	Lanes  bool
-	Own    bool // own sends
-	Cached bool
-	Gate   bool // the bound on the wait
-	Class  bool // long prompts don't count in the wait of short ones
-	Edge   bool // targets that report no room are not asked
-	Aging  bool // reported tokens are worked off with time
+	Lanes     bool
+	OwnSends  bool // own sends
+	Cached    bool
+	WaitBound bool // the bound on the wait
+	ClassWait bool // long prompts don't count in the wait of short ones
+	RoomCheck bool // targets that report no room are not asked
+	Aging     bool // reported tokens are worked off with time
 }
 
 // Report takes the load that a target's agent sent with an answer.
@@ -169,7 +169,7 @@
 
 // lanes returns the sets to draw from, in the order in which they are tried.
 func (r *Router) lanes(x *index, c Case) [][]*state {
-	if r.Off.Lanes {
+	if r.Disabled.Lanes {
 		return [][]*state{x.all}
 	}
 	if c.Prompt > r.long() {
@@ -213,7 +213,7 @@
 
 // remembered weighs the target that last got the longest beginning of the prompt.
 func (r *Router) remembered(now time.Time, c Case) (Pick, bool) {
-	if r.Off.Cached {
+	if r.Disabled.Cached {
 		return Pick{}, false
 	}
 	id, _ := r.history.find(now, c.Prefix, r.byID)
@@ -221,7 +221,7 @@
 	if s == nil || s.target.Leaving || s.target.Service != c.Service {
 		return Pick{}, false
 	}
-	if !r.Off.Lanes && !s.open(c.Prompt > r.long()) {
+	if !r.Disabled.Lanes && !s.open(c.Prompt > r.long()) {
 		return Pick{}, false
 	}
 	return r.score(now, s, c)
--- a/router/score.go
+++ b/router/score.go
@@ -12,7 +12,7 @@
 	r.Examined++
 	l := s.target.Load
 	p := Pick{Target: s.target, Speed: first(l.Speed, DefaultSpeed), Pace: first(l.Pace, DefaultPace)}
-	if !r.Off.Cached {
+	if !r.Disabled.Cached {
 		p.Cached = r.cached(now, s, c)
 	}
 	p.Wait = Span(r.waiting(now, s, messenger.ClassOf(c.Prompt)), p.Speed)
@@ -25,19 +25,19 @@
 // waiting returns the tokens that are prefilled before a prompt of a class. Those
 // reported are worked off since at the target's speed.
 func (r *Router) waiting(now time.Time, s *state, c messenger.Class) int {
-	if r.Off.Class {
+	if r.Disabled.ClassWait {
 		c = messenger.Huge
 	}
 	reported := s.others
-	if r.Off.Own {
+	if r.Disabled.OwnSends {
 		reported = s.target.Load.ByClass
 	}
 	n := reported.upTo(c)
-	if !r.Off.Aging {
+	if !r.Disabled.Aging {
 		speed := first(s.target.Load.Speed, DefaultSpeed)
 		n = max(0, n-int(now.Sub(s.at).Seconds()*float64(speed)))
 	}
-	if r.Off.Own {
+	if r.Disabled.OwnSends {
 		return n
 	}
 	return n + s.own.upTo(c)
@@ -53,16 +53,16 @@
 	if now.Before(s.until) {
 		return false
 	}
-	if !r.Off.Edge && l.Memory > 0 && l.Used+s.held+c.Prompt+c.Output > l.Memory {
+	if !r.Disabled.RoomCheck && l.Memory > 0 && l.Used+s.held+c.Prompt+c.Output > l.Memory {
 		return false
 	}
-	if r.Off.Edge {
+	if r.Disabled.RoomCheck {
 		return true
 	}
-	if r.Off.Gate {
+	if r.Disabled.WaitBound {
 		return true
 	}
-	if !r.Off.Lanes && s.target.Lane == LaneLong && c.Prompt <= r.long() && s.all() > 0 {
+	if !r.Disabled.Lanes && s.target.Lane == LaneLong && c.Prompt <= r.long() && s.all() > 0 {
 		return false
 	}
 	return p.Wait <= r.wait()
