--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -20,6 +20,7 @@
 type Case struct {
 	Left   time.Duration // until its deadline
 	Wait   time.Duration // predicted before its prefill starts
+	Read   time.Duration // predicted prefill, where Prompt and Speed don't tell
 	Prompt int           // tokens, less those expected in a cache
 	Output int           // tokens
 	Speed  int           // prefill tokens a second; zero if unknown
@@ -35,7 +36,7 @@
 
 // Predict returns the time from now to the last token.
 func (a *Admitter) Predict(c Case) time.Duration {
-	return c.Wait + span(c.Prompt, c.Speed) + span(c.Output, c.Pace)
+	return c.Wait + c.Read + span(c.Prompt, c.Speed) + span(c.Output, c.Pace)
 }
 
 // Admit returns nil if the request can finish in its time, else code Overloaded
--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -12,12 +12,15 @@
 // Request is one caller's request on its way through the chain. The shell fills
 // the first group; each filter fills the fields that later ones read.
 type Request struct {
-	ID      string // unique; the prefix of its attempts' ids
-	Token   string // bearer token
-	Key     string // Idempotency-Key
+	ID      string           // unique; the prefix of its attempts' ids
+	Caller  string           // the caller's own id of the request; empty if it gave none
+	Via     *configurer.Path // that it came by; nil if it named its service itself
+	Token   string           // bearer token
+	Key     string           // Idempotency-Key
 	Batch   string
 	Method  string
-	Path    string // after the service's name
+	Path    string // after the service's name; of a request with Via the whole, with its query
+	Host    string
 	Headers []messenger.Header
 	Body    []byte
 	Stream  bool
@@ -28,6 +31,8 @@
 	Text    int      // bytes of prompt text
 	Prefix  []uint64 // hashes of the prompt's beginnings, shortest first
 	Bound   int      // answer tokens the caller allows; zero for none
+	Counted bool     // Prompt and Output came with the request
+	After   string   // id of the last event that the caller has of a stream
 	Arrived time.Time
 	Timeout time.Duration // asked for; zero for the service's
 
@@ -36,6 +41,7 @@
 	Account  string
 	Deadline time.Time
 	Once     bool // not idempotent
+	Single   bool // not idempotent, and a resend is a request of its own: nothing is claimed
 	Priority int
 
 	Prompt      int // predicted tokens
@@ -52,6 +58,7 @@
 type Answer struct {
 	Until func(time.Time) // bounds writes to a caller that doesn't read
 	Begin func() bool
+	Last  func() string // id of the last whole event written; nil if no other attempt can go on after it
 	Chunk func(messenger.Chunk) error
 	End   func(messenger.End) error
 	Kept  func(messenger.End) []byte // the whole answer in its kept form; nil if too large
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -77,7 +77,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return invalid(err) })
 	root.AddCommand(
-		runCommand(), checkCommand(), applyCommand(), showCommand(), statusCommand(),
+		runCommand(), platformCommand(), checkCommand(), applyCommand(), showCommand(), statusCommand(),
 		drainCommand(), engineCommand(), loadCommand(), demoCommand(),
 	)
 	return root
--- a/conductor/claim.go
+++ b/conductor/claim.go
@@ -24,7 +24,7 @@
 // with what was kept. Idempotent requests pass without a keeper.
 func (cd *Conductor) claim(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
-		if !r.Once {
+		if !r.Once || r.Single {
 			return next(ctx, r)
 		}
 		if r.Key == "" {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -36,6 +36,7 @@
 	Pool     *pooler.Pooler                                                   // connections to agents
 	Call     func(ctx context.Context, kind messenger.Kind, v, out any) error // asks the leading keeper
 	Silence  time.Duration                                                    // bound on the answer to a reservation
+	Exchange func(ctx context.Context, a *Attempt) error                      // runs an attempt; through the target's agent if nil
 	Patience time.Duration                                                    // for a request's body; DefaultPatience if zero
 	Log      *logrus.Entry
 	Metrics  metrics.Registry
@@ -51,7 +52,7 @@
 	meter    *meter
 	claims   claimer.Claimer
 	dispatch dispatcher.Dispatcher
-	accounts atomic.Pointer[accounts]
+	lookup   atomic.Pointer[tables]
 	nextID   atomic.Uint64
 	ctx      context.Context // of work that outlives its request
 
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -14,6 +14,7 @@
 	"bramleyshunt/limiter"
 	"bramleyshunt/measurer"
 	"bramleyshunt/messenger"
+	"bramleyshunt/predictor"
 	"bramleyshunt/retrier"
 	"bramleyshunt/router"
 	"bramleyshunt/scheduler"
@@ -24,6 +25,12 @@
 	tick      = 10 * time.Millisecond  // between looks at the queue without an event
 	lookEvery = 100 * time.Millisecond // between views that differ in targets alone
 	backlog   = 1024                   // events waiting for the control goroutine
+
+	// wholeRead is the longest read that one target does alone: with a pass it
+	// stays within the pauses that streams of short prompts allow.
+	wholeRead = 120 * time.Millisecond
+	// pieceRead is how long each of several targets should read.
+	pieceRead = 50 * time.Millisecond
 )
 
 // control owns the deciders. All its fields belong to its own goroutine, which
@@ -125,7 +132,22 @@
 		return
 	}
 	c.view, c.looked = v, now
-	c.scheduler.Router.Update(now, v.Targets)
+	c.scheduler.Router.Update(now, declared(v))
+}
+
+// declared returns the targets of a view with the speed and the memory that their
+// services declare, for those that don't report any.
+func declared(v *watcher.View) []messenger.Target {
+	out := slices.Clone(v.Targets)
+	for i := range out {
+		p := predictor.Predictor{Engine: v.Config.Services[out[i].Service].Engine}
+		if l := &out[i].Load; p.Known() && l.Speed == 0 {
+			writers := p.Engine.Slots / 2 // a busy engine's usual
+			l.Seq, l.Speed, l.Memory = 1, int(p.Engine.Read), p.Engine.Memory
+			l.Pace = p.Pace(writers, writers*int(p.Engine.Prompt))
+		}
+	}
+	return out
 }
 
 func (c *control) queued() (n int) {
@@ -162,7 +184,7 @@
 func (c *control) admit(r *chainer.Request) (err error) {
 	c.do(func() {
 		c.look()
-		if r.Gang = c.scheduler.Huge(ticket(r, nil)); !r.Gang {
+		if r.Gang = c.scheduler.Huge(ticket(r, nil)) && r.Via == nil; !r.Gang {
 			err = c.scheduler.Admit(c.cfg.Now(), ticket(r, nil))
 		}
 		if err == nil {
@@ -173,7 +195,10 @@
 }
 
 func ticket(r *chainer.Request, exclude []string) *scheduler.Ticket {
+	p := predictor.Predictor{Engine: r.Spec.Engine}
 	return &scheduler.Ticket{
+		Read: p.Read(r.Prompt, 1), Pieces: p.Parts(r.Prompt, wholeRead, pieceRead),
+
 		ID: r.ID, Service: r.Service, Account: r.Account, Share: r.Config.Accounts[r.Account].Share,
 		Priority: r.Priority, Prompt: r.Prompt, Output: r.Output, Text: r.Text, Prefix: r.Prefix,
 		Deadline: r.Deadline, Exclude: exclude,
@@ -249,6 +274,14 @@
 	}
 }
 
+// ended ends the count of a request at its target.
+func (c *control) ended(t *scheduler.Ticket, pick router.Pick) {
+	c.do(func() {
+		c.scheduler.Ended(t, pick)
+		c.pump()
+	})
+}
+
 // report takes a load that came with an answer.
 func (c *control) report(pick router.Pick, l messenger.Load) {
 	c.do(func() {
--- a/conductor/filters.go
+++ b/conductor/filters.go
@@ -24,12 +24,6 @@
 	writeSlack = time.Second // beyond the deadline, for the final answer
 )
 
-// accounts is the Identifier of one configuration.
-type accounts struct {
-	config     *configurer.Configurer
-	identifier *identifier.Identifier
-}
-
 // chain returns the filters in the order in which a request passes them.
 func (cd *Conductor) chain() chainer.Handler {
 	c := chainer.Chainer{Filters: []chainer.Filter{
@@ -38,25 +32,11 @@
 	return c.Then(cd.run)
 }
 
-// Identify returns the client account of a token or key.
-func (cd *Conductor) Identify(token string) (string, error) {
-	v := cd.cfg.View()
-	if v == nil {
-		return "", coder.Errorf(coder.NotReady, "")
-	}
-	a := cd.accounts.Load()
-	if a == nil || a.config != v.Config {
-		a = &accounts{config: v.Config, identifier: identifier.New(v.Config.Accounts)}
-		cd.accounts.Store(a)
-	}
-	return a.identifier.Identify(token)
-}
-
 // allow checks the service and the account's right to it.
 func (cd *Conductor) allow(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
 		spec, ok := r.Config.Services[r.Service]
-		if !ok || (spec.Kind == "engine") != (r.Model != "") {
+		if !ok || r.Via == nil && (spec.Kind == "engine") != (r.Model != "") {
 			return coder.Errorf(coder.UnknownService, "%.64q", r.Service)
 		}
 		a := r.Config.Accounts[r.Account]
@@ -66,6 +46,9 @@
 		r.Spec = spec
 		r.Priority = spec.Priority + a.Priority
 		r.Once = once(spec, r.Method, r.Path)
+		if r.Via != nil {
+			cd.byPath(r, a)
+		}
 		cd.label(r)
 		return next(ctx, r)
 	}
@@ -92,6 +75,9 @@
 		if r.Timeout > longest {
 			return coder.Errorf(coder.BadTimeout, "more than %s", longest)
 		}
+		if r.Via != nil {
+			r.Timeout = least(r.Timeout, seconds(r.Via.Timeout, DefaultTimeout))
+		}
 		if r.Timeout == 0 {
 			r.Timeout = min(longest, seconds(r.Spec.Timeout, DefaultTimeout))
 		}
@@ -113,7 +99,9 @@
 // measure predicts the tokens and learns from what the engine reports.
 func (cd *Conductor) measure(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
-		cd.control.measure(r)
+		if !r.Counted {
+			cd.control.measure(r)
+		}
 		r.Class = messenger.ClassOf(r.Prompt)
 		if w := r.Config.Models[r.Model].Window; w > 0 && r.Prompt > w {
 			return coder.Errorf(coder.PromptTooLong, "about %d tokens of %d", r.Prompt, w)
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -35,6 +35,7 @@
 	begun   bool         // the first chunk of any attempt came
 	failed  *coder.Error // of the last attempt that may have run
 	losses  int          // targets lost while the request ran there
+	refused int          // attempts that did not run
 }
 
 // run queues a request, has attempts made and passes the answer on.
@@ -113,6 +114,20 @@
 
 func (x *running) left() time.Duration { return x.r.Deadline.Sub(x.cd.cfg.Now()) }
 
+// Attempt is one run of a request at a target.
+type Attempt struct {
+	ID      string
+	Request *chainer.Request
+	Target  messenger.Target
+	Helpers []messenger.Target // that read a part of the prompt
+	Left    time.Duration      // until the request's deadline
+	After   string             // id of the last event that the caller has; empty to begin with the first
+	Emit    func(messenger.Chunk) error
+	Load    func(messenger.Load) // reports that came with the answer
+
+	Fault string // set by a failed run: address of the helper that it is about
+}
+
 // attempt runs the request at one target.
 func (x *running) attempt(ctx context.Context, pick router.Pick) error {
 	if !x.r.Answer.Begin() {
@@ -125,14 +140,22 @@
 			x.cd.control.started(x.ticket, pick, after)
 		}
 	}
+	defer x.cd.control.ended(x.ticket, pick)
 	defer started(0)
-	j := x.job(pick)
-	j.Emit = func(c messenger.Chunk) error {
-		started(x.cd.cfg.Now().Sub(placed))
-		x.time()
-		return x.r.Answer.Chunk(c)
+	a := &Attempt{
+		ID: fmt.Sprintf("%s-%d", x.r.ID, x.tries), Request: x.r, Target: pick.Target, Helpers: pick.Helpers,
+		Left: x.left(), After: x.r.After,
+		Emit: func(c messenger.Chunk) error {
+			started(x.cd.cfg.Now().Sub(placed))
+			x.time()
+			return x.r.Answer.Chunk(c)
+		},
+		Load: func(l messenger.Load) { x.cd.control.report(pick, l) },
+	}
+	if x.r.Answer.Last != nil && x.r.Answer.Last() != "" {
+		a.After = x.r.Answer.Last()
 	}
-	end, err := x.cd.dispatch.Do(ctx, j)
+	end, err := x.exchange(ctx, a)
 	if err != nil {
 		return err
 	}
@@ -140,23 +163,30 @@
 	return x.r.Answer.End(end)
 }
 
-func (x *running) job(pick router.Pick) dispatcher.Job {
-	t := pick.Target
-	attempt := fmt.Sprintf("%s-%d", x.r.ID, x.tries)
-	left := x.left()
+// exchange runs an attempt, through the target's agent unless the deployment has
+// another way.
+func (x *running) exchange(ctx context.Context, a *Attempt) (messenger.End, error) {
+	if x.cd.cfg.Exchange != nil {
+		return messenger.End{Attempt: a.ID}, x.cd.cfg.Exchange(ctx, a)
+	}
+	return x.cd.dispatch.Do(ctx, x.job(a))
+}
+
+func (x *running) job(a *Attempt) dispatcher.Job {
 	return dispatcher.Job{
-		Address: t.Address,
+		Address: a.Target.Address,
 		Reserve: messenger.Reserve{
-			Attempt: attempt, Incarnation: t.Incarnation, Account: x.r.Account,
+			Attempt: a.ID, Incarnation: a.Target.Incarnation, Account: x.r.Account,
 			Prompt: x.r.Prompt, Output: x.r.Output, Priority: priority(x.r),
-			Remaining: left, Fingerprint: x.r.Fingerprint, Key: x.r.Key, Batch: x.r.Batch,
+			Remaining: a.Left, Fingerprint: x.r.Fingerprint, Key: x.r.Key, Batch: x.r.Batch,
 		},
 		Run: messenger.Run{
-			Attempt: attempt, Incarnation: t.Incarnation, Remaining: left,
+			Attempt: a.ID, Incarnation: a.Target.Incarnation, Remaining: a.Left,
 			Method: x.r.Method, Path: x.r.Path, Headers: x.r.Headers, Body: x.r.Body,
 		},
-		Before: func(ctx context.Context) error { return x.claim(ctx, t.ID) },
-		Load:   func(l messenger.Load) { x.cd.control.report(pick, l) },
+		Before: func(ctx context.Context) error { return x.claim(ctx, a.Target.ID) },
+		Load:   a.Load,
+		Emit:   a.Emit,
 	}
 }
 
@@ -211,14 +241,15 @@
 		return err
 	}
 	if c.Run == coder.NotRun && c.Code != coder.Voided {
+		x.refused++
 		x.cd.control.refused(pick, aside(c))
 	}
-	if refusal(c.Code) && c.Run == coder.NotRun {
+	if refusal(c.Code) && c.Run == coder.NotRun && x.r.Via == nil {
 		return nil
 	}
 	delay, err := x.cd.control.again(retrier.Case{
 		Service: x.r.Service, Err: err, Once: x.r.Once, Sent: !x.r.Answer.Begin(),
-		Tries: x.tries, Left: x.left(), Share: x.r.Config.Limits.Retries,
+		Tries: x.tries, Left: x.left(), Share: x.r.Config.Limits.Retries, Most: x.most(),
 	})
 	if err != nil {
 		return err
@@ -231,6 +262,15 @@
 	return nil
 }
 
+// most returns how many targets the request's path allows it to be sent to, zero
+// for no bound of its own. A refusal does not count: the request did not run.
+func (x *running) most() int {
+	if x.r.Via == nil {
+		return 0
+	}
+	return max(1, x.r.Via.Tries) + x.refused
+}
+
 // suspect reports a request that was running when its target was lost. It
 // returns an error once that has happened as often as puts it in quarantine:
 // the keepers' word may come too late to keep it from the next target.
--- /dev/null
+++ b/cutter/cutter_test.go
@@ -0,0 +1,65 @@
+package cutter_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/cutter"
+)
+
+func TestCutter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cutter")
+}
+
+const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: note\n\nid:3\ndata: d\n\n"
+
+func FuzzCut(f *testing.F) {
+	f.Add(stream, 3)
+	f.Add("id: 1\r\ndata: x\r\n\r\n", 1)
+	f.Fuzz(func(t *testing.T, s string, n int) {
+		var c cutter.Cutter
+		var out strings.Builder
+		for n = max(1, n); len(s) > 0; s = s[min(n, len(s)):] {
+			p, ok := c.Cut([]byte(s[:min(n, len(s))]))
+			if !ok {
+				return
+			}
+			out.Write(p)
+		}
+		if strings.Count(out.String(), "\n\n") > 0 && c.Pending() && strings.HasSuffix(out.String(), "data") {
+			t.Fatalf("half an event was let through: %q", out.String())
+		}
+	})
+}
+
+var _ = Describe("a cut stream", func() {
+	for _, n := range []int{1, 2, 7, 1000} {
+		It("lets whole events through, however they arrive", func() {
+			var c cutter.Cutter
+			var out strings.Builder
+			for s := stream + "id: 4\ndata: e"; len(s) > 0; s = s[min(n, len(s)):] {
+				p, ok := c.Cut([]byte(s[:min(n, len(s))]))
+				Expect(ok).To(BeTrue())
+				if len(p) > 0 {
+					Expect(string(p)).To(HaveSuffix("\n\n"))
+				}
+				out.Write(p)
+			}
+			Expect(out.String()).To(Equal(stream))
+			Expect(c.Last).To(Equal("3"))
+			Expect(c.Pending()).To(BeTrue())
+			c.Reset()
+			Expect(c.Pending()).To(BeFalse())
+		})
+	}
+
+	It("gives up an event without end", func() {
+		var c cutter.Cutter
+		_, ok := c.Cut(make([]byte, cutter.MaxEvent+1))
+		Expect(ok).To(BeFalse())
+	})
+})
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -18,6 +18,13 @@
 	members []setter.Keeper
 }
 
+// Reseed replaces the seeds.
+func (l *Locator) Reseed(seeds []setter.Keeper) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Seeds = seeds
+}
+
 // Learn takes the members that a keeper told of. An empty list is ignored.
 func (l *Locator) Learn(members []messenger.Member) {
 	if len(members) == 0 {
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -61,11 +61,11 @@
 	}
 	at := xxhash.Sum64String(id) % sum
 	for _, s := range p.Split {
-		if w := uint64(max(0, s.Weight)); at < w {
+		w := uint64(max(0, s.Weight))
+		if at < w {
 			return s.Service
-		} else {
-			at -= w
 		}
+		at -= w
 	}
 	return ""
 }
--- a/publisher/relay.go
+++ b/publisher/relay.go
@@ -17,9 +17,13 @@
 )
 
 // Announce takes the announcement of a target that tells one keeper alone, and
-// passes it on to the others. One that takes a target out of service returns only
+// passes it on to the others. Without an incarnation, the target doesn't tell when
+// it started. One that takes a target out of service returns only
 // when a majority of the keepers has it, with code NoQuorum if that fails.
 func (p *Publisher) Announce(ctx context.Context, a messenger.Announce) error {
+	if a.Target.Incarnation == 0 {
+		p.do(ctx, func() { a.Target.Incarnation = p.leases.Date(p.cfg.Now(), a.Target) })
+	}
 	if err := p.take(ctx, &a); err != nil {
 		return err
 	}
--- a/registrar/address_test.go
+++ b/registrar/address_test.go
@@ -87,3 +87,45 @@
 		Expect(leaving(r)).To(Equal([]string{"a"}))
 	})
 })
+
+// These answer targets that don't tell when they started.
+var _ = Describe("targets without a time of start", func() {
+	var r *registrar.Registrar
+	BeforeEach(func() { r = &registrar.Registrar{Exclusive: true} })
+
+	say := func(now time.Duration, id string, seq uint64) {
+		GinkgoHelper()
+		t := at(id, "x:1", 0, seq)
+		t.Incarnation = r.Date(start.Add(now), t)
+		Expect(announce(r, now, t)).To(Succeed())
+	}
+	expectID := func(id string) {
+		GinkgoHelper()
+		Expect(r.Live()).To(HaveLen(1))
+		Expect(r.Live()[0].Target.ID).To(Equal(id))
+	}
+
+	It("keep their incarnation while they are live", func() {
+		say(0, "a", 1)
+		first := r.Live()[0].Target.Incarnation
+		say(time.Second, "a", 2)
+		Expect(r.Live()[0].Target.Incarnation).To(Equal(first))
+	})
+
+	It("win an address back from a late announcement, whatever the clock says", func() {
+		say(time.Hour, "b", 1)
+		say(0, "a", 9)
+		expectID("a")
+		say(time.Second, "b", 2)
+		expectID("b")
+	})
+
+	It("stay gone once they deregistered", func() {
+		say(0, "a", 1)
+		r.Leave(start, "a", 0)
+		pass(r, 0, 10*time.Second)
+		expectLive(r)
+		say(10*time.Second, "a", 2)
+		Expect(leaving(r)).To(Equal([]string{"a"}))
+	})
+})
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -77,10 +77,8 @@
 		return Entry{}, err
 	}
 	e := r.live[t.ID]
-	if e != nil && e.Target.Incarnation == t.Incarnation {
-		if t.Seq < e.Target.Seq {
-			return *e, nil // overtaken by a later announcement
-		}
+	if e != nil && e.Target.Incarnation == t.Incarnation && t.Seq < e.Target.Seq {
+		return *e, nil // overtaken by a later announcement
 	}
 	t.Leaving = t.Leaving || t.Incarnation <= r.left[t.ID].Incarnation
 	if e == nil && len(r.live) >= MaxTargets {
@@ -89,6 +87,13 @@
 	if e == nil || e.Target.Incarnation < t.Incarnation {
 		e = r.add(now, t.ID)
 	}
+	r.note(e, t)
+	e.Until = now.Add(lease(a.Lease))
+	return *e, nil
+}
+
+// note takes over what a target announced.
+func (r *Registrar) note(e *Entry, t messenger.Target) {
 	if e.Rev == 0 || differs(e.Target, t) {
 		r.rev++
 		e.Rev, e.Loaded, e.Target = r.rev, r.rev, t
@@ -98,8 +103,27 @@
 		e.Loaded, e.Target = r.rev, t
 	}
 	e.Target.Seq = t.Seq
-	e.Until = now.Add(lease(a.Lease))
-	return *e, nil
+}
+
+// Date returns the incarnation of a target that doesn't tell when it started. Such
+// a target has an id of its own for each start, so that one which is live or has
+// deregistered keeps the incarnation it has. Any other counts as started now,
+// after the one that holds its address: of two that claim an address, the one that
+// goes on announcing itself has it in the end.
+func (r *Registrar) Date(now time.Time, t messenger.Target) uint64 {
+	if e := r.live[t.ID]; e != nil {
+		return e.Target.Incarnation
+	}
+	if l, gone := r.left[t.ID]; gone {
+		return l.Incarnation
+	}
+	at := max(uint64(now.UnixMilli()), r.gone[t.ID].Incarnation+1)
+	for _, e := range r.live {
+		if e.Target.Address == t.Address {
+			at = max(at, e.Target.Incarnation+1)
+		}
+	}
+	return at
 }
 
 // Leave marks a target as leaving for the rest of an incarnation, the present one
--- a/replicator/grow_test.go
+++ b/replicator/grow_test.go
@@ -99,6 +99,32 @@
 	})
 }
 
+// members lets nodes come, go for good and lose their disks, when the group has all.
+func members(w *world, all map[string]func(*rapid.T)) {
+	all["start"] = func(t *rapid.T) {
+		if n := anyNode(t, w); n.rep == nil && !n.gone {
+			n.start()
+		}
+	}
+	all["replace"] = func(t *rapid.T) {
+		if n := anyNode(t, w); w.grown() && !n.gone && len(w.nodes) < 9 {
+			w.replace(n)
+		}
+	}
+	all["join"] = func(*rapid.T) {
+		if w.grown() && len(w.present()) < 6 {
+			w.join()
+		}
+	}
+	all["wipe"] = func(t *rapid.T) {
+		if n := anyNode(t, w); w.grown() && !n.gone {
+			n.joins = true
+			n.wipe()
+			n.start()
+		}
+	}
+}
+
 // A node may be replaced by an empty one at another address, the seeds too, and
 // nodes may be added, while processes are killed and links cut.
 func TestGrownGroupKeepsItsPromises(t *testing.T) {
@@ -106,28 +132,7 @@
 		w := newSeededWorld(rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{3, 3, 4, 5}).Draw(t, "nodes"), 3, t.Fatalf)
 		w.run(20 * election)
 		all := actions(w)
-		all["start"] = func(t *rapid.T) {
-			if n := anyNode(t, w); n.rep == nil && !n.gone {
-				n.start()
-			}
-		}
-		all["replace"] = func(t *rapid.T) {
-			if n := anyNode(t, w); w.grown() && !n.gone && len(w.nodes) < 9 {
-				w.replace(n)
-			}
-		}
-		all["join"] = func(*rapid.T) {
-			if w.grown() && len(w.present()) < 6 {
-				w.join()
-			}
-		}
-		all["wipe"] = func(t *rapid.T) {
-			if n := anyNode(t, w); w.grown() && !n.gone {
-				n.joins = true
-				n.wipe()
-				n.start()
-			}
-		}
+		members(w, all)
 		t.Repeat(all)
 		w.expectGrown()
 	})
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -29,6 +29,7 @@
 	Tries   int           // attempts made so far
 	Left    time.Duration // until the deadline
 	Share   float64       // of traffic that may be retries; DefaultShare if zero
+	Most    int           // attempts at most; mostTries if zero or above it
 }
 
 // Retrier keeps a retry budget per service. The zero value starts with full budgets.
@@ -52,7 +53,7 @@
 		return 0, c.Err
 	}
 	delay := r.delay(c.Tries)
-	if c.Tries >= mostTries || delay >= c.Left {
+	if c.Tries >= most(c) || delay >= c.Left {
 		return 0, c.Err
 	}
 	if r.spent[c.Service] > mostBudget-1 {
@@ -62,6 +63,13 @@
 	return delay, nil
 }
 
+func most(c Case) int {
+	if c.Most <= 0 {
+		return mostTries
+	}
+	return min(c.Most, mostTries)
+}
+
 // repeatable reports whether another attempt is safe and may help.
 func repeatable(e *coder.Error, c Case) bool {
 	if c.Sent || c.Once && e.Run != coder.NotRun {
--- /dev/null
+++ b/router/counted.go
@@ -0,0 +1,176 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bramleyshunt/messenger"
+)
+
+const (
+	// fillShare of a target's slots are used by prompts read in one piece before
+	// the next target gets any. The rest is left for what other entries send
+	// meanwhile.
+	fillShare = 0.7
+	// packedShare of a target's slots in use marks it as one that such prompts fill.
+	packedShare = 0.25
+	// mostPieces is the most targets that read one prompt: the first and 16 helpers.
+	mostPieces = 17
+	// reportHolds is how long a target's own count of its requests is believed. A
+	// short answer lasts about that long.
+	reportHolds = 3 * time.Second
+	// heldUp is the pending reading at a target above which a prompt read in one
+	// piece goes elsewhere: it would cost most of the time that short prompts have.
+	heldUp = 100 * time.Millisecond
+)
+
+// Targets that tell their slots are given requests by count, not by tokens, and
+// prompts may be read by several of them at once. All entries rank the targets of
+// a service alike, without a word between them. Prompts read in one piece fill
+// them in that order, so that few targets write for them; prompts read in pieces
+// use the others, where a long read holds up nobody who writes.
+
+// counts is what this entry knows of a target that tells its slots.
+type counts struct {
+	flying  int           // own requests there
+	others  int           // other entries' requests, as of heard
+	heard   time.Time     // when the target last told its count
+	reading time.Duration // own reads that have not ended
+	held    int           // tokens of own requests
+}
+
+// busy returns the requests at a target.
+func (s *state) busy(now time.Time) int {
+	if now.Sub(s.counts.heard) > reportHolds {
+		return s.counts.flying
+	}
+	return s.counts.flying + s.counts.others
+}
+
+func (s *state) slots() int { return s.target.Slots }
+
+// rank orders the targets of a service in the same way at every entry.
+func rank(set []*state) []*state {
+	out := slices.Clone(set)
+	slices.SortFunc(out, func(a, b *state) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.target.ID), xxhash.Sum64String(b.target.ID)), cmp.Compare(a.target.ID, b.target.ID))
+	})
+	return out
+}
+
+// pickCounted chooses among targets that tell their slots.
+func (r *Router) pickCounted(now time.Time, x *index, c Case) (Pick, bool) {
+	open := slices.DeleteFunc(slices.Clone(x.ranked), func(s *state) bool {
+		r.Examined++
+		return now.Before(s.until) || slices.Contains(c.Exclude, s.target.ID) || s.busy(now) >= s.slots()
+	})
+	switch {
+	case len(open) == 0:
+		return Pick{}, false
+	case c.Read == 0:
+		return r.even(now, open), true
+	case c.Pieces > 1:
+		return spread(now, open, c), true
+	default:
+		return fill(now, open), true
+	}
+}
+
+// even picks the target with the most free slots; equal ones take turns.
+func (r *Router) even(now time.Time, open []*state) Pick {
+	best := r.swap(open, 0)
+	for _, s := range open[1:] {
+		if s.busy(now)*best.slots() < best.busy(now)*s.slots() {
+			best = s
+		}
+	}
+	return Pick{Target: best.target}
+}
+
+// fill picks the first target in rank that has room and is not reading for long,
+// else the one where the least waits.
+func fill(now time.Time, open []*state) Pick {
+	best := open[0]
+	for _, s := range open {
+		if float64(s.busy(now)) < fillShare*float64(s.slots()) && s.counts.reading <= heldUp {
+			return Pick{Target: s.target}
+		}
+		if less(now, s, best) {
+			best = s
+		}
+	}
+	return Pick{Target: best.target}
+}
+
+func less(now time.Time, a, b *state) bool {
+	return cmp.Or(cmp.Compare(a.counts.reading, b.counts.reading), cmp.Compare(a.busy(now), b.busy(now))) < 0
+}
+
+// spread picks targets that read a prompt together, beyond those that prompts in
+// one piece fill. The one with the most room holds it and writes.
+func spread(now time.Time, open []*state, c Case) Pick {
+	set := open[min(packed(now, open), len(open)/2):]
+	set = slices.Clone(set)
+	slices.SortStableFunc(set, func(a, b *state) int {
+		return cmp.Or(cmp.Compare(a.counts.reading, b.counts.reading), cmp.Compare(a.busy(now), b.busy(now)))
+	})
+	set = set[:min(len(set), c.Pieces, mostPieces)]
+	first := slices.MinFunc(set, func(a, b *state) int {
+		return cmp.Or(cmp.Compare(a.counts.held, b.counts.held), cmp.Compare(a.busy(now), b.busy(now)))
+	})
+	p := Pick{Target: first.target}
+	for _, s := range set {
+		if s != first {
+			p.Helpers = append(p.Helpers, s.target)
+		}
+	}
+	return p
+}
+
+// packed returns how many targets from the first in rank are in use by prompts
+// read in one piece.
+func packed(now time.Time, ranked []*state) int {
+	for i, s := range ranked {
+		if float64(s.busy(now)) < packedShare*float64(s.slots()) {
+			return i
+		}
+	}
+	return len(ranked)
+}
+
+// sentCounted notes a request that was given to its targets.
+func (r *Router) sentCounted(p Pick, c Case) {
+	s := r.byID[p.Target.ID]
+	s.counts.flying++
+	s.counts.held += c.Prompt + c.Output
+	r.reading(p, c, 1)
+}
+
+// reading adds a request's part to what its targets read, or takes it away.
+func (r *Router) reading(p Pick, c Case, sign time.Duration) {
+	part := c.Read / time.Duration(1+len(p.Helpers))
+	for _, t := range append([]messenger.Target{p.Target}, p.Helpers...) {
+		if s := r.byID[t.ID]; s != nil && s.target.Incarnation == t.Incarnation {
+			s.counts.reading = max(0, s.counts.reading+sign*part)
+		}
+	}
+}
+
+// Ended records that a request is over. Targets that don't tell their slots are
+// not counted.
+func (r *Router) Ended(p Pick, c Case) {
+	s := r.byID[p.Target.ID]
+	if s == nil || s.slots() == 0 || s.target.Incarnation != p.Target.Incarnation {
+		return
+	}
+	s.counts.flying = max(0, s.counts.flying-1)
+	s.counts.held = max(0, s.counts.held-c.Prompt-c.Output)
+}
+
+// reportCounted takes a target's count of its requests.
+func (s *state) reportCounted(now time.Time, l messenger.Load) {
+	s.counts.others, s.counts.heard = max(0, l.Running-s.counts.flying), now
+}
--- a/router/router.go
+++ b/router/router.go
@@ -41,6 +41,9 @@
 	Prefix  []uint64 // hashes of the prompt's beginnings, shortest first
 	Text    int      // bytes of prompt text
 	Exclude []string // targets that failed or refused it
+
+	Read   time.Duration // predicted on one target; zero if unknown
+	Pieces int           // targets that should read it together
 }
 
 // Pick is a chosen target and what is expected of it.
@@ -50,6 +53,8 @@
 	Cached int           // tokens expected in its cache
 	Speed  int           // prefill tokens a second
 	Pace   int           // decode tokens a second
+
+	Helpers []messenger.Target // that read a part of the prompt
 }
 
 // Router keeps what is known of targets. Zero fields take the defaults.
@@ -78,9 +83,15 @@
 	Aging     bool // reported tokens are worked off with time
 }
 
-// Report takes the load that a target's agent sent with an answer.
+// Report takes the load that a target or its agent sent with an answer.
 func (r *Router) Report(now time.Time, id string, incarnation uint64, l messenger.Load) {
 	s := r.byID[id]
+	if s != nil && s.slots() > 0 {
+		if s.target.Incarnation == incarnation {
+			s.reportCounted(now, l)
+		}
+		return
+	}
 	if s != nil && s.target.Incarnation == incarnation && l.Seq > s.target.Load.Seq {
 		s.report(now, l)
 	}
@@ -92,6 +103,10 @@
 	if s == nil {
 		return
 	}
+	if s.slots() > 0 {
+		r.sentCounted(p, c)
+		return
+	}
 	s.own[messenger.ClassOf(c.Prompt)] += c.Prompt - p.Cached
 	s.held += c.Prompt + c.Output
 	r.history.add(now, c.Prefix, s.target)
@@ -101,6 +116,10 @@
 // request is over, whichever came first.
 func (r *Router) Started(p Pick, c Case) {
 	s := r.byID[p.Target.ID]
+	if s != nil && s.slots() > 0 {
+		r.reading(p, c, -1)
+		return
+	}
 	if s != nil && s.target.Incarnation == p.Target.Incarnation {
 		n := &s.own[messenger.ClassOf(c.Prompt)]
 		*n = max(0, *n-(c.Prompt-p.Cached))
@@ -149,6 +168,9 @@
 	if x == nil {
 		return Pick{}, false
 	}
+	if x.counted {
+		return r.pickCounted(now, x, c)
+	}
 	best, found := r.remembered(now, c)
 	for _, s := range r.lanes(x, c) {
 		p, ok := r.draw(now, s, c)
--- a/router/state.go
+++ b/router/state.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"bramleyshunt/messenger"
@@ -14,6 +15,9 @@
 	long  []*state // may take long prompts
 	spare []*state // long lane, open to short prompts while idle
 	sums  [2]Sum   // of short and long
+
+	counted bool     // all tell their slots
+	ranked  []*state // of these, in the order that all entries use
 }
 
 // Sum adds up the targets that a request may be sent to.
@@ -32,6 +36,7 @@
 	held   int       // memory taken by this entry's sends since the report
 	at     time.Time // of the report
 	until  time.Time
+	counts counts
 }
 
 // classes are tokens by length class.
@@ -69,6 +74,9 @@
 	}
 	for _, x := range byName {
 		x.sums = [2]Sum{sum(x.short), sum(x.long)}
+		if x.counted = !slices.ContainsFunc(x.all, func(s *state) bool { return s.slots() == 0 }); x.counted {
+			x.ranked = rank(x.all)
+		}
 	}
 	r.byID, r.byName = byID, byName
 }
--- a/runner/admin.go
+++ b/runner/admin.go
@@ -34,7 +34,7 @@
 		Status: r.status, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	}
 	if r.Keeper != nil {
-		cfg.Applier, cfg.Confirm, cfg.Targets = r.applier, r.Keeper.Confirm, r.publisher.Targets
+		cfg.Applier, cfg.Confirm, cfg.Targets = r.Applier, r.Keeper.Confirm, r.Publisher.Targets
 	}
 	return administrator.New(cfg)
 }
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"bramleyshunt/agent"
@@ -13,6 +15,7 @@
 	"bramleyshunt/controller"
 	"bramleyshunt/entry"
 	"bramleyshunt/keeper"
+	"bramleyshunt/locator"
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
 	"bramleyshunt/orderer"
@@ -20,6 +23,7 @@
 	"bramleyshunt/proposer"
 	"bramleyshunt/publisher"
 	"bramleyshunt/setter"
+	"bramleyshunt/sleeper"
 	"bramleyshunt/watcher"
 )
 
@@ -31,7 +35,8 @@
 	pool, closer := pooler.New(r.muxing())
 	r.pool = pool
 	r.own(closer)
-	r.proposer = &proposer.Proposer{Keepers: r.cfg.Settings.Keepers, Pool: pool}
+	r.locator = &locator.Locator{Seeds: r.cfg.Settings.Keepers}
+	r.proposer = &proposer.Proposer{Locator: r.locator, Pool: pool}
 	return nil
 }
 
@@ -40,10 +45,11 @@
 	if !s.Has(setter.RoleKeeper) {
 		return nil
 	}
-	r.applier = &applier.Applier{}
-	a := r.applier
+	r.Applier = &applier.Applier{Read: r.cfg.Read}
+	a := r.Applier
 	k, closer, err := keeper.New(keeper.Config{
 		Node: s.Node, Peers: s.Keepers, Folder: s.Folder, Pool: r.pool,
+		Address: s.Listen, Join: s.Join, Grow: s.Grow,
 		Apply: a.Apply, Snapshot: a.Snapshot, Restore: a.Restore,
 		Log: r.cfg.Log, Metrics: r.cfg.Metrics, Fatal: r.fatal,
 	})
@@ -54,25 +60,36 @@
 	r.own(closer)
 	p, closer, err := publisher.New(publisher.Config{
 		Applier: a, Propose: k.Propose, Confirm: k.Confirm, Pool: r.pool,
-		Leader: func() string { return k.Status().Address },
-		Log:    r.cfg.Log, Metrics: r.cfg.Metrics,
+		Leader: func() string { return k.Status().Address }, Members: r.members, Address: s.Listen,
+		Exclusive: s.Direct,
+		Log:       r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
 	if err != nil {
 		return fmt.Errorf("publisher: %w", err)
 	}
-	r.publisher = p
+	r.Publisher = p
 	r.own(closer)
 	r.handlers = append(r.handlers, k.Handle, p.Handle)
-	r.startController()
+	if !s.Direct {
+		r.startController()
+	}
 	return nil
 }
 
+// members returns the members of the keepers' group that this keeper belongs to.
+func (r *Runner) members() []messenger.Member {
+	st := r.Keeper.Status()
+	all := slices.Concat(st.Voters, st.Learners)
+	r.locator.Learn(all)
+	return all
+}
+
 // startController scales and places on whichever keeper leads.
 func (r *Runner) startController() {
 	o := &orderer.Orderer{Call: r.proposer.Call, Pool: r.pool}
 	_, closer := controller.New(controller.Config{
-		Targets: r.publisher.Targets, Leading: r.leading,
-		View:  func() *configurer.Configurer { return r.applier.View().Config },
+		Targets: r.Publisher.Targets, Leading: r.leading,
+		View:  func() *configurer.Configurer { return r.Applier.View().Config },
 		Fence: o.Fence, Send: o.Send, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
 	r.own(closer)
@@ -91,7 +108,8 @@
 		return nil
 	}
 	w, closer, err := watcher.New(watcher.Config{
-		Node: s.Node, Keepers: s.Keepers, Pool: r.pool, Lean: !s.Has(setter.RoleEntry),
+		Node: s.Node, Locator: r.locator, Pool: r.pool, Lean: !s.Has(setter.RoleEntry),
+		Read: r.cfg.Read, Stale: r.cfg.Stale, Now: sleeper.Now,
 		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
 	if err != nil {
@@ -126,8 +144,8 @@
 	e, closer, err := entry.New(entry.Config{
 		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
 		View:  r.watcher.View,
-		Ready: r.watcher.Ready,
-		Log:   r.cfg.Log, Metrics: r.cfg.Metrics,
+		Ready: r.watcher.Ready, Exchange: r.cfg.Exchange, Seed: rand.Uint64(),
+		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
@@ -144,7 +162,7 @@
 			return err
 		}
 	}
-	if r.Entry != nil {
+	if r.Entry != nil && (l.HTTP != nil || s.HTTP != "") {
 		if err := r.listenHTTP(l.HTTP, s.HTTP, r.Entry); err != nil {
 			return err
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -19,8 +19,12 @@
 	"bramleyshunt/agent"
 	"bramleyshunt/applier"
 	"bramleyshunt/coder"
+	"bramleyshunt/conductor"
 	"bramleyshunt/entry"
 	"bramleyshunt/keeper"
+	"bramleyshunt/locator"
+	"bramleyshunt/merger"
+	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
 	"bramleyshunt/pooler"
 	"bramleyshunt/proposer"
@@ -37,6 +41,10 @@
 	Metrics   metrics.Registry
 	Fatal     func(error) // a fault that ends the process; may be called more than once
 	Listeners Listeners
+
+	Read     merger.Reader                                         // of configuration files; merger.Merge if nil
+	Exchange func(ctx context.Context, a *conductor.Attempt) error // runs attempts; through agents if nil
+	Stale    time.Duration                                         // how long a view holds without a confirmation; watcher.StaleAfter if zero
 }
 
 // Listeners may be opened beforehand; those left nil are opened at the
@@ -53,17 +61,19 @@
 	Agent  *agent.Agent   // nil without that role
 	Keeper *keeper.Keeper // nil without that role
 
-	cfg       Config
-	pool      *pooler.Pooler
-	watcher   *watcher.Watcher
-	proposer  *proposer.Proposer
-	publisher *publisher.Publisher
-	applier   *applier.Applier
-	handlers  []handler
-	closers   []func()
-	ctx       context.Context
-	stop      context.CancelFunc
-	wg        conc.WaitGroup
+	Publisher *publisher.Publisher // nil without a Keeper
+	Applier   *applier.Applier     // nil without a Keeper
+
+	cfg      Config
+	pool     *pooler.Pooler
+	locator  *locator.Locator
+	watcher  *watcher.Watcher
+	proposer *proposer.Proposer
+	handlers []handler
+	closers  []func()
+	ctx      context.Context
+	stop     context.CancelFunc
+	wg       conc.WaitGroup
 }
 
 // handler serves a stream if the kind of its first message is its own.
@@ -107,6 +117,18 @@
 	return nil
 }
 
+// Call asks the leading keeper.
+func (r *Runner) Call(ctx context.Context, kind messenger.Kind, v, out any) error {
+	return r.proposer.Call(ctx, kind, v, out)
+}
+
+// Fresh returns nil if a quorum has confirmed this process's view of late, else
+// code Stale.
+func (r *Runner) Fresh() error { return r.watcher.Ready() }
+
+// Seed replaces the keepers that the settings name.
+func (r *Runner) Seed(keepers []setter.Keeper) { r.locator.Reseed(keepers) }
+
 // own registers a clean-up function; they run in reverse order.
 func (r *Runner) own(closer func()) { r.closers = append(r.closers, closer) }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,6 +27,9 @@
 	Prefix   []uint64 // hashes of the prompt's beginnings, shortest first
 	Deadline time.Time
 	Exclude  []string // targets that failed it
+
+	Read   time.Duration // predicted prefill on one target; zero if unknown
+	Pieces int           // targets that should read it together
 }
 
 // Placement is a target for a ticket, or the error that ends its wait.
@@ -92,6 +95,10 @@
 // request predicts a placed request. The prefill speed is what requests of its
 // lane have got of late, which is less than a target's own under load.
 func (s *Scheduler) request(t *Ticket, sum router.Sum) admitter.Case {
+	if t.Read > 0 {
+		pieces := min(max(1, t.Pieces), max(1, sum.Targets/2))
+		return admitter.Case{Read: t.Read / time.Duration(pieces), Output: t.Output, Pace: sum.Pace}
+	}
 	speed := float64(sum.Speed/sum.Targets) / s.stretch[s.lane(t)].upper()
 	return admitter.Case{Prompt: t.Prompt, Output: t.Output, Speed: max(1, int(speed)), Pace: sum.Pace}
 }
@@ -214,6 +221,9 @@
 	}
 }
 
+// Ended tells that a placed request is over.
+func (s *Scheduler) Ended(t *Ticket, p router.Pick) { s.Router.Ended(p, ask(t)) }
+
 // Report takes the load that came with an answer.
 func (s *Scheduler) Report(now time.Time, p router.Pick, l messenger.Load) {
 	s.Router.Report(now, p.Target.ID, p.Target.Incarnation, l)
@@ -231,6 +241,6 @@
 func ask(t *Ticket) router.Case {
 	return router.Case{
 		Service: t.Service, Prompt: t.Prompt, Output: t.Output,
-		Prefix: t.Prefix, Text: t.Text, Exclude: t.Exclude,
+		Prefix: t.Prefix, Text: t.Text, Exclude: t.Exclude, Read: t.Read, Pieces: t.Pieces,
 	}
 }
--- a/setter/setter.go
+++ b/setter/setter.go
@@ -25,6 +25,9 @@
 	Folder  string   `json:"folder"`  // data folder; keeper only
 	Keepers []Keeper `json:"keepers"` // where keepers are found; also the founding voters
 	Target  Target   `json:"target"`  // agent only
+	Grow    bool     `json:"grow"`    // keepers beyond those named are taken into the group
+	Join    bool     `json:"join"`    // keeper only: the deployment is not new, so found no group
+	Direct  bool     `json:"direct"`  // targets have no agents; each announces itself to one keeper
 	Grace   float64  `json:"grace"`   // seconds between readiness off and listener closed
 	Log     string   `json:"log"`     // panic, fatal, error, warn, info (default), debug
 }
