--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -8,7 +8,7 @@
 // Configurer is one whole configuration.
 type Configurer struct {
 	Services  map[string]Service  `json:"services"`
-	Paths     []Path              `json:"paths"`
+	Paths     []Path              `json:"paths,omitempty"`
 	Models    map[string]Model    `json:"models"`
 	Accounts  map[string]Account  `json:"accounts"`
 	Limits    Limits              `json:"limits"`
@@ -17,17 +17,17 @@
 
 // Service is one thing callers can ask for.
 type Service struct {
-	Kind     string  `json:"kind"`     // "engine" or "plain"
-	Model    string  `json:"model"`    // of an engine service
-	Once     bool    `json:"once"`     // not idempotent: each request needs an Idempotency-Key
-	Routes   []Route `json:"routes"`   // of a plain service; none means every path, idempotent by method
-	Timeout  float64 `json:"timeout"`  // seconds when the caller names none
-	Longest  float64 `json:"longest"`  // seconds a caller may ask for at most
-	Priority int     `json:"priority"` // higher goes first
-	Least    int     `json:"least"`    // replicas kept
-	Most     int     `json:"most"`     // replicas at most
-	Conns    int     `json:"conns"`    // connections that one replica accepts; zero for no bound
-	Engine   Engine  `json:"engine"`   // declared speed; zero if unknown
+	Kind     string  `json:"kind"`            // "engine" or "plain"
+	Model    string  `json:"model"`           // of an engine service
+	Once     bool    `json:"once"`            // not idempotent: each request needs an Idempotency-Key
+	Routes   []Route `json:"routes"`          // of a plain service; none means every path, idempotent by method
+	Timeout  float64 `json:"timeout"`         // seconds when the caller names none
+	Longest  float64 `json:"longest"`         // seconds a caller may ask for at most
+	Priority int     `json:"priority"`        // higher goes first
+	Least    int     `json:"least"`           // replicas kept
+	Most     int     `json:"most"`            // replicas at most
+	Conns    int     `json:"conns,omitempty"` // connections that one replica accepts; zero for no bound
+	Engine   Engine  `json:"engine,omitzero"` // declared speed; zero if unknown
 }
 
 // Engine is the declared speed of one replica of an engine service. It works in
@@ -96,14 +96,14 @@
 
 // Account is one client account.
 type Account struct {
-	Token    string   `json:"token"`    // hex SHA-256 of the bearer token
-	Keys     []string `json:"keys"`     // hex SHA-256 of further keys
-	Services []string `json:"services"` // allowed; none means all
-	Share    int      `json:"share"`    // weight in fair queueing
-	Priority int      `json:"priority"` // added to the service's
-	Rate     float64  `json:"rate"`     // tokens a second; zero for no limit
-	Burst    float64  `json:"burst"`    // tokens at once; zero for ten seconds of Rate
-	Conc     int      `json:"conc"`     // requests in flight; zero for no limit
+	Token    string   `json:"token"`          // hex SHA-256 of the bearer token
+	Keys     []string `json:"keys,omitempty"` // hex SHA-256 of further keys
+	Services []string `json:"services"`       // allowed; none means all
+	Share    int      `json:"share"`          // weight in fair queueing
+	Priority int      `json:"priority"`       // added to the service's
+	Rate     float64  `json:"rate"`           // tokens a second; zero for no limit
+	Burst    float64  `json:"burst"`          // tokens at once; zero for ten seconds of Rate
+	Conc     int      `json:"conc"`           // requests in flight; zero for no limit
 }
 
 // Operator may use the administration API.
@@ -113,14 +113,14 @@
 
 // Limits hold for the whole fleet.
 type Limits struct {
-	Body    int     `json:"body"`    // bytes of a request at most
-	Header  int     `json:"header"`  // bytes of a request's header at most
-	Begin   float64 `json:"begin"`   // seconds that a caller may take to send a header
-	Idle    float64 `json:"idle"`    // seconds that a caller's connection may stay idle
-	Retries float64 `json:"retries"` // share of a service's traffic that may be retries
-	Crashes int     `json:"crashes"` // distinct incarnations before a request is quarantined
-	Banned  float64 `json:"banned"`  // seconds a quarantine lasts
-	Kept    float64 `json:"kept"`    // seconds an answer is kept for its Idempotency-Key
+	Body    int     `json:"body"`             // bytes of a request at most
+	Header  int     `json:"header,omitempty"` // bytes of a request's header at most
+	Begin   float64 `json:"begin,omitempty"`  // seconds that a caller may take to send a header
+	Idle    float64 `json:"idle,omitempty"`   // seconds that a caller's connection may stay idle
+	Retries float64 `json:"retries"`          // share of a service's traffic that may be retries
+	Crashes int     `json:"crashes"`          // distinct incarnations before a request is quarantined
+	Banned  float64 `json:"banned"`           // seconds a quarantine lasts
+	Kept    float64 `json:"kept"`             // seconds an answer is kept for its Idempotency-Key
 }
 
 // ByModel returns the name of the first engine service of a model in name
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -65,7 +65,8 @@
 	var out []string
 	for i := range t.NumField() {
 		f := t.Field(i)
-		name := strings.TrimPrefix(path+"."+f.Tag.Get("json"), ".")
+		tag, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		name := strings.TrimPrefix(path+"."+tag, ".")
 		out = append(out, name)
 		out = append(out, tags(f.Type, name)...)
 	}
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -76,8 +76,12 @@
 	return nil
 }
 
-// members returns the members of the keepers' group that this keeper belongs to.
+// members returns the members of the keepers' group that this keeper belongs to. A
+// group that doesn't grow is where the settings say.
 func (r *Runner) members() []messenger.Member {
+	if !r.cfg.Settings.Grow {
+		return nil
+	}
 	st := r.Keeper.Status()
 	all := slices.Concat(st.Voters, st.Learners)
 	r.locator.Learn(all)
