--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -213,9 +213,9 @@
 		v.Lease = k.start.Add(s.Lease)
 	}
 	old := k.view.Swap(v)
-	if old != nil && (old.Role != v.Role || old.Leader != v.Leader || old.Repaired != v.Repaired) {
+	if old != nil && (old.Role != v.Role || old.Leader != v.Leader || !slices.Equal(old.Voters, v.Voters)) {
 		k.cfg.Log.WithFields(logrus.Fields{
-			"role": v.Role.String(), "leader": v.Leader, "term": v.Term, "repaired": v.Repaired,
+			"role": v.Role.String(), "leader": v.Leader, "term": v.Term, "voters": len(v.Voters), "commit": v.Commit,
 		}).Info("keeper changed")
 	}
 }
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -121,6 +121,9 @@
 	f.admin.Token = operator.FleetToken(f.key)
 	f.apply(1)
 	f.admin.Token = office
+	for i := range f.keepers { // a follower takes the operator's token once it has applied version 1
+		Eventually(func() *keeper.Status { return f.status(i) }).ShouldNot(BeNil())
+	}
 	return f
 }
 
