--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -28,6 +28,10 @@
 // DefaultPatience is how long a caller may take to send its request's body.
 const DefaultPatience = 30 * time.Second
 
+// leavingRetry is when a caller may come back that meets a process which is
+// leaving: at once, as other processes take new requests.
+const leavingRetry = 50 * time.Millisecond
+
 // Config is what a Conductor needs. Nil functions and zero fields take defaults.
 type Config struct {
 	Settings *setter.Setter
@@ -123,7 +127,7 @@
 	r := &chainer.Request{ID: cd.id(), Arrived: cd.cfg.Now()}
 	if err := cd.enter(r.ID, cancel); err != nil {
 		cancel(nil)
-		return nil, nil, nil, Retry(coder.Of(err), time.Second)
+		return nil, nil, nil, Retry(coder.Of(err), leavingRetry)
 	}
 	return ctx, r, func() {
 		cd.leave(r.ID)
