--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -51,6 +51,18 @@
 	Gang        bool // beyond one target's memory
 
 	Answer Answer
+	Trace  Trace
+}
+
+// Trace is what became of a request, for the log.
+type Trace struct {
+	Tries   int
+	Target  string // of the last try
+	Helpers int    // of the last try
+	Busy    int    // requests known at the target when it was chosen
+	Queued  time.Duration
+	First   time.Duration // from the arrival to the first piece of the answer
+	Gap     time.Duration // longest between two pieces
 }
 
 // Answer receives what the caller gets. Begin is called before the chunks of an
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -51,6 +51,7 @@
 			return x.outcome(err)
 		}
 		x.tries++
+		x.r.Trace.Tries, x.r.Trace.Target, x.r.Trace.Helpers, x.r.Trace.Busy = x.tries, pick.Target.ID, len(pick.Helpers), pick.Busy
 		err = x.attempt(ctx, pick)
 		x.endRisk()
 		if err == nil {
@@ -85,7 +86,9 @@
 	need := x.cd.control.needs(x.ticket)
 	bound, stop := context.WithTimeoutCause(ctx, x.left()-need, errTooLate)
 	defer stop()
+	since := x.cd.cfg.Now()
 	placed := x.cd.control.enqueue(x.ticket, x.losses > 0)
+	defer func() { x.r.Trace.Queued += x.cd.cfg.Now().Sub(since) }()
 	select {
 	case p := <-placed:
 		return p.Pick, p.Err
@@ -209,9 +212,11 @@
 	if !x.begun {
 		x.begun = true
 		x.gaps = x.cd.meter.between(x.r)
-		x.cd.meter.first(x.r, now.Sub(x.r.Arrived))
+		x.r.Trace.First = now.Sub(x.r.Arrived)
+		x.cd.meter.first(x.r, x.r.Trace.First)
 	} else {
 		x.gaps.Update(now.Sub(x.last).Microseconds())
+		x.r.Trace.Gap = max(x.r.Trace.Gap, now.Sub(x.last))
 	}
 	x.last = now
 }
--- a/router/counted.go
+++ b/router/counted.go
@@ -87,7 +87,7 @@
 			best = s
 		}
 	}
-	return Pick{Target: best.target}
+	return Pick{Target: best.target, Busy: best.busy(now)}
 }
 
 // fill picks the first target in rank that has room and is not reading for long,
@@ -96,13 +96,13 @@
 	best := open[0]
 	for _, s := range open {
 		if float64(s.busy(now)) < fillShare*float64(s.slots()) && s.counts.reading <= heldUp {
-			return Pick{Target: s.target}
+			return Pick{Target: s.target, Busy: s.busy(now)}
 		}
 		if less(now, s, best) {
 			best = s
 		}
 	}
-	return Pick{Target: best.target}
+	return Pick{Target: best.target, Busy: best.busy(now)}
 }
 
 func less(now time.Time, a, b *state) bool {
@@ -121,7 +121,7 @@
 	first := slices.MinFunc(set, func(a, b *state) int {
 		return cmp.Or(cmp.Compare(a.counts.held, b.counts.held), cmp.Compare(a.busy(now), b.busy(now)))
 	})
-	p := Pick{Target: first.target}
+	p := Pick{Target: first.target, Busy: first.busy(now)}
 	for _, s := range set {
 		if s != first {
 			p.Helpers = append(p.Helpers, s.target)
--- a/router/router.go
+++ b/router/router.go
@@ -55,6 +55,7 @@
 	Pace   int           // decode tokens a second
 
 	Helpers []messenger.Target // that read a part of the prompt
+	Busy    int                // requests known at the target, where it tells its slots
 }
 
 // Router keeps what is known of targets. Zero fields take the defaults.
