Let entries tell each other what they have at targets

Ruled out: queueing in the entry (0 waited over 20 ms). Entries are announced to the keepers like targets and send each other their counts, 20 ms after a change at the earliest and more rarely with more peers.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -42,6 +42,7 @@
 	Silence  time.Duration                                                    // bound on the answer to a reservation
 	Exchange func(ctx context.Context, a *Attempt) error                      // runs an attempt; through the target's agent if nil
 	Patience time.Duration                                                    // for a request's body; DefaultPatience if zero
+	Changed  func()                                                           // what this process has at targets has changed; may be nil
 	Log      *logrus.Entry
 	Metrics  metrics.Registry
 	Now      func() time.Time
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -263,12 +263,32 @@
 	})
 }
 
+// Sends returns what this process has at targets that tell their slots.
+func (cd *Conductor) Sends() (out []messenger.Sent) {
+	cd.control.do(func() { out = cd.control.scheduler.Router.Sends() })
+	return out
+}
+
+// Learn takes what another entry has at targets.
+func (cd *Conductor) Learn(node string, sends []messenger.Sent) {
+	c := cd.control
+	c.do(func() { c.scheduler.Router.Learn(c.cfg.Now(), node, sends) })
+}
+
+// changed says that what this process has at targets has changed.
+func (c *control) changed() {
+	if c.cfg.Changed != nil {
+		c.cfg.Changed()
+	}
+}
+
 // pump hands out the placements that can be made now.
 func (c *control) pump() {
 	for _, p := range c.scheduler.Pump(c.cfg.Now()) {
 		if _, ok := c.risky[p.Ticket.ID]; ok {
 			c.risky[p.Ticket.ID] = p.Pick.Target.ID
 		}
+		c.changed()
 		c.waiting[p.Ticket.ID] <- p
 		delete(c.waiting, p.Ticket.ID)
 	}
@@ -278,6 +298,7 @@
 func (c *control) ended(t *scheduler.Ticket, pick router.Pick) {
 	c.do(func() {
 		c.scheduler.Ended(t, pick)
+		c.changed()
 		c.pump()
 	})
 }
@@ -294,6 +315,7 @@
 func (c *control) started(t *scheduler.Ticket, pick router.Pick, after time.Duration) {
 	c.do(func() {
 		c.scheduler.Started(t, pick, after)
+		c.changed()
 		c.pump()
 	})
 }
--- a/messenger/keeper.go
+++ b/messenger/keeper.go
@@ -14,6 +14,8 @@
 	Gone bool `msgpack:"gone,omitempty"`
 	// Relayed says that another keeper passed it on.
 	Relayed bool `msgpack:"relayed,omitempty"`
+	// Spread asks the keeper to pass it on, as the sender tells no other.
+	Spread bool `msgpack:"spread,omitempty"`
 }
 
 // Announced answers an Announce with what the target must know.
--- a/messenger/kind_string.go
+++ b/messenger/kind_string.go
@@ -47,11 +47,12 @@
 	_ = x[KindNodesListed-36]
 	_ = x[KindStand-37]
 	_ = x[KindForward-38]
+	_ = x[KindShare-39]
 }
 
-const _Kind_name = "KindNoneKindFailedKindReserveKindReservedKindRunKindChunkKindEndKindVoidKindVoidedKindCancelKindCancelledKindResumeKindReleaseKindAnnounceKindAnnouncedKindWatchKindUpdateKindClaimKindClaimedKindProposeKindProposedKindVoteKindVotedKindAppendKindAppendedKindInstallKindInstalledKindOrderKindOrderedKindSuspectKindProbeKindProbedKindFoundKindConfirmKindConfirmedKindNodesKindNodesListedKindStandKindForward"
+const _Kind_name = "KindNoneKindFailedKindReserveKindReservedKindRunKindChunkKindEndKindVoidKindVoidedKindCancelKindCancelledKindResumeKindReleaseKindAnnounceKindAnnouncedKindWatchKindUpdateKindClaimKindClaimedKindProposeKindProposedKindVoteKindVotedKindAppendKindAppendedKindInstallKindInstalledKindOrderKindOrderedKindSuspectKindProbeKindProbedKindFoundKindConfirmKindConfirmedKindNodesKindNodesListedKindStandKindForwardKindShare"
 
-var _Kind_index = [...]uint16{0, 8, 18, 29, 41, 48, 57, 64, 72, 82, 92, 105, 115, 126, 138, 151, 160, 170, 179, 190, 201, 213, 221, 230, 240, 252, 263, 276, 285, 296, 307, 316, 326, 335, 346, 359, 368, 383, 392, 403}
+var _Kind_index = [...]uint16{0, 8, 18, 29, 41, 48, 57, 64, 72, 82, 92, 105, 115, 126, 138, 151, 160, 170, 179, 190, 201, 213, 221, 230, 240, 252, 263, 276, 285, 296, 307, 316, 326, 335, 346, 359, 368, 383, 392, 403, 412}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -64,6 +64,8 @@
 	KindStand
 	// Nodes to keepers: a question to be passed on to the leader.
 	KindForward
+	// Entry to entry: what it has at targets.
+	KindShare
 )
 
 // Class is the length class of a prompt.
--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -64,6 +64,13 @@
 	if err := m.Decode(&a); err != nil {
 		return reply{err: err}
 	}
+	if a.Spread {
+		a.Spread = false
+		if err := p.Announce(ctx, a); err != nil {
+			return reply{err: err}
+		}
+		return reply{kind: messenger.KindAnnounced, body: &messenger.Announced{Leader: p.cfg.Leader()}}
+	}
 	if err := p.take(ctx, &a); err != nil {
 		return reply{err: err}
 	}
--- a/router/counted.go
+++ b/router/counted.go
@@ -35,21 +35,36 @@
 
 // counts is what this entry knows of a target that tells its slots.
 type counts struct {
-	flying  int           // own requests there
-	others  int           // other entries' requests, as of heard
-	heard   time.Time     // when the target last told its count
-	reading time.Duration // own reads that have not ended
-	held    int           // tokens of own requests
+	flying  int            // own requests there
+	others  int            // other entries' requests, as of heard
+	heard   time.Time      // when the target last told its count
+	reading time.Duration  // own reads that have not ended
+	held    int            // tokens of own requests
+	shared  messenger.Sent // what the other entries told of theirs, added up
+	sharing bool           // some entry did
 }
 
-// busy returns the requests at a target.
+// busy returns the requests at a target. What other entries tell is newer than
+// what the target last did.
 func (s *state) busy(now time.Time) int {
-	if now.Sub(s.counts.heard) > reportHolds {
+	switch {
+	case s.counts.sharing:
+		return s.counts.flying + s.counts.shared.Flying
+	case now.Sub(s.counts.heard) > reportHolds:
 		return s.counts.flying
+	default:
+		return s.counts.flying + s.counts.others
 	}
-	return s.counts.flying + s.counts.others
 }
 
+// reading returns what is still to be read at a target.
+func (s *state) reading() time.Duration {
+	return s.counts.reading + time.Duration(s.counts.shared.Reading)*time.Millisecond
+}
+
+// memory returns the tokens of memory that requests have or will have at a target.
+func (s *state) memory() int { return s.counts.held + s.counts.shared.Held }
+
 func (s *state) slots() int { return s.target.Slots }
 
 // rank orders the targets of a service in the same way at every entry.
@@ -95,7 +110,7 @@
 func fill(now time.Time, open []*state) Pick {
 	best := open[0]
 	for _, s := range open {
-		if float64(s.busy(now)) < fillShare*float64(s.slots()) && s.counts.reading <= heldUp {
+		if float64(s.busy(now)) < fillShare*float64(s.slots()) && s.reading() <= heldUp {
 			return Pick{Target: s.target, Busy: s.busy(now)}
 		}
 		if less(now, s, best) {
@@ -106,7 +121,7 @@
 }
 
 func less(now time.Time, a, b *state) bool {
-	return cmp.Or(cmp.Compare(a.counts.reading, b.counts.reading), cmp.Compare(a.busy(now), b.busy(now))) < 0
+	return cmp.Or(cmp.Compare(a.reading(), b.reading()), cmp.Compare(a.busy(now), b.busy(now))) < 0
 }
 
 // spread picks targets that read a prompt together, beyond those that prompts in
@@ -115,11 +130,11 @@
 	set := open[min(packed(now, open), len(open)/2):]
 	set = slices.Clone(set)
 	slices.SortStableFunc(set, func(a, b *state) int {
-		return cmp.Or(cmp.Compare(a.counts.reading, b.counts.reading), cmp.Compare(a.busy(now), b.busy(now)))
+		return cmp.Or(cmp.Compare(a.reading(), b.reading()), cmp.Compare(a.busy(now), b.busy(now)))
 	})
 	set = set[:min(len(set), c.Pieces, mostPieces)]
 	first := slices.MinFunc(set, func(a, b *state) int {
-		return cmp.Or(cmp.Compare(a.counts.held, b.counts.held), cmp.Compare(a.busy(now), b.busy(now)))
+		return cmp.Or(cmp.Compare(a.memory(), b.memory()), cmp.Compare(a.busy(now), b.busy(now)))
 	})
 	p := Pick{Target: first.target, Busy: first.busy(now)}
 	for _, s := range set {
--- a/router/router.go
+++ b/router/router.go
@@ -71,6 +71,7 @@
 	byID    map[string]*state
 	byName  map[string]*index
 	history history
+	shares  map[string]share // by entry
 }
 
 // Parts names what can be switched off.
--- a/router/state.go
+++ b/router/state.go
@@ -79,6 +79,7 @@
 		}
 	}
 	r.byID, r.byName = byID, byName
+	r.total(now)
 }
 
 func sum(set []*state) Sum {
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -23,6 +23,7 @@
 	"bramleyshunt/proposer"
 	"bramleyshunt/publisher"
 	"bramleyshunt/setter"
+	"bramleyshunt/sharer"
 	"bramleyshunt/sleeper"
 	"bramleyshunt/watcher"
 )
@@ -148,7 +149,7 @@
 	e, closer, err := entry.New(entry.Config{
 		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
 		View:  r.watcher.View,
-		Ready: r.watcher.Ready, Exchange: r.cfg.Exchange, Seed: rand.Uint64(),
+		Ready: r.watcher.Ready, Changed: r.shareChanged, Exchange: r.cfg.Exchange, Seed: rand.Uint64(),
 		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
 	if err != nil {
@@ -156,9 +157,46 @@
 	}
 	r.Entry = e
 	r.own(closer)
+	if s := r.cfg.Settings; s.Direct && s.Listen != "" {
+		r.startSharer()
+	}
 	return nil
 }
 
+// startSharer tells the other entries what this one has at targets.
+func (r *Runner) startSharer() {
+	s, closer := sharer.New(sharer.Config{
+		Node: r.cfg.Settings.Node, Address: r.cfg.Settings.Listen, Pool: r.pool, Peers: r.entries,
+		Sends: r.Entry.Sends, Learn: r.Entry.Learn, Keepers: r.keepers, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
+	})
+	r.sharer.Store(s)
+	r.own(closer)
+	r.handlers = append(r.handlers, s.Handle)
+}
+
+func (r *Runner) shareChanged() {
+	if s := r.sharer.Load(); s != nil {
+		s.Changed()
+	}
+}
+
+// entries returns the live entries.
+func (r *Runner) entries() []messenger.Target {
+	v := r.watcher.View()
+	if v == nil {
+		return nil
+	}
+	return v.ByService[sharer.ServiceEntries]
+}
+
+func (r *Runner) keepers() []string {
+	var out []string
+	for _, k := range r.locator.Keepers() {
+		out = append(out, k.Address)
+	}
+	return out
+}
+
 func (r *Runner) startListeners() error {
 	s, l := r.cfg.Settings, r.cfg.Listeners
 	if len(r.handlers) > 0 {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -30,6 +31,7 @@
 	"bramleyshunt/proposer"
 	"bramleyshunt/publisher"
 	"bramleyshunt/setter"
+	"bramleyshunt/sharer"
 	"bramleyshunt/watcher"
 )
 
@@ -67,6 +69,7 @@
 	cfg      Config
 	pool     *pooler.Pooler
 	locator  *locator.Locator
+	sharer   atomic.Pointer[sharer.Sharer]
 	watcher  *watcher.Watcher
 	proposer *proposer.Proposer
 	handlers []handler
