Hold prompts beyond one engine at several, and read heavy ones gently

A part of several seconds holds up every stream beside it and every later read that uses that target. Kept: a read that would hold up streams beyond three quarters of the pause they allow gets idle targets only, as few as serve it, and is refused at once if too few are idle; any other read leaves out targets that are busy for longer than it takes.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -22,6 +22,7 @@
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
 	"bramleyshunt/setter"
+	"bramleyshunt/ticketer"
 	"bramleyshunt/watcher"
 )
 
@@ -42,6 +43,7 @@
 	Silence  time.Duration                                                    // bound on the answer to a reservation
 	Exchange func(ctx context.Context, a *Attempt) error                      // runs an attempt; through the target's agent if nil
 	Patience time.Duration                                                    // for a request's body; DefaultPatience if zero
+	Tickets  *ticketer.Ticketer                                               // sets memory aside at helpers; needed with Exchange
 	Changed  func()                                                           // what this process has at targets has changed; may be nil
 	Log      *logrus.Entry
 	Metrics  metrics.Registry
@@ -102,6 +104,9 @@
 		cd.cancelAll()
 		cd.wg.Wait()
 		cd.dispatch.Wait()
+		if cfg.Tickets != nil {
+			cfg.Tickets.Wait()
+		}
 		stop()
 	}, nil
 }
@@ -165,6 +170,9 @@
 	case <-cd.idle:
 		cd.wg.Wait()
 		cd.dispatch.Wait()
+		if cd.cfg.Tickets != nil {
+			cd.cfg.Tickets.Wait()
+		}
 		cd.cfg.Log.Info("drained")
 		return nil
 	case <-ctx.Done():
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -197,7 +197,7 @@
 func ticket(r *chainer.Request, exclude []string) *scheduler.Ticket {
 	p := predictor.Predictor{Engine: r.Spec.Engine}
 	return &scheduler.Ticket{
-		Read: p.Read(r.Prompt, 1), Pieces: p.Parts(r.Prompt, wholeRead, pieceRead),
+		Read: p.Read(r.Prompt, 1), Pieces: p.Parts(r.Prompt, wholeRead, pieceRead), Aim: aim(r), Gap: gap(r),
 
 		ID: r.ID, Service: r.Service, Account: r.Account, Share: r.Config.Accounts[r.Account].Share,
 		Priority: r.Priority, Prompt: r.Prompt, Output: r.Output, Text: r.Text, Prefix: r.Prefix,
@@ -205,6 +205,22 @@
 	}
 }
 
+// aim returns the time that the request's path allows for the first token.
+func aim(r *chainer.Request) time.Duration {
+	if r.Via == nil {
+		return 0
+	}
+	return seconds(r.Via.Aim, 0)
+}
+
+// gap returns the pause that the request's path allows between events.
+func gap(r *chainer.Request) time.Duration {
+	if r.Via == nil {
+		return 0
+	}
+	return seconds(r.Via.Gap, 0)
+}
+
 // endRisk ends what enqueue notes of a risky request.
 func (c *control) endRisk(id string) { c.do(func() { delete(c.risky, id) }) }
 
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -18,6 +18,7 @@
 	"bramleyshunt/router"
 	"bramleyshunt/scheduler"
 	"bramleyshunt/sleeper"
+	"bramleyshunt/ticketer"
 )
 
 // lostBackoff is how long a target that can't be reached is left alone.
@@ -124,6 +125,7 @@
 	Target  messenger.Target
 	Helpers []messenger.Target // that read a part of the prompt
 	Left    time.Duration      // until the request's deadline
+	Tickets []string           // memory set aside at each helper; empty for none
 	After   string             // id of the last event that the caller has; empty to begin with the first
 	Emit    func(messenger.Chunk) error
 	Load    func(messenger.Load) // reports that came with the answer
@@ -158,6 +160,11 @@
 	if x.r.Answer.Last != nil && x.r.Answer.Last() != "" {
 		a.After = x.r.Answer.Last()
 	}
+	free, err := x.setAside(ctx, a, pick)
+	if err != nil {
+		return err
+	}
+	defer free()
 	end, err := x.exchange(ctx, a)
 	if err != nil {
 		return err
@@ -166,6 +173,22 @@
 	return x.r.Answer.End(end)
 }
 
+// setAside has helpers set memory aside, and returns the function that gives it back.
+func (x *running) setAside(ctx context.Context, a *Attempt, pick router.Pick) (func(), error) {
+	var tickets []ticketer.Ticket
+	a.Tickets = make([]string, len(pick.Helpers))
+	for i, n := range pick.Shares {
+		if n > 0 {
+			a.Tickets[i] = fmt.Sprintf("%s.%d", a.ID, i)
+			tickets = append(tickets, ticketer.Ticket{ID: a.Tickets[i], Target: pick.Helpers[i], Tokens: n})
+		}
+	}
+	if len(tickets) == 0 {
+		return func() {}, nil
+	}
+	return x.cd.cfg.Tickets.Take(ctx, tickets)
+}
+
 // exchange runs an attempt, through the target's agent unless the deployment has
 // another way.
 func (x *running) exchange(ctx context.Context, a *Attempt) (messenger.End, error) {
--- a/router/counted.go
+++ b/router/counted.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -22,11 +23,29 @@
 	// reportHolds is how long a target's own count of its requests is believed. A
 	// short answer lasts about that long.
 	reportHolds = 3 * time.Second
+	// memoryShare of a target's memory is given to requests: their answers may grow
+	// beyond what was told, and a target that runs out takes back what it gave last.
+	memoryShare = 0.95
+	// gapShare of the pause that streams allow may go by for a read beside them; the
+	// rest is for the pass itself.
+	gapShare = 0.75
+	// heavyShare of the time for the first token may be spent on the read of a heavy
+	// prompt. Callers give up at four times that time.
+	heavyShare = 2.4
+	// shareSlack is set aside beyond each share, as targets keep memory in blocks.
+	shareSlack = 64
 	// heldUp is the pending reading at a target above which a prompt read in one
 	// piece goes elsewhere: it would cost most of the time that short prompts have.
 	heldUp = 100 * time.Millisecond
 )
 
+// Heavy reports whether a prompt is placed on idle targets alone. It should not
+// wait for them: they are idle for moments only while others come.
+func (r *Router) Heavy(c Case) bool {
+	x := r.byName[c.Service]
+	return x != nil && x.counted && c.heavy(len(x.ranked))
+}
+
 // Targets that tell their slots are given requests by count, not by tokens, and
 // prompts may be read by several of them at once. All entries rank the targets of
 // a service alike, without a word between them. Prompts read in one piece fill
@@ -88,7 +107,7 @@
 	case c.Read == 0:
 		return r.even(now, open), true
 	case c.Pieces > 1:
-		return spread(now, open, c), true
+		return spread(now, open, c)
 	default:
 		return fill(now, open), true
 	}
@@ -126,13 +145,22 @@
 
 // spread picks targets that read a prompt together, beyond those that prompts in
 // one piece fill. The one with the most room holds it and writes.
-func spread(now time.Time, open []*state, c Case) Pick {
-	set := open[min(packed(now, open), len(open)/2):]
-	set = slices.Clone(set)
+func spread(now time.Time, open []*state, c Case) (Pick, bool) {
+	set := slices.Clone(open[min(packed(now, open), len(open)/2):])
+	if c.heavy(len(open)) {
+		set = slices.DeleteFunc(set, func(s *state) bool { return s.busy(now) > 0 || s.reading() > 0 })
+	}
+	if len(set) == 0 {
+		return Pick{}, false
+	}
 	slices.SortStableFunc(set, func(a, b *state) int {
 		return cmp.Or(cmp.Compare(a.reading(), b.reading()), cmp.Compare(a.busy(now), b.busy(now)))
 	})
-	set = set[:min(len(set), c.Pieces, mostPieces)]
+	n := pieces(c, set)
+	if n == 0 {
+		return Pick{}, false
+	}
+	set = set[:n]
 	first := slices.MinFunc(set, func(a, b *state) int {
 		return cmp.Or(cmp.Compare(a.memory(), b.memory()), cmp.Compare(a.busy(now), b.busy(now)))
 	})
@@ -140,9 +168,62 @@
 	for _, s := range set {
 		if s != first {
 			p.Helpers = append(p.Helpers, s.target)
+			p.Shares = append(p.Shares, 0)
+		}
+	}
+	return p, divide(&p, first, set, c.Prompt+c.Output)
+}
+
+// pieces returns how many of a set's targets read a prompt, those with the least
+// to read first: so many that it is read soonest. The first token follows the last
+// part, so that one more target helps only if it is free before the others have
+// read. A heavy prompt gets as few as it needs to be served at all; zero means that
+// there are too few.
+func pieces(c Case, set []*state) int {
+	n := min(len(set), mostPieces)
+	if c.heavy(n) {
+		if k := ceil(c.Read, heavyShare*float64(c.Aim)); k <= n {
+			return k
+		}
+		return 0
+	}
+	best, soonest := 1, time.Duration(math.MaxInt64)
+	for k := 1; k <= min(n, c.Pieces); k++ {
+		if end := set[k-1].reading() + c.Read/time.Duration(k); end < soonest {
+			best, soonest = k, end
+		}
+	}
+	return best
+}
+
+// heavy reports whether a prompt would hold up those who write at n targets for
+// longer than streams like its own allow. It gets targets only that nobody else
+// uses, and few of them.
+func (c Case) heavy(n int) bool {
+	return c.Gap > 0 && float64(c.Read) > float64(min(n, mostPieces))*gapShare*float64(c.Gap)
+}
+
+func ceil(read time.Duration, each float64) int { return int(math.Ceil(float64(read) / each)) }
+
+// divide has helpers set memory aside for what the first target has no room for. It
+// reports whether all have room together. Targets without known memory have room.
+func divide(p *Pick, first *state, set []*state, need int) bool {
+	need -= first.room()
+	helpers := slices.DeleteFunc(slices.Clone(set), func(s *state) bool { return s == first })
+	for i, s := range helpers {
+		if need <= 0 || first.target.Load.Memory == 0 {
+			return true
 		}
+		left := len(helpers) - i
+		p.Shares[i] = min((need+left-1)/left+shareSlack, s.room())
+		need -= max(0, p.Shares[i]-shareSlack)
 	}
-	return p
+	return need <= 0 || first.target.Load.Memory == 0
+}
+
+// room returns the tokens of memory that a target has left.
+func (s *state) room() int {
+	return max(0, int(memoryShare*float64(s.target.Load.Memory))-s.memory())
 }
 
 // packed returns how many targets from the first in rank are in use by prompts
@@ -160,10 +241,26 @@
 func (r *Router) sentCounted(p Pick, c Case) {
 	s := r.byID[p.Target.ID]
 	s.counts.flying++
-	s.counts.held += c.Prompt + c.Output
+	r.holding(p, c, 1)
 	r.reading(p, c, 1)
 }
 
+// holding adds a request's memory to what its targets hold, or takes it away.
+func (r *Router) holding(p Pick, c Case, sign int) {
+	own := c.Prompt + c.Output
+	for i, n := range p.Shares {
+		own -= n
+		r.hold(p.Helpers[i], sign*n)
+	}
+	r.hold(p.Target, sign*max(0, own))
+}
+
+func (r *Router) hold(t messenger.Target, n int) {
+	if s := r.byID[t.ID]; s != nil && s.target.Incarnation == t.Incarnation {
+		s.counts.held = max(0, s.counts.held+n)
+	}
+}
+
 // reading adds a request's part to what its targets read, or takes it away.
 func (r *Router) reading(p Pick, c Case, sign time.Duration) {
 	part := c.Read / time.Duration(1+len(p.Helpers))
@@ -182,7 +279,7 @@
 		return
 	}
 	s.counts.flying = max(0, s.counts.flying-1)
-	s.counts.held = max(0, s.counts.held-c.Prompt-c.Output)
+	r.holding(p, c, -1)
 }
 
 // reportCounted takes a target's count of its requests.
--- a/router/router.go
+++ b/router/router.go
@@ -44,6 +44,8 @@
 
 	Read   time.Duration // predicted on one target; zero if unknown
 	Pieces int           // targets that should read it together
+	Aim    time.Duration // for the first token; zero for none
+	Gap    time.Duration // longest pause between events; zero for none
 }
 
 // Pick is a chosen target and what is expected of it.
@@ -55,6 +57,7 @@
 	Pace   int           // decode tokens a second
 
 	Helpers []messenger.Target // that read a part of the prompt
+	Shares  []int              // tokens of memory to set aside at each helper
 	Busy    int                // requests known at the target, where it tells its slots
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -32,6 +32,7 @@
 	"bramleyshunt/publisher"
 	"bramleyshunt/setter"
 	"bramleyshunt/sharer"
+	"bramleyshunt/ticketer"
 	"bramleyshunt/watcher"
 )
 
@@ -46,6 +47,7 @@
 
 	Read     merger.Reader                                         // of configuration files; merger.Merge if nil
 	Exchange func(ctx context.Context, a *conductor.Attempt) error // runs attempts; through agents if nil
+	Tickets  *ticketer.Ticketer                                    // sets memory aside at targets, for Exchange
 	Stale    time.Duration                                         // how long a view holds without a confirmation; watcher.StaleAfter if zero
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,6 +14,9 @@
 	"bramleyshunt/router"
 )
 
+// mostShared is how many targets can hold a prompt together.
+const mostShared = 17
+
 // Ticket is one request to be placed. Counts are predicted tokens.
 type Ticket struct {
 	ID       string
@@ -30,6 +33,8 @@
 
 	Read   time.Duration // predicted prefill on one target; zero if unknown
 	Pieces int           // targets that should read it together
+	Aim    time.Duration // for the first token; zero for none
+	Gap    time.Duration // longest pause between events; zero for none
 }
 
 // Placement is a target for a ticket, or the error that ends its wait.
@@ -77,7 +82,10 @@
 	if sum.Targets == 0 {
 		return s.none(t)
 	}
-	if s.Huge(t) {
+	if t.Read > 0 && t.Prompt+t.Output > min(sum.Targets, mostShared)*sum.Memory && sum.Memory > 0 {
+		return coder.Errorf(coder.Overloaded, "about %d tokens, memory for %d in all targets", t.Prompt+t.Output, sum.Targets*sum.Memory)
+	}
+	if t.Read == 0 && s.Huge(t) {
 		return coder.Errorf(coder.PromptTooLong, "about %d tokens, engine memory for %d", t.Prompt+t.Output, sum.Memory)
 	}
 	c := s.request(t, sum)
@@ -196,6 +204,11 @@
 		s.Router.Sent(now, pick, c)
 		return Placement{Ticket: t, Pick: pick}, true
 	}
+	if s.Router.Heavy(c) {
+		e := coder.Errorf(coder.Overloaded, "about %d tokens are read on idle targets alone, and too few are idle", t.Prompt)
+		e.Retry = s.Admitter.Retry(0)
+		return Placement{Ticket: t, Err: e}, true
+	}
 	if s.sum(t).Targets > len(t.Exclude) {
 		return Placement{}, false
 	}
@@ -241,6 +254,6 @@
 func ask(t *Ticket) router.Case {
 	return router.Case{
 		Service: t.Service, Prompt: t.Prompt, Output: t.Output,
-		Prefix: t.Prefix, Text: t.Text, Exclude: t.Exclude, Read: t.Read, Pieces: t.Pieces,
+		Prefix: t.Prefix, Text: t.Text, Exclude: t.Exclude, Read: t.Read, Pieces: t.Pieces, Aim: t.Aim, Gap: t.Gap,
 	}
 }
