Keep long reads off targets with streams that they would hold up

Entries now tell each other how many of their streams a long read would hold up. A prompt is heavy by the number of targets, not by those free now.

--- a/messenger/share.go
+++ b/messenger/share.go
@@ -13,4 +13,5 @@
 	Flying   int      // requests
 	Reading  int      // milliseconds of prompts that are still to be read
 	Held     int      // tokens of memory
+	Tight    int      // of Flying, those whose prompt is read in one piece
 }
--- a/router/counted.go
+++ b/router/counted.go
@@ -28,7 +28,7 @@
 	memoryShare = 0.95
 	// gapShare of the pause that streams allow may go by for a read beside them; the
 	// rest is for the pass itself.
-	gapShare = 0.75
+	gapShare = 0.9
 	// heavyShare of the time for the first token may be spent on the read of a heavy
 	// prompt. Callers give up at four times that time.
 	heavyShare = 2.4
@@ -59,6 +59,7 @@
 	heard   time.Time      // when the target last told its count
 	reading time.Duration  // own reads that have not ended
 	held    int            // tokens of own requests
+	tight   int            // of flying, those whose prompt is read in one piece
 	shared  messenger.Sent // what the other entries told of theirs, added up
 	sharing bool           // some entry did
 }
@@ -107,7 +108,7 @@
 	case c.Read == 0:
 		return r.even(now, open), true
 	case c.Pieces > 1:
-		return spread(now, open, c)
+		return spread(now, open, c, c.heavy(len(x.ranked)))
 	default:
 		return fill(now, open), true
 	}
@@ -145,9 +146,9 @@
 
 // spread picks targets that read a prompt together, beyond those that prompts in
 // one piece fill. The one with the most room holds it and writes.
-func spread(now time.Time, open []*state, c Case) (Pick, bool) {
-	set := slices.Clone(open[min(packed(now, open), len(open)/2):])
-	if c.heavy(len(open)) {
+func spread(now time.Time, open []*state, c Case, heavy bool) (Pick, bool) {
+	set := loose(now, open)
+	if heavy {
 		set = slices.DeleteFunc(set, func(s *state) bool { return s.busy(now) > 0 || s.reading() > 0 })
 	}
 	if len(set) == 0 {
@@ -156,7 +157,7 @@
 	slices.SortStableFunc(set, func(a, b *state) int {
 		return cmp.Or(cmp.Compare(a.reading(), b.reading()), cmp.Compare(a.busy(now), b.busy(now)))
 	})
-	n := pieces(c, set)
+	n := pieces(c, set, heavy)
 	if n == 0 {
 		return Pick{}, false
 	}
@@ -179,9 +180,9 @@
 // part, so that one more target helps only if it is free before the others have
 // read. A heavy prompt gets as few as it needs to be served at all; zero means that
 // there are too few.
-func pieces(c Case, set []*state) int {
+func pieces(c Case, set []*state, heavy bool) int {
 	n := min(len(set), mostPieces)
-	if c.heavy(n) {
+	if heavy {
 		if k := ceil(c.Read, heavyShare*float64(c.Aim)); k <= n {
 			return k
 		}
@@ -221,11 +222,24 @@
 	return need <= 0 || first.target.Load.Memory == 0
 }
 
+// tight returns the requests at a target whose streams a long read would hold up.
+func (s *state) tight() int { return s.counts.tight + s.counts.shared.Tight }
+
 // room returns the tokens of memory that a target has left.
 func (s *state) room() int {
 	return max(0, int(memoryShare*float64(s.target.Load.Memory))-s.memory())
 }
 
+// loose returns the targets that long reads may use: those without streams that
+// they would hold up, or if these are less than half, the later half in rank.
+func loose(now time.Time, open []*state) []*state {
+	set := slices.DeleteFunc(slices.Clone(open[packed(now, open):]), func(s *state) bool { return s.tight() > 0 })
+	if half := open[len(open)/2:]; len(set) < len(half) {
+		return slices.Clone(half)
+	}
+	return set
+}
+
 // packed returns how many targets from the first in rank are in use by prompts
 // read in one piece.
 func packed(now time.Time, ranked []*state) int {
@@ -241,6 +255,9 @@
 func (r *Router) sentCounted(p Pick, c Case) {
 	s := r.byID[p.Target.ID]
 	s.counts.flying++
+	if c.Pieces <= 1 {
+		s.counts.tight++
+	}
 	r.holding(p, c, 1)
 	r.reading(p, c, 1)
 }
@@ -279,6 +296,9 @@
 		return
 	}
 	s.counts.flying = max(0, s.counts.flying-1)
+	if c.Pieces <= 1 {
+		s.counts.tight = max(0, s.counts.tight-1)
+	}
 	r.holding(p, c, -1)
 }
 
--- a/router/share.go
+++ b/router/share.go
@@ -28,7 +28,7 @@
 		c := &r.byID[id].counts
 		if c.flying > 0 || c.reading > 0 || c.held > 0 {
 			out = append(out, messenger.Sent{
-				Target: xxhash.Sum64String(id), Flying: c.flying, Reading: int(c.reading.Milliseconds()), Held: c.held,
+				Target: xxhash.Sum64String(id), Flying: c.flying, Reading: int(c.reading.Milliseconds()), Held: c.held, Tight: c.tight,
 			})
 		}
 	}
@@ -57,6 +57,7 @@
 			sum.Flying += one.Flying
 			sum.Reading += one.Reading
 			sum.Held += one.Held
+			sum.Tight += one.Tight
 			sums[one.Target] = sum
 		}
 	}
