Elect keepers sooner, and send callers of a stale entry on at once

An entry whose configuration is not confirmed told callers to come back after 1 s, though any other entry serves them at once.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -198,7 +198,7 @@
 		return Retry(coder.Errorf(coder.NotReady, ""), time.Second)
 	}
 	if err := cd.cfg.Ready(); err != nil {
-		return Retry(coder.Of(err), time.Second)
+		return Retry(coder.Of(err), leavingRetry) // another process may have what this one lacks
 	}
 	return nil
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -49,6 +49,7 @@
 	Exchange func(ctx context.Context, a *conductor.Attempt) error // runs attempts; through agents if nil
 	Tickets  *ticketer.Ticketer                                    // sets memory aside at targets, for Exchange
 	Stale    time.Duration                                         // how long a view holds without a confirmation; watcher.StaleAfter if zero
+	Election time.Duration                                         // least time without a leader before an election; replicator.DefaultElection if zero
 }
 
 // Listeners may be opened beforehand; those left nil are opened at the
@@ -207,4 +208,5 @@
 const (
 	headerTimeout = 10 * time.Second
 	retireLimit   = 3 * time.Second
+	heartbeats    = 6 // in an election timeout that is set, as in the default one
 )
