Give up silent streams, and let more targets join where memory is short

Targets that take requests by count no longer predict by tokens, and more targets join until the memory suffices.

A stream whose target says nothing for four times the pause that its path allows, a second at least, goes on at another one.

--- a/conductor/run.go
+++ b/conductor/run.go
@@ -14,6 +14,7 @@
 	"bramleyshunt/configurer"
 	"bramleyshunt/dispatcher"
 	"bramleyshunt/messenger"
+	"bramleyshunt/predictor"
 	"bramleyshunt/retrier"
 	"bramleyshunt/router"
 	"bramleyshunt/scheduler"
@@ -21,6 +22,16 @@
 	"bramleyshunt/ticketer"
 )
 
+const (
+	// leastSilence is half of the shortest silence after which callers of the users'
+	// platform give a stream up, so that another target has the other half.
+	leastSilence = time.Second
+	// silentAims and silentGaps are parts of what those callers bear: four times the
+	// aim before the first event, eight times the pause between two.
+	silentAims = 3
+	silentGaps = 4
+)
+
 // lostBackoff is how long a target that can't be reached is left alone.
 const lostBackoff = time.Second
 
@@ -126,6 +137,8 @@
 	Helpers []messenger.Target // that read a part of the prompt
 	Left    time.Duration      // until the request's deadline
 	Tickets []string           // memory set aside at each helper; empty for none
+	Begins  time.Duration      // without a piece of the answer after which the target is given up; zero for never
+	Silence time.Duration      // between two pieces after which it is given up; zero for never
 	After   string             // id of the last event that the caller has; empty to begin with the first
 	Emit    func(messenger.Chunk) error
 	Load    func(messenger.Load) // reports that came with the answer
@@ -157,6 +170,7 @@
 		},
 		Load: func(l messenger.Load) { x.cd.control.report(pick, l) },
 	}
+	a.Begins, a.Silence = x.silence()
 	if x.r.Answer.Last != nil && x.r.Answer.Last() != "" {
 		a.After = x.r.Answer.Last()
 	}
@@ -173,6 +187,18 @@
 	return x.r.Answer.End(end)
 }
 
+// silence returns how long a target may say nothing, before its answer and within
+// it. Connections may go silent for good without a reset. Only a stream that
+// another target can go on with is given up.
+func (x *running) silence() (begins, within time.Duration) {
+	v := x.r.Via
+	if v == nil || !v.Resume {
+		return 0, 0
+	}
+	read := predictor.Predictor{Engine: x.r.Spec.Engine}.Read(x.r.Prompt, 1)
+	return max(leastSilence, silentAims*seconds(v.Aim, 0)) + read, max(leastSilence, silentGaps*seconds(v.Gap, 0))
+}
+
 // setAside has helpers set memory aside, and returns the function that gives it back.
 func (x *running) setAside(ctx context.Context, a *Attempt, pick router.Pick) (func(), error) {
 	var tickets []ticketer.Ticket
--- a/router/counted.go
+++ b/router/counted.go
@@ -161,7 +161,17 @@
 	if n == 0 {
 		return Pick{}, false
 	}
-	set = set[:n]
+	for ; n <= min(len(set), mostPieces); n++ {
+		if p, ok := team(now, set[:n], c); ok {
+			return p, true
+		}
+	}
+	return Pick{}, false
+}
+
+// team has the targets of a set read and hold a prompt. It reports whether they
+// have the memory.
+func team(now time.Time, set []*state, c Case) (Pick, bool) {
 	first := slices.MinFunc(set, func(a, b *state) int {
 		return cmp.Or(cmp.Compare(a.memory(), b.memory()), cmp.Compare(a.busy(now), b.busy(now)))
 	})
--- a/router/counted_test.go
+++ b/router/counted_test.go
@@ -111,6 +111,88 @@
 	})
 })
 
+// These answer prompts that exceed what is left of one target's memory.
+var _ = Describe("memory of targets that tell their slots", func() {
+	small := func(n, memory int) *router.Router {
+		r := &router.Router{Seed: 1}
+		var targets []messenger.Target
+		for i := range n {
+			targets = append(targets, messenger.Target{
+				ID: fmt.Sprintf("t%d", i), Service: "s", Slots: countedSlots, Incarnation: 1, Load: messenger.Load{Seq: 1, Memory: memory},
+			})
+		}
+		r.Update(time.Unix(0, 0), targets)
+		return r
+	}
+	sum := func(p router.Pick) (n int) {
+		for _, s := range p.Shares {
+			n += s
+		}
+		return n
+	}
+
+	It("is shared by helpers for what the first has no room for", func() {
+		r := small(4, 100000)
+		p := place(r, longCase)
+		Expect(sum(p)).To(BeNumerically(">=", longCase.Prompt+longCase.Output-95000))
+		Expect(sum(p)).To(BeNumerically("<=", longCase.Prompt+longCase.Output))
+		r.Started(p, longCase)
+		r.Ended(p, longCase)
+		Expect(r.Sends()).To(BeEmpty())
+	})
+
+	It("has more targets join that would not be needed to read", func() {
+		r := small(6, 60000)
+		two := longCase
+		two.Pieces = 2
+		Expect(len(place(r, two).Helpers)).To(BeNumerically(">=", 3))
+	})
+
+	It("holds nothing that doesn't fit", func() {
+		r := small(3, 60000)
+		_, ok := r.Pick(time.Unix(0, 0), longCase)
+		Expect(ok).To(BeFalse())
+	})
+})
+
+// This answers single prompts so long that their read holds up everybody.
+var _ = Describe("a heavy prompt", func() {
+	heavy := router.Case{
+		Service: "s", Prompt: 700000, Output: 800, Read: 25 * time.Second, Pieces: 500, Aim: 3 * time.Second, Gap: 800 * time.Millisecond,
+	}
+	It("gets few targets, which nobody else uses", func() {
+		r := counted(countedNumber)
+		used := place(r, shortCase).Target.ID
+		p := place(r, heavy)
+		Expect(p.Helpers).To(HaveLen(3))
+		for _, t := range append(p.Helpers, p.Target) {
+			Expect(t.ID).NotTo(Equal(used))
+		}
+		Expect(r.Heavy(heavy)).To(BeTrue())
+		Expect(r.Heavy(longCase)).To(BeFalse())
+	})
+
+	It("gets none while too few are idle", func() {
+		r := counted(5)
+		place(r, shortCase)
+		place(r, longCase)
+		_, ok := r.Pick(time.Unix(0, 0), heavy)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("is left out by later reads for as long as it is read", func() {
+		r := counted(countedNumber)
+		p := place(r, heavy)
+		q := place(r, longCase)
+		for _, t := range append(p.Helpers, p.Target) {
+			Expect(q.Target.ID).NotTo(Equal(t.ID))
+			for _, h := range q.Helpers {
+				Expect(h.ID).NotTo(Equal(t.ID))
+			}
+		}
+	})
+})
+
 // These answer several entries that place requests at the same moment.
 var _ = Describe("what other entries have at targets", func() {
 	It("counts like an entry's own", func() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -118,6 +118,9 @@
 	if q == nil || q.Len() == 0 || sum.Speed == 0 {
 		return 0
 	}
+	if t.Read > 0 {
+		return router.DefaultWait // requests are placed by count: tokens a second tell nothing
+	}
 	return router.DefaultWait + router.Span(q.Ahead(t.Account, t.Share), s.backlog[l].rate(now, sum.Speed))
 }
 
