--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -29,9 +29,9 @@
 // DefaultPatience is how long a caller may take to send its request's body.
 const DefaultPatience = 30 * time.Second
 
-// leavingRetry is when a caller may come back that meets a process which is
-// leaving: at once, as other processes take new requests.
-const leavingRetry = 50 * time.Millisecond
+// elsewhereRetry is when a caller may come back that this process can't serve:
+// almost at once, as other processes take new requests.
+const elsewhereRetry = 50 * time.Millisecond
 
 // Config is what a Conductor needs. Nil functions and zero fields take defaults.
 type Config struct {
@@ -133,7 +133,7 @@
 	r := &chainer.Request{ID: cd.id(), Arrived: cd.cfg.Now()}
 	if err := cd.enter(r.ID, cancel); err != nil {
 		cancel(nil)
-		return nil, nil, nil, Retry(coder.Of(err), leavingRetry)
+		return nil, nil, nil, Retry(coder.Of(err), elsewhereRetry)
 	}
 	return ctx, r, func() {
 		cd.leave(r.ID)
@@ -198,7 +198,7 @@
 		return Retry(coder.Errorf(coder.NotReady, ""), time.Second)
 	}
 	if err := cd.cfg.Ready(); err != nil {
-		return Retry(coder.Of(err), leavingRetry) // another process may have what this one lacks
+		return Retry(coder.Of(err), elsewhereRetry) // another process may have what this one lacks
 	}
 	return nil
 }
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -48,6 +48,7 @@
 	failed  *coder.Error // of the last attempt that may have run
 	losses  int          // targets lost while the request ran there
 	refused int          // attempts that did not run
+	fault   string       // of the last attempt, see Attempt.Fault
 }
 
 // run queues a request, has attempts made and passes the answer on.
@@ -143,7 +144,7 @@
 	Emit    func(messenger.Chunk) error
 	Load    func(messenger.Load) // reports that came with the answer
 
-	Fault string // set by a failed run: address of the helper that it is about
+	Fault string // set by a refusal that names the target it is about, by id or address
 }
 
 // attempt runs the request at one target.
@@ -174,12 +175,14 @@
 	if x.r.Answer.Last != nil && x.r.Answer.Last() != "" {
 		a.After = x.r.Answer.Last()
 	}
+	x.fault = ""
 	free, err := x.setAside(ctx, a, pick)
 	if err != nil {
 		return err
 	}
 	defer free()
 	end, err := x.exchange(ctx, a)
+	x.fault = a.Fault
 	if err != nil {
 		return err
 	}
@@ -296,7 +299,7 @@
 	}
 	if c.Run == coder.NotRun && c.Code != coder.Voided {
 		x.refused++
-		x.cd.control.refused(pick, aside(c))
+		x.cd.control.refused(x.blamed(pick), aside(c))
 	}
 	if refusal(c.Code) && c.Run == coder.NotRun && x.r.Via == nil {
 		return nil
@@ -308,7 +311,7 @@
 	if err != nil {
 		return err
 	}
-	x.exclude = append(x.exclude, pick.Target.ID)
+	x.exclude = append(x.exclude, x.blamed(pick).Target.ID)
 	x.cd.meter.count("retries")
 	if sleeper.Sleep(ctx, delay) != nil {
 		return x.unplaced(ctx)
@@ -316,6 +319,17 @@
 	return nil
 }
 
+// blamed returns the target that a failed attempt is about: the one that was asked,
+// unless its refusal names a helper.
+func (x *running) blamed(pick router.Pick) router.Pick {
+	for _, t := range pick.Helpers {
+		if x.fault != "" && (t.ID == x.fault || t.Address == x.fault) {
+			return router.Pick{Target: t}
+		}
+	}
+	return pick
+}
+
 // most returns how many targets the request's path allows it to be sent to, zero
 // for no bound of its own. A refusal does not count: the request did not run.
 func (x *running) most() int {
--- a/router/counted.go
+++ b/router/counted.go
@@ -11,6 +11,12 @@
 	"bramleyshunt/messenger"
 )
 
+// Targets that tell their slots are given requests by count, not by tokens, and
+// prompts may be read by several of them at once. All entries rank the targets of
+// a service alike, without a word between them. Prompts read in one piece fill
+// them in that order, so that few targets write for them; prompts read in pieces
+// use the others, where a long read holds up nobody who writes.
+
 const (
 	// fillShare of a target's slots are used by prompts read in one piece before
 	// the next target gets any. The rest is left for what other entries send
@@ -46,12 +52,6 @@
 	return x != nil && x.counted && c.heavy(len(x.ranked))
 }
 
-// Targets that tell their slots are given requests by count, not by tokens, and
-// prompts may be read by several of them at once. All entries rank the targets of
-// a service alike, without a word between them. Prompts read in one piece fill
-// them in that order, so that few targets write for them; prompts read in pieces
-// use the others, where a long read holds up nobody who writes.
-
 // counts is what this entry knows of a target that tells its slots.
 type counts struct {
 	flying  int            // own requests there
