Predict the wait of a queue before its first placement

Cause: the rate of a queue's work was tokens placed over the time since it had formed, with one second seen enough. Long prompts are placed seconds apart, so a queue whose first one waited counted as standing still (1 token a second): others were refused with "needs 34m13s of 1m30s" and a Retry-After of minutes. Change: the first request counts as placed now, the least that bounds the rate. Ruled out: the stretch of prefill (its factor is at most 16). A spec failed first (5h34m of 30s).

--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -31,11 +31,13 @@
 	}
 }
 
-// rate returns the tokens a second, at most those reported.
-func (b *backlog) rate(now time.Time, reported int) int {
+// rate returns the tokens a second, at most those reported. The first request in
+// the queue counts as placed now: it is the least that could have been worked off
+// more slowly, and where requests are few and large it is all there is to go by.
+func (b *backlog) rate(now time.Time, reported, first int) int {
 	took := now.Sub(b.since)
 	if b.since.IsZero() || took < leastBacklog {
 		return reported
 	}
-	return min(reported, max(1, int(b.tokens/took.Seconds())))
+	return min(reported, max(1, int((b.tokens+float64(first))/took.Seconds())))
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -65,6 +65,25 @@
 		Expect(slow.Admit(now, ticket("x", 15000))).To(Succeed())
 	})
 
+	// Load answered: long prompts that wait seconds for memory, of which none was
+	// placed yet when the next one comes.
+	It("doesn't take a queue for a standing one because its first request waits", func() {
+		s := &scheduler.Scheduler{}
+		s.Router.Update(now, []messenger.Target{{
+			ID: "t", Service: "s", Incarnation: 1,
+			Load: messenger.Load{Seq: 1, Memory: 100000, Used: 95000, Speed: 10000, Pace: 50},
+		}})
+		s.Enqueue(ticket("first", 20000))
+		Expect(s.Pump(now)).To(BeEmpty())
+		later := now.Add(2 * time.Second)
+		Expect(s.Pump(later)).To(BeEmpty())
+		next := ticket("next", 20000)
+		next.Deadline = later.Add(30 * time.Second)
+		Expect(s.Admit(later, next)).To(Succeed())
+		next.Deadline = later.Add(4 * time.Second)
+		expectCode(s.Admit(later, next), coder.Overloaded)
+	})
+
 	It("refuses at once what no target can ever hold", func() {
 		s := one()
 		expectCode(s.Admit(now, ticket("x", 100000)), coder.PromptTooLong)
