Rank policies on a site in virtual time

Engines that work in passes (package passer) stand behind the real deciders of a site's entries, which tell each other their counts. The thresholds for reading in pieces move to predictor, so that both sides use one copy.

--- a/bencher/bencher.go
+++ b/bencher/bencher.go
@@ -4,23 +4,47 @@
 package bencher
 
 import (
-	"container/heap"
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"bramleyshunt/router"
 )
 
+//go:generate go tool -modfile=../tools/go.mod stringer -type=Kind -linecomment -output=kind_string.go
+
 // Kind names a policy.
 type Kind uint8
 
-// Policies.
+// Policies. The baselines send each request whole and at once, without admission
+// or reservation.
 const (
-	Ours             Kind = iota
-	RoundRobin            // each entry by turns, no admission, no reservation
-	LeastOutstanding      // fewest own requests in flight, no admission, no reservation
+	Ours             Kind = iota // ours
+	RoundRobin                   // round-robin
+	LeastOutstanding             // least-outstanding
+	Former                       // former
 )
 
+// Policies returns the names of all policies.
+func Policies() []string {
+	var out []string
+	for k := range Former + 1 {
+		out = append(out, k.String())
+	}
+	return out
+}
+
+// Policy returns the policy of a name.
+func Policy(name string) (Kind, error) {
+	i := slices.Index(Policies(), name)
+	if i < 0 {
+		return 0, fmt.Errorf("no policy %q; there are %s", name, strings.Join(Policies(), ", "))
+	}
+	return Kind(i), nil
+}
+
 // Bencher is one run. The zero value needs a Deployment and a Load.
 type Bencher struct {
 	Deployment Deployment
@@ -36,9 +60,7 @@
 	Wait       time.Duration
 	Tight      float64 // factor on the time that long prompts have; one if zero
 
-	now     time.Time
-	seq     uint64
-	events  events
+	loop
 	rnd     *rand.Rand
 	targets []*target
 	entries []*entry
@@ -68,52 +90,12 @@
 
 var start = time.Unix(0, 0)
 
-// event is a function at a time; equal times go in the order of scheduling.
-type event struct {
-	at  time.Time
-	seq uint64
-	f   func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-
-func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].seq < e[j].seq
-}
-
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push appends an event; container/heap calls it.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop removes the last event; container/heap calls it.
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*e = old[:len(old)-1]
-	return x
-}
-
-func (b *Bencher) after(d time.Duration, f func()) {
-	b.seq++
-	heap.Push(&b.events, event{at: b.now.Add(d), seq: b.seq, f: f})
-}
-
-// net sends f over the network, one way.
-func (b *Bencher) net(f func()) { b.after(b.Deployment.OneWay, f) }
-
 // Run plays the trace and returns what was measured.
 func (b *Bencher) Run() *Result {
 	if b.Length == 0 {
 		b.Length = DefaultLength
 	}
-	b.now = start
+	b.now, b.oneWay = start, b.Deployment.OneWay
 	b.rnd = rand.New(rand.NewPCG(b.Seed, seedStream))
 	b.result = &Result{}
 	for i := range b.Deployment.Replicas {
@@ -135,9 +117,7 @@
 		b.after(b.Length/2+downFor, func() { b.targets[0].restart() })
 	}
 	for b.left > 0 {
-		e := heap.Pop(&b.events).(event)
-		b.now = e.at
-		e.f()
+		b.next()
 	}
 	return b.result
 }
--- /dev/null
+++ b/bencher/front.go
@@ -0,0 +1,252 @@
+package bencher
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"bramleyshunt/admitter"
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+	"bramleyshunt/passer"
+	"bramleyshunt/predictor"
+	"bramleyshunt/router"
+	"bramleyshunt/scheduler"
+	"bramleyshunt/sharer"
+)
+
+// mostTries is how many targets a call is sent to at most.
+const mostTries = 3
+
+func newNode(f *Fleet, i int) *node {
+	return &node{
+		f: f, id: fmt.Sprint("t", i), events: map[string]func(passer.Kind){},
+		engine: passer.Passer{Engine: f.Site.Engine, Queue: f.Site.Queue},
+	}
+}
+
+// front is an entry of the fleet: the real deciders, without their shell.
+type front struct {
+	f         *Fleet
+	name      string
+	scheduler scheduler.Scheduler
+	pending   map[*scheduler.Ticket]*call
+	ticking   bool
+	resting   bool // between two tellings
+	changed   bool // since the last one
+	turn      int
+	flight    map[*node]int
+}
+
+func newFront(f *Fleet, i int) *front {
+	seed := f.Seed*uint64(f.Site.Entries) + uint64(i)
+	e := &front{
+		f: f, name: fmt.Sprint("e", i), turn: i, pending: map[*scheduler.Ticket]*call{}, flight: map[*node]int{},
+		scheduler: scheduler.Scheduler{
+			Admitter: admitter.Admitter{Seed: seed},
+			Router:   router.Router{Seed: seed, Disabled: f.Disabled},
+		},
+	}
+	e.scheduler.Router.Update(f.now, f.targets())
+	f.after(0, e.remind)
+	return e
+}
+
+// targets is what the keepers tell of the engines.
+func (f *Fleet) targets() []messenger.Target {
+	var out []messenger.Target
+	for _, n := range f.nodes {
+		t := messenger.Target{
+			ID: n.id, Service: "s", Model: "m", Incarnation: 1, Slots: f.Site.Engine.Slots,
+			Load: predictor.Predictor{Engine: f.Site.Engine}.Load(),
+		}
+		if f.Kind == Former {
+			t.Slots = 0
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+func (e *front) ticket(c *call) *scheduler.Ticket {
+	t := &scheduler.Ticket{
+		ID: fmt.Sprint(c.id, "-", c.again), Service: "s", Account: fmt.Sprint("a", c.account), Share: 1,
+		Prompt: c.prompt, Output: c.output(), Text: c.prompt * bytesPerToken, Deadline: c.deadline(),
+	}
+	if e.f.Kind == Ours {
+		p := predictor.Predictor{Engine: e.f.Site.Engine}
+		t.Read, t.Pieces = p.Read(c.prompt, 1), p.Parts(c.prompt, predictor.WholeRead, predictor.PieceRead)
+		t.Aim, t.Gap = c.traffic.Aim, c.traffic.Gap
+	}
+	return t
+}
+
+func (c *call) output() int { return c.events * max(1, c.front.f.Site.Engine.Stride) }
+
+func (e *front) arrive(c *call) {
+	if e.f.Kind == RoundRobin || e.f.Kind == LeastOutstanding {
+		e.plain(c, 1)
+		return
+	}
+	t := e.ticket(c)
+	if err := e.scheduler.Admit(e.f.now, t); err != nil {
+		e.f.refuse(c, coder.Of(err).Retry)
+		return
+	}
+	e.enqueue(c, t)
+}
+
+func (e *front) enqueue(c *call, t *scheduler.Ticket) {
+	e.pending[t] = c
+	late := t.Deadline.Sub(e.f.now) - e.scheduler.Needs(t)
+	e.scheduler.Enqueue(t)
+	e.pump()
+	if e.pending[t] == nil {
+		return
+	}
+	e.f.after(max(late, 0), func() {
+		if e.scheduler.Abandon(t) {
+			delete(e.pending, t)
+			e.f.refuse(c, e.scheduler.Backoff(e.f.now, t))
+		}
+	})
+	e.tick()
+}
+
+// left takes a call out whose caller has gone, wherever it is.
+func (e *front) left(c *call) {
+	for t, x := range e.pending {
+		if x == c && e.scheduler.Abandon(t) {
+			delete(e.pending, t)
+		}
+	}
+	if n := c.node; n != nil {
+		e.f.net(func() {
+			if g := n.events[c.id]; g != nil {
+				n.engine.Cancel(c.id)
+				g(passer.Ended)
+			}
+		})
+	}
+}
+
+// tick pumps until nothing waits.
+func (e *front) tick() {
+	if e.ticking || len(e.pending) == 0 {
+		return
+	}
+	e.ticking = true
+	e.f.after(tickEvery, func() {
+		e.ticking = false
+		e.pump()
+		e.tick()
+	})
+}
+
+func (e *front) pump() {
+	for _, p := range e.scheduler.Pump(e.f.now) {
+		c := e.pending[p.Ticket]
+		delete(e.pending, p.Ticket)
+		if p.Err != nil {
+			e.f.refuse(c, coder.Of(p.Err).Retry)
+			continue
+		}
+		x := &sending{e: e, c: c, t: p.Ticket, p: p.Pick, placed: e.f.now}
+		x.setAside()
+		e.tell()
+	}
+}
+
+// tell tells the other entries what this one has at targets, as package sharer does.
+func (e *front) tell() {
+	if e.f.Alone {
+		return
+	}
+	if e.resting {
+		e.changed = true
+		return
+	}
+	e.resting, e.changed = true, false
+	sends := e.scheduler.Router.Sends()
+	e.f.net(func() {
+		for _, o := range e.f.fronts {
+			if o != e {
+				o.scheduler.Router.Learn(e.f.now, e.name, sends)
+			}
+		}
+	})
+	e.f.after(sharer.Gap(len(e.f.fronts)), func() {
+		e.resting = false
+		if e.changed {
+			e.tell()
+		}
+	})
+}
+
+// remind tells every sharer.MostGap, changed or not.
+func (e *front) remind() {
+	e.tell()
+	e.f.after(sharer.MostGap, e.remind)
+}
+
+// plain sends a call as a plain balancer does, whole and at once.
+func (e *front) plain(c *call, try int) {
+	n := e.f.nodes[e.turn%len(e.f.nodes)]
+	e.turn++
+	if e.f.Kind == LeastOutstanding {
+		n = slices.MinFunc(e.f.nodes, func(a, b *node) int { return e.flight[a] - e.flight[b] })
+	}
+	e.flight[n]++
+	c.node = n
+	e.f.net(func() {
+		ok := n.submit(c, 1, 0, func(k passer.Kind) {
+			e.f.net(func() {
+				e.f.event(c)
+				if k == passer.Ended {
+					e.flight[n]--
+					c.end(e.f)
+				}
+			})
+		})
+		if ok {
+			return
+		}
+		e.f.net(func() {
+			e.flight[n]--
+			if try < mostTries {
+				e.plain(c, try+1)
+				return
+			}
+			e.f.refuse(c, time.Second)
+		})
+	})
+}
+
+func (c *call) end(f *Fleet) {
+	if !c.done {
+		c.whole = true
+	}
+	f.finish(c)
+}
+
+// submit gives a call to the engine and reports whether it was taken.
+func (n *node) submit(c *call, parts, held int, on func(passer.Kind)) bool {
+	if c.done {
+		on(passer.Ended)
+		return true
+	}
+	ok := n.engine.Submit(passer.Request{
+		ID: c.id, Prompt: c.prompt, Output: c.output(), Events: c.events, Parts: parts, Held: held,
+	})
+	if !ok {
+		return false
+	}
+	n.events[c.id] = func(k passer.Kind) {
+		if k == passer.Ended {
+			delete(n.events, c.id)
+		}
+		on(k)
+	}
+	n.wake()
+	return true
+}
--- /dev/null
+++ b/commander/bench.go
@@ -0,0 +1,106 @@
+package commander
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/sourcegraph/conc/iter"
+	"github.com/spf13/cobra"
+
+	"bramleyshunt/bencher"
+	"bramleyshunt/platform"
+	"bramleyshunt/router"
+)
+
+// benchFlags are the flags of the bench command.
+type benchFlags struct {
+	site     string
+	day      string
+	policies []string
+	without  []string
+	seeds    []uint
+	jobs     int
+}
+
+func benchCommand() *cobra.Command {
+	f := &benchFlags{}
+	cmd := &cobra.Command{
+		Use:   "bench --site FILE",
+		Short: "Rank policies in virtual time on a site of the users' platform",
+		Long: `Plays the streams of one day of a site in virtual time, with the deciders of its
+entries before engines that work in passes, and prints one line of a table a
+policy, over all seeds. "ours" is the policy in force; the others are baselines.
+--without adds lines of "ours" with one part switched off each.`,
+		Example: `  bramleyshunt bench --site site.toml --policy ours,round-robin --seeds 1,2,3
+  bramleyshunt bench --site site.toml --policy ours --without Fill,Pieces,Heavy,Apart`,
+		Args: exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error { return bench(cmd, f) },
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&f.site, "site", "", "file of the site")
+	flags.StringVar(&f.day, "day", "quiet-1", "day of the site; its bursts are played, no other trouble")
+	flags.StringSliceVar(&f.policies, "policy", bencher.Policies(), "policies, separated by commas")
+	flags.StringSliceVar(&f.without, "without", nil, "parts of the policy to switch off, one a line")
+	flags.UintSliceVar(&f.seeds, "seeds", []uint{1, 2, 3, 4}, "seeds of the traffic")
+	flags.IntVar(&f.jobs, "jobs", 2, "runs at once")
+	return cmd
+}
+
+// trial is one line of the table.
+type trial struct {
+	name  string
+	fleet bencher.Fleet
+}
+
+func bench(cmd *cobra.Command, f *benchFlags) error {
+	site, err := platform.Site(f.site, f.day)
+	if err != nil {
+		return invalid(err)
+	}
+	trials, err := f.trials(site)
+	if err != nil {
+		return invalid(err)
+	}
+	rows := iter.Mapper[trial, string]{MaxGoroutines: max(1, f.jobs)}.Map(trials, func(t *trial) string {
+		all := &bencher.Served{Site: site}
+		for _, seed := range f.seeds {
+			x := t.fleet
+			x.Seed = uint64(seed)
+			all.Add(x.Run())
+		}
+		return all.Row(t.name)
+	})
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s\n%s\n", site.Head(), strings.Join(rows, "\n"))
+	return err
+}
+
+func (f *benchFlags) trials(site bencher.Site) ([]trial, error) {
+	var out []trial
+	for _, name := range f.policies {
+		kind, err := bencher.Policy(name)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, trial{name: name, fleet: bencher.Fleet{Site: site, Kind: kind}})
+	}
+	for _, name := range f.without {
+		parts, err := part(name)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, trial{name: "ours without " + name, fleet: bencher.Fleet{Site: site, Disabled: parts}})
+	}
+	return out, nil
+}
+
+// part returns the router's parts with one of them switched off, by its name.
+func part(name string) (router.Parts, error) {
+	var parts router.Parts
+	field := reflect.ValueOf(&parts).Elem().FieldByName(name)
+	if !field.IsValid() {
+		return parts, fmt.Errorf("the policy has no part %q", name)
+	}
+	field.SetBool(true)
+	return parts, nil
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -77,7 +77,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return invalid(err) })
 	root.AddCommand(
-		runCommand(), platformCommand(), checkCommand(), applyCommand(), showCommand(), statusCommand(),
+		runCommand(), platformCommand(), benchCommand(), checkCommand(), applyCommand(), showCommand(), statusCommand(),
 		drainCommand(), engineCommand(), loadCommand(), demoCommand(),
 	)
 	return root
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -41,6 +41,8 @@
 	return path
 }
 
+const meadow = "../platform/testdata/site.toml"
+
 var _ = Describe("the command line", func() {
 	DescribeTable("tells usage by its exit status",
 		func(status int, text string, args ...string) { expectRun(args, status, text) },
@@ -56,6 +58,10 @@
 		Entry("an engine of an unknown kind", commander.ExitInvalid, "want engine or plain", "engine", "--kind", "x"),
 		Entry("a load without a target", commander.ExitInvalid, "--entries", "load"),
 		Entry("an operator without a token", commander.ExitInvalid, "--token-file", "show"),
+		Entry("a bench without a site", commander.ExitInvalid, "read site", "bench"),
+		Entry("a bench of an unknown policy", commander.ExitInvalid, "no policy", "bench", "--site", meadow, "--day", "calm", "--policy", "best"),
+		Entry("a bench without an unknown part", commander.ExitInvalid, "no part", "bench", "--site", meadow, "--day", "calm", "--without", "Luck"),
+		Entry("a bench", commander.ExitOK, "| ours without Fill | ", "bench", "--site", meadow, "--day", "calm", "--without", "Fill", "--seeds", "1"),
 		Entry("completion", commander.ExitOK, "bash completion", "completion", "bash"),
 	)
 
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -25,12 +25,6 @@
 	tick      = 10 * time.Millisecond  // between looks at the queue without an event
 	lookEvery = 100 * time.Millisecond // between views that differ in targets alone
 	backlog   = 1024                   // events waiting for the control goroutine
-
-	// wholeRead is the longest read that one target does alone: with a pass it
-	// stays within the pauses that streams of short prompts allow.
-	wholeRead = 120 * time.Millisecond
-	// pieceRead is how long each of several targets should read.
-	pieceRead = 50 * time.Millisecond
 )
 
 // control owns the deciders. All its fields belong to its own goroutine, which
@@ -141,10 +135,8 @@
 	out := slices.Clone(v.Targets)
 	for i := range out {
 		p := predictor.Predictor{Engine: v.Config.Services[out[i].Service].Engine}
-		if l := &out[i].Load; p.Known() && l.Speed == 0 {
-			writers := p.Engine.Slots / 2 // a busy engine's usual
-			l.Seq, l.Speed, l.Memory = 1, int(p.Engine.Read), p.Engine.Memory
-			l.Pace = p.Pace(writers, writers*int(p.Engine.Prompt))
+		if p.Known() && out[i].Load.Speed == 0 {
+			out[i].Load = p.Load()
 		}
 	}
 	return out
@@ -197,7 +189,7 @@
 func ticket(r *chainer.Request, exclude []string) *scheduler.Ticket {
 	p := predictor.Predictor{Engine: r.Spec.Engine}
 	return &scheduler.Ticket{
-		Read: p.Read(r.Prompt, 1), Pieces: p.Parts(r.Prompt, wholeRead, pieceRead), Aim: aim(r), Gap: gap(r),
+		Read: p.Read(r.Prompt, 1), Pieces: p.Parts(r.Prompt, predictor.WholeRead, predictor.PieceRead), Aim: aim(r), Gap: gap(r),
 
 		ID: r.ID, Service: r.Service, Account: r.Account, Share: r.Config.Accounts[r.Account].Share,
 		Priority: r.Priority, Prompt: r.Prompt, Output: r.Output, Text: r.Text, Prefix: r.Prefix,
--- a/predictor/predictor.go
+++ b/predictor/predictor.go
@@ -7,6 +7,15 @@
 	"time"
 
 	"bramleyshunt/configurer"
+	"bramleyshunt/messenger"
+)
+
+const (
+	// WholeRead is the longest read that one replica does alone: with a pass it
+	// stays within the pauses that streams of short prompts allow.
+	WholeRead = 120 * time.Millisecond
+	// PieceRead is how long each of several replicas should read.
+	PieceRead = 50 * time.Millisecond
 )
 
 // Predictor predicts the times of one replica. The zero value predicts none.
@@ -57,4 +66,13 @@
 	return int(float64(max(1, p.Engine.Stride)) / pass.Seconds())
 }
 
+// Load returns the speed and memory of a replica that reports none.
+func (p Predictor) Load() messenger.Load {
+	writers := p.Engine.Slots / 2 // a busy engine's usual
+	return messenger.Load{
+		Seq: 1, Speed: int(p.Engine.Read), Memory: p.Engine.Memory,
+		Pace: p.Pace(writers, writers*int(p.Engine.Prompt)),
+	}
+}
+
 func milliseconds(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- a/router/counted.go
+++ b/router/counted.go
@@ -49,7 +49,7 @@
 // wait for them: they are idle for moments only while others come.
 func (r *Router) Heavy(c Case) bool {
 	x := r.byName[c.Service]
-	return x != nil && x.counted && c.heavy(len(x.ranked))
+	return x != nil && x.counted && r.heavy(c, x)
 }
 
 // counts is what this entry knows of a target that tells its slots.
@@ -107,13 +107,19 @@
 		return Pick{}, false
 	case c.Read == 0:
 		return r.even(now, open), true
-	case c.Pieces > 1:
-		return spread(now, open, c, c.heavy(len(x.ranked)))
+	case c.Pieces > 1 && !r.Disabled.Pieces:
+		return r.spread(now, open, c, r.heavy(c, x))
+	case r.Disabled.Fill:
+		return r.even(now, open), true
 	default:
 		return fill(now, open), true
 	}
 }
 
+func (r *Router) heavy(c Case, x *index) bool {
+	return !r.Disabled.Heavy && c.heavy(len(x.ranked))
+}
+
 // even picks the target with the most free slots; equal ones take turns.
 func (r *Router) even(now time.Time, open []*state) Pick {
 	best := r.swap(open, 0)
@@ -146,8 +152,11 @@
 
 // spread picks targets that read a prompt together, beyond those that prompts in
 // one piece fill. The one with the most room holds it and writes.
-func spread(now time.Time, open []*state, c Case, heavy bool) (Pick, bool) {
-	set := loose(now, open)
+func (r *Router) spread(now time.Time, open []*state, c Case, heavy bool) (Pick, bool) {
+	set := slices.Clone(open)
+	if !r.Disabled.Apart {
+		set = loose(now, open)
+	}
 	if heavy {
 		set = slices.DeleteFunc(set, func(s *state) bool { return s.busy(now) > 0 || s.reading() > 0 })
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -86,6 +86,11 @@
 	ClassWait bool // long prompts don't count in the wait of short ones
 	RoomCheck bool // targets that report no room are not asked
 	Aging     bool // reported tokens are worked off with time
+
+	Fill   bool // prompts read in one piece fill targets in rank
+	Pieces bool // prompts are read by several targets
+	Heavy  bool // heavy prompts get idle targets alone
+	Apart  bool // long reads go where no short streams are
 }
 
 // Report takes the load that a target or its agent sent with an answer.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -28,9 +28,9 @@
 	// peerGap is added for each peer, so that an entry sends and gets at most some
 	// two hundred messages a second, whatever their number.
 	peerGap = 5 * time.Millisecond
-	// mostGap is the longest time between two tellings, below the time for which
+	// MostGap is the longest time between two tellings, below the time for which
 	// they are believed.
-	mostGap = 400 * time.Millisecond
+	MostGap = 400 * time.Millisecond
 	// announceEvery is the time between two announcements of this entry.
 	announceEvery = time.Second
 	// askLimit bounds one message.
@@ -75,6 +75,10 @@
 	}
 }
 
+// Gap returns the shortest time between two tellings to so many entries, this one
+// among them.
+func Gap(peers int) time.Duration { return leastGap + time.Duration(peers)*peerGap }
+
 // Changed says that what this entry has at targets has changed. It never blocks.
 func (s *Sharer) Changed() {
 	select {
@@ -109,9 +113,9 @@
 	}
 }
 
-// tell sends what this entry has whenever it changed, and every mostGap.
+// tell sends what this entry has whenever it changed, and every MostGap.
 func (s *Sharer) tell() {
-	t := time.NewTicker(mostGap)
+	t := time.NewTicker(MostGap)
 	defer t.Stop()
 	for {
 		select {
@@ -124,7 +128,7 @@
 		if len(peers) > 1 {
 			s.send(peers, &messenger.Share{Node: s.cfg.Node, Sends: s.cfg.Sends()})
 		}
-		_ = sleeper.Sleep(s.ctx, leastGap+time.Duration(len(peers))*peerGap)
+		_ = sleeper.Sleep(s.ctx, Gap(len(peers)))
 	}
 }
 
