--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -57,9 +57,10 @@
 // Trace is what became of a request, for the log.
 type Trace struct {
 	Tries   int
-	Target  string // of the last try
-	Helpers int    // of the last try
-	Busy    int    // requests known at the target when it was chosen
+	Target  string        // of the last try
+	Helpers int           // of the last try
+	Busy    int           // requests known at the target when it was chosen
+	Held    time.Duration // until the process had its first view
 	Queued  time.Duration
 	First   time.Duration // from the arrival to the first piece of the answer
 	Gap     time.Duration // longest between two pieces
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -62,6 +62,9 @@
 	lookup   atomic.Pointer[tables]
 	nextID   atomic.Uint64
 	ctx      context.Context // of work that outlives its request
+	started  time.Time
+	viewed   atomic.Bool // was ready once
+	held     atomic.Int64
 
 	mu      sync.Mutex // guards what follows
 	leaving bool
@@ -91,6 +94,7 @@
 		claims:   claimer.Claimer{Call: cfg.Call},
 		dispatch: dispatcher.Dispatcher{Pool: cfg.Pool, Silence: cfg.Silence},
 		active:   map[string]*active{},
+		started:  cfg.Now(),
 		idle:     make(chan struct{}),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -200,6 +204,7 @@
 	if err := cd.cfg.Ready(); err != nil {
 		return Retry(coder.Of(err), elsewhereRetry) // another process may have what this one lacks
 	}
+	cd.viewed.Store(true)
 	return nil
 }
 
