--- a/runner/roles.go
+++ b/runner/roles.go
@@ -52,7 +52,7 @@
 		Node: s.Node, Peers: s.Keepers, Folder: s.Folder, Pool: r.pool,
 		Address: s.Listen, Join: s.Join, Grow: s.Grow, Election: r.cfg.Election, Heartbeat: r.cfg.Election / heartbeats,
 		Apply: a.Apply, Snapshot: a.Snapshot, Restore: a.Restore,
-		Log: r.cfg.Log, Metrics: r.cfg.Metrics, Fatal: r.fatal,
+		Log: r.cfg.Log, Metrics: r.cfg.Metrics, Fatal: r.fatal, Files: r.cfg.Files,
 	})
 	if err != nil {
 		return fmt.Errorf("keeper: %w", err)
