Give a silent target up only with a retry kept for it

Change: a retry is reserved before a silent target is given up; without one the request stays where it is. Entries also share the retries that the platform's settings allow beyond their share of requests, 20 each at most: 31 entries would have saved up 620. Ruled out: dead targets (each of the eight answered others within the same second); a cut between zones (requests reached the targets).

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -43,6 +43,7 @@
 	Silence  time.Duration                                                    // bound on the answer to a reservation
 	Exchange func(ctx context.Context, a *Attempt) error                      // runs an attempt; through the target's agent if nil
 	Patience time.Duration                                                    // for a request's body; DefaultPatience if zero
+	Saved    func(*watcher.View) float64                                      // retries that a service saves up here at most; the retrier's own if nil or zero
 	Tickets  *ticketer.Ticketer                                               // sets memory aside at helpers; needed with Exchange
 	Changed  func()                                                           // what this process has at targets has changed; may be nil
 	Log      *logrus.Entry
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -330,10 +330,30 @@
 
 // again decides on another attempt after a failed one.
 func (c *control) again(k retrier.Case) (delay time.Duration, err error) {
-	c.do(func() { delay, err = c.retrier.Again(k) })
+	c.do(func() {
+		c.budget()
+		delay, err = c.retrier.Again(k)
+	})
 	return delay, err
 }
 
+// reserve reports whether another attempt may follow a failed one, and keeps a retry
+// for it.
+func (c *control) reserve(k retrier.Case) (ok bool) {
+	c.do(func() {
+		c.budget()
+		ok = c.retrier.Reserve(k)
+	})
+	return ok
+}
+
+// budget takes over this entry's part of the retries that all may save up.
+func (c *control) budget() {
+	if c.cfg.Saved != nil {
+		c.retrier.Saved = c.cfg.Saved(c.view)
+	}
+}
+
 // refused leaves a target alone for as long as it asked, and at least a tick.
 func (c *control) refused(pick router.Pick, after time.Duration) {
 	c.do(func() {
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -49,6 +50,7 @@
 	losses  int          // targets lost while the request ran there
 	refused int          // attempts that did not run
 	fault   string       // of the last attempt, see Attempt.Fault
+	paid    atomic.Bool  // the retry after this attempt was reserved
 }
 
 // run queues a request, has attempts made and passes the answer on.
@@ -143,6 +145,7 @@
 	After   string             // id of the last event that the caller has; empty to begin with the first
 	Emit    func(messenger.Chunk) error
 	Load    func(messenger.Load) // reports that came with the answer
+	Again   func(error) bool     // whether another target is tried after such a failure; then the attempt has to end
 
 	Fault string // set by a refusal that names the target it is about, by id or address
 }
@@ -170,6 +173,11 @@
 			return x.r.Answer.Chunk(c)
 		},
 		Load: func(l messenger.Load) { x.cd.control.report(pick, l) },
+		Again: func(err error) bool {
+			ok := x.cd.control.reserve(x.failure(err))
+			x.paid.Store(ok)
+			return ok
+		},
 	}
 	a.Begins, a.Silence = x.silence()
 	if x.r.Answer.Last != nil && x.r.Answer.Last() != "" {
@@ -304,10 +312,9 @@
 	if refusal(c.Code) && c.Run == coder.NotRun && x.r.Via == nil {
 		return nil
 	}
-	delay, err := x.cd.control.again(retrier.Case{
-		Service: x.r.Service, Err: err, Once: x.r.Once, Sent: !x.r.Answer.Begin(),
-		Tries: x.tries, Left: x.left(), Share: x.r.Config.Limits.Retries, Most: x.most(),
-	})
+	k := x.failure(err)
+	k.Sent, k.Paid = !x.r.Answer.Begin(), x.paid.Swap(false)
+	delay, err := x.cd.control.again(k)
 	if err != nil {
 		return err
 	}
@@ -319,6 +326,14 @@
 	return nil
 }
 
+// failure is a failed attempt as the retrier sees it.
+func (x *running) failure(err error) retrier.Case {
+	return retrier.Case{
+		Service: x.r.Service, Err: err, Once: x.r.Once, Tries: x.tries, Left: x.left(),
+		Share: x.r.Config.Limits.Retries, Most: x.most(),
+	}
+}
+
 // blamed returns the target that a failed attempt is about: the one that was asked,
 // unless its refusal names a helper.
 func (x *running) blamed(pick router.Pick) router.Pick {
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -12,8 +12,9 @@
 const (
 	// DefaultShare of a service's traffic may be retries when the limit is zero.
 	DefaultShare = 0.1
+	// DefaultSaved is how many retries a service saves up when Retrier.Saved is zero.
+	DefaultSaved = 20.0
 
-	mostBudget = 20.0 // retries saved up at most
 	mostTries  = 6
 	firstDelay = 10 * time.Millisecond
 	mostDelay  = time.Second
@@ -26,6 +27,7 @@
 	Err     error
 	Once    bool          // the request is not idempotent
 	Sent    bool          // part of an answer has reached the caller
+	Paid    bool          // the retry was reserved
 	Tries   int           // attempts made so far
 	Left    time.Duration // until the deadline
 	Share   float64       // of traffic that may be retries; DefaultShare if zero
@@ -34,7 +36,8 @@
 
 // Retrier keeps a retry budget per service. The zero value starts with full budgets.
 type Retrier struct {
-	Seed uint64
+	Seed  uint64
+	Saved float64 // retries a service saves up at most; DefaultSaved if zero
 
 	rnd   *rand.Rand
 	spent map[string]float64
@@ -48,21 +51,44 @@
 // Again returns the delay before the next attempt, or the error that the caller
 // is told: that of the attempt, or RetryBudget when the budget is the reason.
 func (r *Retrier) Again(c Case) (time.Duration, error) {
-	e := coder.Of(c.Err)
-	if !repeatable(e, c) {
-		return 0, c.Err
-	}
 	delay := r.delay(c.Tries)
-	if c.Tries >= most(c) || delay >= c.Left {
-		return 0, c.Err
+	if err := r.check(c, delay); err != nil {
+		return 0, err
 	}
-	if r.spent[c.Service] > mostBudget-1 {
-		return 0, &coder.Error{Code: coder.RetryBudget, Run: e.Run, Retry: max(e.Retry, time.Second), Cause: c.Err}
+	if !c.Paid {
+		r.spend(c.Service, 1)
 	}
-	r.spend(c.Service, 1)
 	return delay, nil
 }
 
+// Reserve reports whether Again would return a delay, and spends the retry: the case
+// is Paid from then on.
+func (r *Retrier) Reserve(c Case) bool {
+	if r.check(c, r.delay(c.Tries)) != nil {
+		return false
+	}
+	r.spend(c.Service, 1)
+	return true
+}
+
+func (r *Retrier) check(c Case, delay time.Duration) error {
+	e := coder.Of(c.Err)
+	if !repeatable(e, c) || c.Tries >= most(c) || delay >= c.Left {
+		return c.Err
+	}
+	if !c.Paid && r.spent[c.Service] > r.saved()-1 {
+		return &coder.Error{Code: coder.RetryBudget, Run: e.Run, Retry: max(e.Retry, time.Second), Cause: c.Err}
+	}
+	return nil
+}
+
+func (r *Retrier) saved() float64 {
+	if r.Saved > 0 {
+		return r.Saved
+	}
+	return DefaultSaved
+}
+
 func most(c Case) int {
 	if c.Most <= 0 {
 		return mostTries
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -49,6 +49,28 @@
 		Expect(again(&r, retrier.Case{Service: "a", Err: lost})).NotTo(Succeed())
 	})
 
+	It("reserves a retry once", func() {
+		r := retrier.Retrier{Saved: 2}
+		c := retrier.Case{Service: "a", Err: lost, Left: time.Minute}
+		Expect(r.Reserve(c)).To(BeTrue())
+		Expect(r.Reserve(c)).To(BeTrue())
+		Expect(r.Reserve(c)).To(BeFalse())
+		Expect(again(&r, c)).NotTo(Succeed())
+		c.Paid = true
+		Expect(again(&r, c)).To(Succeed())
+		c.Service, c.Once, c.Paid = "b", true, false
+		Expect(r.Reserve(c)).To(BeFalse())
+	})
+
+	It("saves up no more than it is given", func() {
+		r := retrier.Retrier{Saved: 3}
+		n := 0
+		for again(&r, retrier.Case{Service: "a", Err: lost}) == nil {
+			n++
+		}
+		Expect(n).To(Equal(3))
+	})
+
 	It("waits longer each time, never beyond the time left", func() {
 		r := retrier.Retrier{Seed: 1}
 		first, err := r.Again(retrier.Case{Err: lost, Tries: 1, Left: time.Minute})
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -22,6 +22,7 @@
 	"bramleyshunt/pooler"
 	"bramleyshunt/proposer"
 	"bramleyshunt/publisher"
+	"bramleyshunt/retrier"
 	"bramleyshunt/setter"
 	"bramleyshunt/sharer"
 	"bramleyshunt/sleeper"
@@ -149,7 +150,7 @@
 	e, closer, err := entry.New(entry.Config{
 		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
 		View:  r.watcher.View,
-		Ready: r.watcher.Ready, Changed: r.shareChanged, Tickets: r.cfg.Tickets, Exchange: r.cfg.Exchange, Seed: rand.Uint64(),
+		Ready: r.watcher.Ready, Changed: r.shareChanged, Tickets: r.cfg.Tickets, Exchange: r.cfg.Exchange, Saved: r.saved, Seed: rand.Uint64(),
 		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
 	if err != nil {
@@ -180,6 +181,15 @@
 	}
 }
 
+// saved returns this entry's part of the retries that all entries may save up, as
+// far as it knows the others.
+func (r *Runner) saved(v *watcher.View) float64 {
+	if v == nil || r.cfg.Saved == 0 {
+		return 0
+	}
+	return min(retrier.DefaultSaved, r.cfg.Saved/float64(max(1, len(v.ByService[sharer.ServiceEntries]))))
+}
+
 // entries returns the live entries.
 func (r *Runner) entries() []messenger.Target {
 	v := r.watcher.View()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -49,6 +49,7 @@
 	Read     merger.Reader                                         // of configuration files; merger.Merge if nil
 	Exchange func(ctx context.Context, a *conductor.Attempt) error // runs attempts; through agents if nil
 	Tickets  *ticketer.Ticketer                                    // sets memory aside at targets, for Exchange
+	Saved    float64                                               // retries that all entries together save up for a service; the retrier's own each if zero
 	Files    recorder.Files                                        // of the keeper; the operating system's if zero
 	Stale    time.Duration                                         // how long a view holds without a confirmation; watcher.StaleAfter if zero
 	Election time.Duration                                         // least time without a leader before an election; replicator.DefaultElection if zero
