--- a/runner/runner.go
+++ b/runner/runner.go
@@ -135,6 +135,9 @@
 // code Stale.
 func (r *Runner) Fresh() error { return r.watcher.Ready() }
 
+// Left returns how long what is in force holds unless it is confirmed again.
+func (r *Runner) Left() time.Duration { return r.watcher.Left() }
+
 // Seed replaces the keepers that the settings name.
 func (r *Runner) Seed(keepers []setter.Keeper) { r.locator.Reseed(keepers) }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -141,6 +141,15 @@
 	return nil
 }
 
+// Left returns how long the view holds unless it is confirmed again; zero if there is
+// none or it is stale.
+func (w *Watcher) Left() time.Duration {
+	if w.Ready() != nil {
+		return 0
+	}
+	return w.cfg.Stale - w.cfg.Now().Sub(w.Confirmed())
+}
+
 // run follows one keeper after the other, beginning at one that depends on the
 // node's name so that nodes spread over keepers.
 func (w *Watcher) run() {
