Allow time for the answer that is likely, not for the longest one

Change: where the service declares its usual answer, that is what time is allowed for. Memory still counts the bound. Ruled out: the wait in the queue (none was standing). A spec fails first.

--- a/conductor/control.go
+++ b/conductor/control.go
@@ -192,7 +192,7 @@
 		Read: p.Read(r.Prompt, 1), Pieces: p.Parts(r.Prompt, predictor.WholeRead, predictor.PieceRead), Aim: aim(r), Gap: gap(r), Pass: p.Busy(),
 
 		ID: r.ID, Service: r.Service, Account: r.Account, Share: r.Config.Accounts[r.Account].Share,
-		Priority: r.Priority, Prompt: r.Prompt, Output: r.Output, Text: r.Text, Prefix: r.Prefix,
+		Priority: r.Priority, Prompt: r.Prompt, Output: r.Output, Likely: int(r.Spec.Engine.Answer), Text: r.Text, Prefix: r.Prefix,
 		Deadline: r.Deadline, Exclude: exclude,
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -26,6 +26,7 @@
 	Priority int // higher goes first within the account
 	Prompt   int
 	Output   int
+	Likely   int      // answer tokens, where Output is only the most that there may be; zero if it isn't
 	Text     int      // bytes of prompt text
 	Prefix   []uint64 // hashes of the prompt's beginnings, shortest first
 	Deadline time.Time
@@ -108,10 +109,18 @@
 func (s *Scheduler) request(t *Ticket, sum router.Sum) admitter.Case {
 	if t.Read > 0 {
 		pieces := min(max(1, t.Pieces), max(1, sum.Targets/2))
-		return admitter.Case{Read: t.Read / time.Duration(pieces), Output: t.Output, Pace: sum.Pace}
+		return admitter.Case{Read: t.Read / time.Duration(pieces), Output: t.output(), Pace: sum.Pace}
 	}
 	speed := float64(sum.Speed/sum.Targets) / s.stretch[s.lane(t)].upper()
-	return admitter.Case{Prompt: t.Prompt, Output: t.Output, Speed: max(1, int(speed)), Pace: sum.Pace}
+	return admitter.Case{Prompt: t.Prompt, Output: t.output(), Speed: max(1, int(speed)), Pace: sum.Pace}
+}
+
+// output returns the answer tokens to allow time for.
+func (t *Ticket) output() int {
+	if t.Likely > 0 {
+		return min(t.Likely, t.Output)
+	}
+	return t.Output
 }
 
 // wait predicts how long a new request waits for its prefill to start. While
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -84,6 +84,18 @@
 		expectCode(s.Admit(later, next), coder.Overloaded)
 	})
 
+	// Load answered: short prompts that come back with half of their time left, and
+	// allow an answer three times as long as they usually get.
+	It("allows time for the answer that is likely, not for the longest one", func() {
+		s := one()
+		t := ticket("x", 1000)
+		t.Output, t.Deadline = 400, now.Add(5*time.Second)
+		expectCode(s.Admit(now, t), coder.Overloaded)
+		t.Likely = 150
+		Expect(s.Admit(now, t)).To(Succeed())
+		Expect(s.Needs(t)).To(BeNumerically("<", 4*time.Second))
+	})
+
 	It("refuses at once what no target can ever hold", func() {
 		s := one()
 		expectCode(s.Admit(now, ticket("x", 100000)), coder.PromptTooLong)
