--- a/runner/runner.go
+++ b/runner/runner.go
@@ -135,8 +135,14 @@
 // code Stale.
 func (r *Runner) Fresh() error { return r.watcher.Ready() }
 
-// Left returns how long what is in force holds unless it is confirmed again.
-func (r *Runner) Left() time.Duration { return r.watcher.Left() }
+// InForce returns the version that is in force, zero for none, and how long it holds
+// unless it is confirmed again.
+func (r *Runner) InForce() (version uint64, left time.Duration) {
+	if v := r.watcher.View(); v != nil {
+		version = v.Version
+	}
+	return version, r.watcher.Left()
+}
 
 // Seed replaces the keepers that the settings name.
 func (r *Runner) Seed(keepers []setter.Keeper) { r.locator.Reseed(keepers) }
