--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -62,6 +62,7 @@
 		Entry("a bench of an unknown policy", commander.ExitInvalid, "no policy", "bench", "--site", meadow, "--day", "calm", "--policy", "best"),
 		Entry("a bench without an unknown part", commander.ExitInvalid, "no part", "bench", "--site", meadow, "--day", "calm", "--without", "Luck"),
 		Entry("a bench", commander.ExitOK, "| ours without Fill | ", "bench", "--site", meadow, "--day", "calm", "--without", "Fill", "--seeds", "1"),
+		Entry("a check of a platform file that is missing", commander.ExitInvalid, "none", "platform", "check", "none"),
 		Entry("completion", commander.ExitOK, "bash completion", "completion", "bash"),
 	)
 
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -1,13 +1,15 @@
 package commander
 
 import (
+	"os"
+
 	"github.com/spf13/cobra"
 
 	"bramleyshunt/platform"
 )
 
 func platformCommand() *cobra.Command {
-	return &cobra.Command{
+	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Run on the users' platform, in the roles that its settings file names",
 		Long: `Runs one process of the fleet with the platform's settings file and interfaces
@@ -17,4 +19,22 @@
 			return platform.Run(cmd.Context(), cmd.OutOrStdout())
 		},
 	}
+	cmd.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file or a configuration of the users' platform",
+		Long: `Faults go to standard error, one a line, as file:line:column: message, and give
+exit status 2.`,
+		Args: exactly(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			data, err := os.ReadFile(args[0])
+			if err != nil {
+				return invalid(err)
+			}
+			if faults := platform.Check(args[0], data); len(faults) > 0 {
+				return invalid(faults)
+			}
+			return nil
+		},
+	})
+	return cmd
 }
