Serve prompts that a whole fleet reads late

Cause: the fewest idle targets for a prompt beyond what streams bear followed from its aim alone, so that a read of more than 0.8 times the aim on every target (1M tokens on 14 targets, 500k on 4) was never served, not even by an idle fleet. Found by reading. Change: such a prompt needs as few as come before its caller gives up. A spec fails first.

--- a/router/counted.go
+++ b/router/counted.go
@@ -44,6 +44,9 @@
 	// aloneShare of the time for the first token may be spent on a read that idle
 	// targets do alone. The rest is for the way to it.
 	aloneShare = 0.8
+	// lateShare of that time may be spent on one that comes late in any case. Callers
+	// give up at four times that time.
+	lateShare = 2.4
 	// shareSlack is set aside beyond each share, as targets keep memory in blocks.
 	shareSlack = 64
 	// heldUp is the pending reading at a target above which a prompt read in one
@@ -199,7 +202,7 @@
 	if c.Gap > 0 && !r.Disabled.Apart {
 		sorted := slices.Clone(open)
 		slices.SortStableFunc(sorted, byReading)
-		if set := bearing(sorted, c, c.alone(n)); len(set) > 0 {
+		if set := bearing(sorted, c, n); len(set) > 0 {
 			return team(now, set, c)
 		}
 		if c.heavy(n) && !r.Disabled.Heavy || c.patient() {
@@ -211,8 +214,8 @@
 		set = loose(now, open)
 	}
 	slices.SortStableFunc(set, byReading)
-	for n := pieces(c, set); n <= min(len(set), mostPieces); n++ {
-		if p, ok := team(now, set[:n], c); ok {
+	for k := pieces(c, set); k <= min(len(set), mostPieces); k++ {
+		if p, ok := team(now, set[:k], c); ok {
 			return p, true
 		}
 	}
@@ -221,11 +224,12 @@
 
 // bearing returns the targets, sorted by what they have to read, by which a prompt is
 // read soonest without holding up a stream for longer than it allows; none if there
-// are too few.
-func bearing(open []*state, c Case, alone bool) []*state {
+// are too few. The service has n targets, open ones or not.
+func bearing(open []*state, c Case, n int) []*state {
 	var best []*state
 	soonest := time.Duration(math.MaxInt64)
-	for k := c.fewest(alone); k <= min(len(open), mostPieces, c.Pieces); k++ {
+	alone := c.alone(n)
+	for k := c.fewest(n); k <= min(len(open), mostPieces, c.Pieces); k++ {
 		part := c.Read / time.Duration(k)
 		set := make([]*state, 0, k)
 		for _, s := range open {
@@ -255,13 +259,17 @@
 	return time.Duration(gapShare*float64(gap)) - c.Pass
 }
 
-// fewest returns how many targets read a prompt at least. Alone they are so many that
-// the first token comes in time.
-func (c Case) fewest(alone bool) int {
-	if !alone || c.Aim == 0 {
+// fewest returns how many of n targets read a prompt at least. Alone they are so many
+// that the first token comes in time, or if all are too few for that, before its caller
+// gives up.
+func (c Case) fewest(n int) int {
+	if !c.alone(n) || c.Aim == 0 {
 		return 1
 	}
-	return ceil(c.Read, aloneShare*float64(c.Aim))
+	if k := ceil(c.Read, aloneShare*float64(c.Aim)); k <= min(n, mostPieces) {
+		return k
+	}
+	return ceil(c.Read, lateShare*float64(c.Aim))
 }
 
 // bears reports whether a target may read a part of a prompt. One that is read alone
--- a/router/counted_test.go
+++ b/router/counted_test.go
@@ -227,6 +227,17 @@
 		}
 	})
 
+	It("is read late by idle targets where all of them could not read it in time", func() {
+		most := heavy
+		most.Read = 50 * time.Second
+		p, ok := counted(countedNumber).Pick(time.Unix(0, 0), most)
+		Expect(ok).To(BeTrue())
+		Expect(most.Read / time.Duration(1+len(p.Helpers))).To(BeNumerically("<", 4*most.Aim))
+		p, ok = counted(4).Pick(time.Unix(0, 0), heavy)
+		Expect(ok).To(BeTrue())
+		Expect(heavy.Read / time.Duration(1+len(p.Helpers))).To(BeNumerically("<", 4*heavy.Aim))
+	})
+
 	It("is told from a long one, and only after a wait", func() {
 		r := counted(countedNumber)
 		Expect(r.Heavy(heavy)).To(BeFalse())
