Don't take lost connections for crashes of targets that live

Each loss was reported as a crash, two of them put a request in quarantine for an hour, and it was answered 422. The entries' lines name eight such requests, each after losing two connections to targets that served others on. Change: after a loss the target is asked for a connection; one that takes it has not crashed.

--- a/conductor/run.go
+++ b/conductor/run.go
@@ -50,6 +50,7 @@
 	losses  int          // targets lost while the request ran there
 	refused int          // attempts that did not run
 	fault   string       // of the last attempt, see Attempt.Fault
+	alive   bool         // the target of the last attempt, see Attempt.Alive
 	paid    atomic.Bool  // the retry after this attempt was reserved
 }
 
@@ -147,6 +148,7 @@
 	Load    func(messenger.Load) // reports that came with the answer
 	Again   func(error) bool     // whether another target is tried after such a failure; then the attempt has to end
 
+	Alive bool   // set if the target was lost while the request ran there, and still takes connections
 	Fault string // set by a refusal that names the target it is about, by id or address
 }
 
@@ -183,14 +185,14 @@
 	if x.r.Answer.Last != nil && x.r.Answer.Last() != "" {
 		a.After = x.r.Answer.Last()
 	}
-	x.fault = ""
+	x.fault, x.alive = "", false
 	free, err := x.setAside(ctx, a, pick)
 	if err != nil {
 		return err
 	}
 	defer free()
 	end, err := x.exchange(ctx, a)
-	x.fault = a.Fault
+	x.fault, x.alive = a.Fault, a.Alive
 	if err != nil {
 		return err
 	}
@@ -358,7 +360,7 @@
 // returns an error once that has happened as often as puts it in quarantine:
 // the keepers' word may come too late to keep it from the next target.
 func (x *running) suspect(pick router.Pick, c *coder.Error) error {
-	if c.Code != coder.TargetLost || c.Run == coder.NotRun {
+	if c.Code != coder.TargetLost || c.Run == coder.NotRun || x.alive {
 		return nil
 	}
 	x.cd.report(x.r, pick.Target.ID, pick.Target.Incarnation)
