Let many entries choose unlike targets for short prompts

Cause: all entries fill targets in the same order by counts that are 20 ms old and 5 ms more for each entry. Change: with more than ten other entries, the better one of two at random among the targets that are needed and one more for each ten entries. Failed trial: the same for any number of entries. A spec fails first.

--- a/router/counted.go
+++ b/router/counted.go
@@ -22,6 +22,9 @@
 	// the next target gets any. The rest is left for what other entries send
 	// meanwhile.
 	fillShare = 0.7
+	// sharersPerSpare is the number of other entries for which one more target than is
+	// needed is filled at a time: the more they are, the later they hear of each other.
+	sharersPerSpare = 10
 	// packedShare of a target's slots in use marks it as one that such prompts fill.
 	packedShare = 0.25
 	// mostPieces is the most targets that read one prompt: the first and 16 helpers.
@@ -159,7 +162,7 @@
 	case r.Disabled.Fill:
 		return r.even(now, open), true
 	default:
-		return fill(now, open), true
+		return r.fill(now, open), true
 	}
 }
 
@@ -174,12 +177,19 @@
 	return Pick{Target: best.target, Busy: best.busy(now)}
 }
 
-// fill picks the first target in rank that has room and is not reading for long,
-// else the one where the least waits.
-func fill(now time.Time, open []*state) Pick {
+// fill picks the first target in rank that has room, else the one where the least
+// waits. Many entries would all take the same one before they hear of each other: they
+// take the better one of two at random among as many as are needed and some more.
+func (r *Router) fill(now time.Time, open []*state) Pick {
+	if spare := len(r.shares) / sharersPerSpare; spare > 0 {
+		few := slices.DeleteFunc(slices.Clone(open[:min(len(open), needed(open)+spare)]), func(s *state) bool { return !s.takes(now) })
+		if len(few) > 0 {
+			return r.either(now, few)
+		}
+	}
 	best := open[0]
 	for _, s := range open {
-		if float64(s.busy(now)) < fillShare*float64(s.slots()) && s.reading() <= heldUp {
+		if s.takes(now) {
 			return Pick{Target: s.target, Busy: s.busy(now)}
 		}
 		if less(now, s, best) {
@@ -189,6 +199,30 @@
 	return Pick{Target: best.target, Busy: best.busy(now)}
 }
 
+// either picks the better one of two at random.
+func (r *Router) either(now time.Time, few []*state) Pick {
+	s := r.swap(few, 0)
+	if len(few) > 1 && less(now, r.swap(few, 1), s) {
+		s = few[1]
+	}
+	return Pick{Target: s.target, Busy: s.busy(now)}
+}
+
+// needed returns how many targets the requests read in one piece fill.
+func needed(open []*state) int {
+	load := 0
+	for _, s := range open {
+		load += s.tight()
+	}
+	return int(math.Ceil(float64(load) / (fillShare * float64(open[0].slots()))))
+}
+
+// takes reports whether a target has room for a prompt read in one piece and is not
+// reading for long.
+func (s *state) takes(now time.Time) bool {
+	return float64(s.busy(now)) < fillShare*float64(s.slots()) && s.reading() <= heldUp
+}
+
 func less(now time.Time, a, b *state) bool {
 	return cmp.Or(cmp.Compare(a.reading(), b.reading()), cmp.Compare(a.busy(now), b.busy(now))) < 0
 }
--- a/router/counted_test.go
+++ b/router/counted_test.go
@@ -284,6 +284,28 @@
 		Expect(b.Sends()[0].Target).NotTo(Equal(first), "the first target in rank is full")
 	})
 
+	// Thirty entries hear of each other 0.2 s late.
+	It("is too old among many entries for all of them to choose the same target", func() {
+		a, b := counted(countedNumber), counted(countedNumber)
+		a.Seed, b.Seed = 1, 2
+		for i := range 30 {
+			for _, r := range []*router.Router{a, b} {
+				r.Learn(time.Unix(0, 0), fmt.Sprint("e", i), nil)
+			}
+		}
+		used, same := map[string]bool{}, 0
+		for range 100 {
+			p, _ := a.Pick(time.Unix(0, 0), shortCase)
+			q, _ := b.Pick(time.Unix(0, 0), shortCase)
+			used[p.Target.ID], used[q.Target.ID] = true, true
+			if p.Target.ID == q.Target.ID {
+				same++
+			}
+		}
+		Expect(same).To(BeNumerically("<", 60))
+		Expect(len(used)).To(BeNumerically("<=", 4), "few targets write for short prompts")
+	})
+
 	It("keeps two long prompts apart", func() {
 		a, b := counted(4), counted(4)
 		two := longCase
