--- a/conductor/starting.go
+++ b/conductor/starting.go
@@ -47,7 +47,10 @@
 		}
 		err = cd.Ready()
 	}
-	return err
+	if err != nil {
+		return cd.Ready() // another request may have found it ready since
+	}
+	return nil
 }
 
 // starting reports whether the process waits for its first view.
--- a/conductor/starting_test.go
+++ b/conductor/starting_test.go
@@ -38,10 +38,10 @@
 }
 
 // await returns what Await said and after how long.
-func await(cd *Conductor, left time.Duration) (error, time.Duration) {
+func await(cd *Conductor, left time.Duration) (time.Duration, error) {
 	at := time.Now()
 	err := cd.Await(context.Background(), left)
-	return err, time.Since(at)
+	return time.Since(at), err
 }
 
 func expect(t *testing.T, err error, code coder.Code, took, least, most time.Duration) {
@@ -59,44 +59,44 @@
 func TestAwaitHoldsWhileStarting(t *testing.T) {
 	t.Run("until the view comes", func(t *testing.T) {
 		starting(t, time.Second, func(cd *Conductor, _ *error) {
-			err, took := await(cd, 10*time.Second)
+			took, err := await(cd, 10*time.Second)
 			expect(t, err, coder.OK, took, time.Second, time.Second+heldEvery)
 		})
 	})
 	t.Run("for half of the request's time", func(t *testing.T) {
 		starting(t, time.Hour, func(cd *Conductor, _ *error) {
-			err, took := await(cd, 800*time.Millisecond)
+			took, err := await(cd, 800*time.Millisecond)
 			expect(t, err, coder.NotReady, took, 400*time.Millisecond, 400*time.Millisecond+heldEvery)
 		})
 	})
 	t.Run("no longer than a start takes", func(t *testing.T) {
 		starting(t, time.Hour, func(cd *Conductor, _ *error) {
-			err, took := await(cd, time.Hour)
+			took, err := await(cd, time.Hour)
 			expect(t, err, coder.NotReady, took, startLimit, startLimit+heldEvery)
-			err, took = await(cd, time.Hour)
+			took, err = await(cd, time.Hour)
 			expect(t, err, coder.NotReady, took, 0, 0)
 		})
 	})
 	t.Run("not once it had a view", func(t *testing.T) {
 		starting(t, 0, func(cd *Conductor, stale *error) {
-			err, took := await(cd, time.Second)
+			took, err := await(cd, time.Second)
 			expect(t, err, coder.OK, took, 0, 0)
 			*stale = coder.Errorf(coder.Stale, "")
-			err, took = await(cd, time.Second)
+			took, err = await(cd, time.Second)
 			expect(t, err, coder.Stale, took, 0, 0)
 		})
 	})
 	t.Run("not while it leaves", func(t *testing.T) {
 		starting(t, time.Hour, func(cd *Conductor, _ *error) {
 			_ = cd.Drain(context.Background())
-			err, took := await(cd, time.Second)
+			took, err := await(cd, time.Second)
 			expect(t, err, coder.NotReady, took, 0, 0)
 		})
 	})
 	t.Run("no more than a bounded number", func(t *testing.T) {
 		starting(t, time.Hour, func(cd *Conductor, _ *error) {
 			cd.held.Store(mostHeld)
-			err, took := await(cd, time.Second)
+			took, err := await(cd, time.Second)
 			expect(t, err, coder.NotReady, took, 0, 0)
 		})
 	})
