Look at each target once for a long prompt

Cause: the targets that bear a part were found anew for each number of parts, with the pauses of each target's streams gathered every time.

--- a/router/counted.go
+++ b/router/counted.go
@@ -260,25 +260,33 @@
 // read soonest without holding up a stream for longer than it allows; none if there
 // are too few. The service has n targets, open ones or not.
 func bearing(open []*state, c Case, n int) []*state {
-	var best []*state
-	soonest := time.Duration(math.MaxInt64)
-	alone := c.alone(n)
+	spare := make([]time.Duration, len(open))
+	for i, s := range open {
+		spare[i] = s.spare(c, c.alone(n))
+	}
+	most, last, soonest := 0, 0, time.Duration(math.MaxInt64)
 	for k := c.fewest(n); k <= min(len(open), mostPieces, c.Pieces); k++ {
 		part := c.Read / time.Duration(k)
-		set := make([]*state, 0, k)
-		for _, s := range open {
-			if len(set) < k && s.bears(part, c, alone) {
-				set = append(set, s)
+		i, found := -1, 0
+		for found < k && i+1 < len(open) {
+			if i++; spare[i] >= part {
+				found++
 			}
 		}
-		if len(set) < k {
+		if found < k {
 			continue
 		}
-		if end := set[k-1].reading() + part; end < soonest {
-			best, soonest = set, end
+		if end := open[i].reading() + part; end < soonest {
+			most, last, soonest = k, i, end
 		}
 	}
-	return best
+	var set []*state
+	for i := range open[:min(len(open), last+1)] {
+		if most > 0 && spare[i] >= c.Read/time.Duration(most) {
+			set = append(set, open[i])
+		}
+	}
+	return set
 }
 
 // alone reports whether n targets can't read a prompt without holding up streams like
@@ -306,14 +314,17 @@
 	return ceil(c.Read, lateShare*float64(c.Aim))
 }
 
-// bears reports whether a target may read a part of a prompt. One that is read alone
-// may use idle targets for as long as it takes.
-func (s *state) bears(part time.Duration, c Case, alone bool) bool {
+// spare returns how long a target may read for a prompt. One that is read alone may
+// use idle targets for as long as it takes.
+func (s *state) spare(c Case, alone bool) time.Duration {
 	gap := shorter(s.counts.gaps.least(), time.Duration(s.counts.shared.Gap)*time.Millisecond)
 	if gap == 0 && alone {
-		return s.reading() == 0
+		if s.reading() > 0 {
+			return -1
+		}
+		return math.MaxInt64
 	}
-	return s.reading()+part <= c.bearable(shorter(gap, c.Gap))
+	return c.bearable(shorter(gap, c.Gap)) - s.reading()
 }
 
 // team has the targets of a set read and hold a prompt. It reports whether they
