--- a/router/counted.go
+++ b/router/counted.go
@@ -264,31 +264,39 @@
 	for i, s := range open {
 		spare[i] = s.spare(c, c.alone(n))
 	}
-	most, last, soonest := 0, 0, time.Duration(math.MaxInt64)
+	best, last, soonest := 0, -1, time.Duration(math.MaxInt64)
 	for k := c.fewest(n); k <= min(len(open), mostPieces, c.Pieces); k++ {
 		part := c.Read / time.Duration(k)
-		i, found := -1, 0
-		for found < k && i+1 < len(open) {
-			if i++; spare[i] >= part {
-				found++
-			}
-		}
-		if found < k {
+		i := nth(spare, part, k)
+		if i < 0 {
 			continue
 		}
 		if end := open[i].reading() + part; end < soonest {
-			most, last, soonest = k, i, end
+			best, last, soonest = k, i, end
 		}
 	}
 	var set []*state
-	for i := range open[:min(len(open), last+1)] {
-		if most > 0 && spare[i] >= c.Read/time.Duration(most) {
-			set = append(set, open[i])
+	for i, s := range open[:last+1] {
+		if spare[i] >= c.Read/time.Duration(best) {
+			set = append(set, s)
 		}
 	}
 	return set
 }
 
+// nth returns the index of the k-th target that may read a part, -1 if there are fewer.
+func nth(spare []time.Duration, part time.Duration, k int) int {
+	for i, d := range spare {
+		if d >= part {
+			k--
+		}
+		if k == 0 {
+			return i
+		}
+	}
+	return -1
+}
+
 // alone reports whether n targets can't read a prompt without holding up streams like
 // its own for longer than they allow. It is read by idle targets, which get no other
 // requests meanwhile.
