Serve prompts that a whole fleet reads late while it is idle only

Change: where no number of targets reads it in time, all open ones have to be idle. An idle fleet still serves them (spec).

--- a/router/counted.go
+++ b/router/counted.go
@@ -265,7 +265,7 @@
 		spare[i] = s.spare(c, c.alone(n))
 	}
 	best, last, soonest := 0, -1, time.Duration(math.MaxInt64)
-	for k := c.fewest(n); k <= min(len(open), mostPieces, c.Pieces); k++ {
+	for k := c.fewest(n, len(open)); k <= min(len(open), mostPieces, c.Pieces); k++ {
 		part := c.Read / time.Duration(k)
 		i := nth(spare, part, k)
 		if i < 0 {
@@ -309,17 +309,18 @@
 	return time.Duration(gapShare*float64(gap)) - c.Pass
 }
 
-// fewest returns how many of n targets read a prompt at least. Alone they are so many
-// that the first token comes in time, or if all are too few for that, before its caller
-// gives up.
-func (c Case) fewest(n int) int {
+// fewest returns how many of the open ones of n targets read a prompt at least. Alone
+// they are so many that the first token comes in time, or all if these are too few for
+// that, as long as it comes before its caller gives up.
+func (c Case) fewest(n, open int) int {
 	if !c.alone(n) || c.Aim == 0 {
 		return 1
 	}
-	if k := ceil(c.Read, aloneShare*float64(c.Aim)); k <= min(n, mostPieces) {
+	k := ceil(c.Read, aloneShare*float64(c.Aim))
+	if k <= min(n, mostPieces) {
 		return k
 	}
-	return ceil(c.Read, lateShare*float64(c.Aim))
+	return max(min(open, mostPieces), ceil(c.Read, lateShare*float64(c.Aim)))
 }
 
 // spare returns how long a target may read for a prompt. One that is read alone may
--- a/router/counted_test.go
+++ b/router/counted_test.go
@@ -227,11 +227,15 @@
 		}
 	})
 
-	It("is read late by idle targets where all of them could not read it in time", func() {
+	It("is read late by an idle fleet that could not read it in time", func() {
 		most := heavy
 		most.Read = 50 * time.Second
-		p, ok := counted(countedNumber).Pick(time.Unix(0, 0), most)
+		r := counted(countedNumber)
+		p, ok := r.Pick(time.Unix(0, 0), most)
 		Expect(ok).To(BeTrue())
+		place(r, shortCase)
+		_, ok = r.Pick(time.Unix(0, 0), most)
+		Expect(ok).To(BeFalse(), "the others would have no target for seconds")
 		Expect(most.Read / time.Duration(1+len(p.Helpers))).To(BeNumerically("<", 4*most.Aim))
 		p, ok = counted(4).Pick(time.Unix(0, 0), heavy)
 		Expect(ok).To(BeTrue())
