--- a/bencher/fleet.go
+++ b/bencher/fleet.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"bramleyshunt/passer"
 	"bramleyshunt/router"
 )
 
@@ -18,10 +17,10 @@
 	Alone    bool // entries don't tell each other what they have at targets
 
 	loop
-	rnd    *rand.Rand
-	fronts []*front
-	nodes  []*node
-	left   int // calls without an outcome
+	rnd     *rand.Rand
+	entries []*fleetEntry
+	nodes   []*node
+	left    int // calls without an outcome
 }
 
 // call is one request of a caller, and what became of it.
@@ -34,7 +33,7 @@
 	prompt  int
 	events  int
 
-	front   *front
+	entry   *fleetEntry
 	node    *node
 	again   int // times the caller came back
 	done    bool
@@ -65,7 +64,7 @@
 		f.nodes = append(f.nodes, newNode(f, i))
 	}
 	for i := range f.Site.Entries {
-		f.fronts = append(f.fronts, newFront(f, i))
+		f.entries = append(f.entries, newFleetEntry(f, i))
 	}
 	calls := f.Site.calls(f.Seed)
 	f.left = len(calls)
@@ -80,8 +79,8 @@
 
 func (f *Fleet) arrive(c *call) {
 	c.last = f.now
-	c.front = f.fronts[f.rnd.IntN(len(f.fronts))]
-	c.front.arrive(c)
+	c.entry = f.entries[f.rnd.IntN(len(f.entries))]
+	c.entry.arrive(c)
 	f.watch(c)
 }
 
@@ -97,7 +96,7 @@
 		case c.done:
 		case f.now.Sub(c.last) >= wait || !f.now.Before(c.deadline()):
 			f.finish(c)
-			c.front.left(c)
+			c.entry.left(c)
 		default:
 			f.watch(c)
 		}
@@ -130,8 +129,8 @@
 			return
 		}
 		c.refused, c.last = false, f.now
-		c.front = f.fronts[f.rnd.IntN(len(f.fronts))]
-		c.front.arrive(c)
+		c.entry = f.entries[f.rnd.IntN(len(f.entries))]
+		c.entry.arrive(c)
 	})
 }
 
@@ -148,31 +147,10 @@
 	c.last = f.now
 }
 
-// node is an engine of the fleet.
-type node struct {
-	f      *Fleet
-	id     string
-	engine passer.Passer
-	busy   bool // a pass is under way
-	events map[string]func(passer.Kind)
-}
-
-func (n *node) wake() {
-	if n.busy {
-		return
-	}
-	d, ok := n.engine.Begin()
-	if !ok {
-		return
+// end ends a call whose answer is whole.
+func (c *call) end(f *Fleet) {
+	if !c.done {
+		c.whole = true
 	}
-	n.busy = true
-	n.f.after(d, func() {
-		n.busy = false
-		for _, o := range n.engine.End() {
-			if g := n.events[o.ID]; g != nil {
-				g(o.Kind)
-			}
-		}
-		n.wake()
-	})
+	f.finish(c)
 }
--- a/bencher/front.go
+++ b/bencher/fleetentry.go
@@ -18,15 +18,8 @@
 // mostTries is how many targets a call is sent to at most.
 const mostTries = 3
 
-func newNode(f *Fleet, i int) *node {
-	return &node{
-		f: f, id: fmt.Sprint("t", i), events: map[string]func(passer.Kind){},
-		engine: passer.Passer{Engine: f.Site.Engine, Queue: f.Site.Queue},
-	}
-}
-
-// front is an entry of the fleet: the real deciders, without their shell.
-type front struct {
+// fleetEntry is an entry of the fleet: the real deciders, without their shell.
+type fleetEntry struct {
 	f         *Fleet
 	name      string
 	scheduler scheduler.Scheduler
@@ -38,9 +31,9 @@
 	flight    map[*node]int
 }
 
-func newFront(f *Fleet, i int) *front {
+func newFleetEntry(f *Fleet, i int) *fleetEntry {
 	seed := f.Seed*uint64(f.Site.Entries) + uint64(i)
-	e := &front{
+	e := &fleetEntry{
 		f: f, name: fmt.Sprint("e", i), turn: i, pending: map[*scheduler.Ticket]*call{}, flight: map[*node]int{},
 		scheduler: scheduler.Scheduler{
 			Admitter: admitter.Admitter{Seed: seed},
@@ -68,7 +61,7 @@
 	return out
 }
 
-func (e *front) ticket(c *call) *scheduler.Ticket {
+func (e *fleetEntry) ticket(c *call) *scheduler.Ticket {
 	t := &scheduler.Ticket{
 		ID: fmt.Sprint(c.id, "-", c.again), Service: "s", Account: fmt.Sprint("a", c.account), Share: 1,
 		Prompt: c.prompt, Output: c.output(), Text: c.prompt * bytesPerToken, Deadline: c.deadline(),
@@ -81,9 +74,9 @@
 	return t
 }
 
-func (c *call) output() int { return c.events * max(1, c.front.f.Site.Engine.Stride) }
+func (c *call) output() int { return c.events * max(1, c.entry.f.Site.Engine.Stride) }
 
-func (e *front) arrive(c *call) {
+func (e *fleetEntry) arrive(c *call) {
 	if e.f.Kind == RoundRobin || e.f.Kind == LeastOutstanding {
 		e.plain(c, 1)
 		return
@@ -96,7 +89,7 @@
 	e.enqueue(c, t)
 }
 
-func (e *front) enqueue(c *call, t *scheduler.Ticket) {
+func (e *fleetEntry) enqueue(c *call, t *scheduler.Ticket) {
 	e.pending[t] = c
 	late := t.Deadline.Sub(e.f.now) - e.scheduler.Needs(t)
 	e.scheduler.Enqueue(t)
@@ -114,7 +107,7 @@
 }
 
 // left takes a call out whose caller has gone, wherever it is.
-func (e *front) left(c *call) {
+func (e *fleetEntry) left(c *call) {
 	for t, x := range e.pending {
 		if x == c && e.scheduler.Abandon(t) {
 			delete(e.pending, t)
@@ -131,7 +124,7 @@
 }
 
 // tick pumps until nothing waits.
-func (e *front) tick() {
+func (e *fleetEntry) tick() {
 	if e.ticking || len(e.pending) == 0 {
 		return
 	}
@@ -143,7 +136,7 @@
 	})
 }
 
-func (e *front) pump() {
+func (e *fleetEntry) pump() {
 	for _, p := range e.scheduler.Pump(e.f.now) {
 		c := e.pending[p.Ticket]
 		delete(e.pending, p.Ticket)
@@ -158,7 +151,7 @@
 }
 
 // tell tells the other entries what this one has at targets, as package sharer does.
-func (e *front) tell() {
+func (e *fleetEntry) tell() {
 	if e.f.Alone {
 		return
 	}
@@ -169,13 +162,13 @@
 	e.resting, e.changed = true, false
 	sends := e.scheduler.Router.Sends()
 	e.f.net(func() {
-		for _, o := range e.f.fronts {
+		for _, o := range e.f.entries {
 			if o != e {
 				o.scheduler.Router.Learn(e.f.now, e.name, sends)
 			}
 		}
 	})
-	e.f.after(sharer.Gap(len(e.f.fronts)), func() {
+	e.f.after(sharer.Gap(len(e.f.entries)), func() {
 		e.resting = false
 		if e.changed {
 			e.tell()
@@ -184,13 +177,13 @@
 }
 
 // remind tells every sharer.MostGap, changed or not.
-func (e *front) remind() {
+func (e *fleetEntry) remind() {
 	e.tell()
 	e.f.after(sharer.MostGap, e.remind)
 }
 
 // plain sends a call as a plain balancer does, whole and at once.
-func (e *front) plain(c *call, try int) {
+func (e *fleetEntry) plain(c *call, try int) {
 	n := e.f.nodes[e.turn%len(e.f.nodes)]
 	e.turn++
 	if e.f.Kind == LeastOutstanding {
@@ -221,32 +214,3 @@
 		})
 	})
 }
-
-func (c *call) end(f *Fleet) {
-	if !c.done {
-		c.whole = true
-	}
-	f.finish(c)
-}
-
-// submit gives a call to the engine and reports whether it was taken.
-func (n *node) submit(c *call, parts, held int, on func(passer.Kind)) bool {
-	if c.done {
-		on(passer.Ended)
-		return true
-	}
-	ok := n.engine.Submit(passer.Request{
-		ID: c.id, Prompt: c.prompt, Output: c.output(), Events: c.events, Parts: parts, Held: held,
-	})
-	if !ok {
-		return false
-	}
-	n.events[c.id] = func(k passer.Kind) {
-		if k == passer.Ended {
-			delete(n.events, c.id)
-		}
-		on(k)
-	}
-	n.wake()
-	return true
-}
--- a/bencher/sending.go
+++ b/bencher/sending.go
@@ -12,7 +12,7 @@
 
 // sending is one placement of a call at a target, with those that help it read.
 type sending struct {
-	e       *front
+	e       *fleetEntry
 	c       *call
 	t       *scheduler.Ticket
 	p       router.Pick
@@ -72,16 +72,6 @@
 	}
 }
 
-// help reads a part of a call's prompt.
-func (n *node) help(c *call, parts int, read func()) {
-	n.events[c.id] = func(passer.Kind) {
-		delete(n.events, c.id)
-		read()
-	}
-	n.engine.Help(passer.Part{ID: c.id, Tokens: c.prompt / parts, Pairs: passer.Pairs(c.prompt) / float64(parts)})
-	n.wake()
-}
-
 // on takes what the target makes.
 func (x *sending) on(k passer.Kind) {
 	f := x.e.f
--- a/bencher/served.go
+++ b/bencher/served.go
@@ -108,14 +108,3 @@
 	b.WriteString("\n|" + strings.Repeat("---|", 2+4*len(s.Traffic)))
 	return b.String()
 }
-
-// Count returns how many requests of a kind there were.
-func (s *Served) Count(kind int) int {
-	n := 0
-	for _, c := range s.calls {
-		if c.kind == kind {
-			n++
-		}
-	}
-	return n
-}
