--- a/conductor/run.go
+++ b/conductor/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
 	"bramleyshunt/applier"
 	"bramleyshunt/chainer"
@@ -322,12 +323,21 @@
 	}
 	x.exclude = append(x.exclude, x.blamed(pick).Target.ID)
 	x.cd.meter.count("retries")
+	x.note(pick, c, delay)
 	if sleeper.Sleep(ctx, delay) != nil {
 		return x.unplaced(ctx)
 	}
 	return nil
 }
 
+// note logs that another target is tried.
+func (x *running) note(pick router.Pick, c *coder.Error, delay time.Duration) {
+	x.cd.cfg.Log.WithError(c).WithFields(logrus.Fields{
+		"request": x.r.Caller, "id": x.r.ID, "target": pick.Target.ID, "blamed": x.blamed(pick).Target.ID, "code": int(c.Code),
+		"run": c.Run.Header(), "tries": x.tries, "helpers": len(pick.Helpers), "busy": pick.Busy, "delay": delay.Milliseconds(),
+	}).Info("attempt failed, trying again")
+}
+
 // failure is a failed attempt as the retrier sees it.
 func (x *running) failure(err error) retrier.Case {
 	return retrier.Case{
