Read a long prompt by more targets where those that bear it lack the memory

Cause: once some targets bore a prompt's read, their lack of memory kept it waiting to its deadline, however many others had room. Change: after the wait it goes to as many as hold it, like any other.

--- a/router/counted.go
+++ b/router/counted.go
@@ -227,8 +227,8 @@
 	return cmp.Or(cmp.Compare(a.reading(), b.reading()), cmp.Compare(a.busy(now), b.busy(now))) < 0
 }
 
-// spread picks targets that read a prompt together: those whose streams bear it, or
-// if there are none for some time, those with the least to lose.
+// spread picks targets that read a prompt together: those whose streams bear it and
+// that have the memory, or if there are none for some time, those with the least to lose.
 func (r *Router) spread(now time.Time, n int, open []*state, c Case) (Pick, bool) {
 	byReading := func(a, b *state) int {
 		return cmp.Or(cmp.Compare(a.reading(), b.reading()), cmp.Compare(a.busy(now), b.busy(now)))
@@ -236,8 +236,8 @@
 	if c.Gap > 0 && !r.Disabled.Apart {
 		sorted := slices.Clone(open)
 		slices.SortStableFunc(sorted, byReading)
-		if set := bearing(sorted, c, n); len(set) > 0 {
-			return team(now, set, c)
+		if p, ok := team(now, bearing(sorted, c, n), c); ok {
+			return p, true
 		}
 		if c.heavy(n) && !r.Disabled.Heavy || c.patient() {
 			return Pick{}, false
@@ -336,9 +336,12 @@
 	return c.bearable(shorter(gap, c.Gap)) - s.reading()
 }
 
-// team has the targets of a set read and hold a prompt. It reports whether they
-// have the memory.
+// team has the targets of a set read and hold a prompt. It reports whether there are
+// any and they have the memory.
 func team(now time.Time, set []*state, c Case) (Pick, bool) {
+	if len(set) == 0 {
+		return Pick{}, false
+	}
 	first := slices.MinFunc(set, func(a, b *state) int {
 		return cmp.Or(cmp.Compare(a.memory(), b.memory()), cmp.Compare(a.busy(now), b.busy(now)))
 	})
--- a/router/counted_test.go
+++ b/router/counted_test.go
@@ -204,6 +204,30 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	It("goes to more targets, though it holds streams up, once those that bear it lack the memory", func() {
+		r := &router.Router{Seed: 1}
+		var targets []messenger.Target
+		for i := range 4 {
+			targets = append(targets, messenger.Target{
+				ID: fmt.Sprintf("t%d", i), Service: "s", Slots: countedSlots, Incarnation: 1, Load: messenger.Load{Seq: 1, Memory: 60000},
+			})
+		}
+		r.Update(now, targets)
+		for range 3 { // the other three have a short stream each
+			p := place(r, short)
+			r.Refused(p.Target.ID, time.Unix(1, 0))
+			r.Started(p, short)
+		}
+		c := long
+		c.Prompt, c.Read, c.Pieces = 80000, 500*time.Millisecond, 10
+		_, ok := r.Pick(now, c)
+		Expect(ok).To(BeFalse(), "one target bears it, and has no room for it")
+		c.Waited = c.Aim / 3
+		p, ok := r.Pick(now, c)
+		Expect(ok).To(BeTrue())
+		Expect(p.Helpers).NotTo(BeEmpty())
+	})
+
 	It("counts the streams of other entries", func() {
 		r := counted(countedNumber)
 		r.Learn(now, "other", busy(countedNumber).Sends())
