--- a/bencher/fleetentry.go
+++ b/bencher/fleetentry.go
@@ -67,9 +67,8 @@
 		Prompt: c.prompt, Output: c.output(), Text: c.prompt * bytesPerToken, Deadline: c.deadline(),
 	}
 	if e.f.Kind == Ours {
-		p := predictor.Predictor{Engine: e.f.Site.Engine}
-		t.Read, t.Pieces = p.Read(c.prompt, 1), p.Parts(c.prompt, predictor.WholeRead, predictor.PieceRead)
-		t.Aim, t.Gap, t.Pass = c.traffic.Aim, c.traffic.Gap, p.Busy()
+		t.Predict(e.f.Site.Engine)
+		t.Aim, t.Gap = c.traffic.Aim, c.traffic.Gap
 	}
 	return t
 }
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -187,14 +187,13 @@
 }
 
 func ticket(r *chainer.Request, exclude []string) *scheduler.Ticket {
-	p := predictor.Predictor{Engine: r.Spec.Engine}
-	return &scheduler.Ticket{
-		Read: p.Read(r.Prompt, 1), Pieces: p.Parts(r.Prompt, predictor.WholeRead, predictor.PieceRead), Aim: aim(r), Gap: gap(r), Pass: p.Busy(),
-
+	t := &scheduler.Ticket{
 		ID: r.ID, Service: r.Service, Account: r.Account, Share: r.Config.Accounts[r.Account].Share,
-		Priority: r.Priority, Prompt: r.Prompt, Output: r.Output, Likely: int(r.Spec.Engine.Answer), Text: r.Text, Prefix: r.Prefix,
-		Deadline: r.Deadline, Exclude: exclude,
+		Priority: r.Priority, Prompt: r.Prompt, Output: r.Output, Text: r.Text, Prefix: r.Prefix,
+		Deadline: r.Deadline, Exclude: exclude, Aim: aim(r), Gap: gap(r),
 	}
+	t.Predict(r.Spec.Engine)
+	return t
 }
 
 // aim returns the time that the request's path allows for the first token.
--- a/router/router.go
+++ b/router/router.go
@@ -91,8 +91,8 @@
 
 	Fill   bool // prompts read in one piece fill targets in rank
 	Pieces bool // prompts are read by several targets
-	Heavy  bool // heavy prompts get idle targets alone
-	Apart  bool // long reads go where no short streams are
+	Heavy  bool // heavy prompts are refused rather than read where they hold others up
+	Apart  bool // long reads go beside streams that bear them
 }
 
 // Report takes the load that a target or its agent sent with an answer.
--- a/router/share.go
+++ b/router/share.go
@@ -59,7 +59,7 @@
 			sum.Reading += one.Reading
 			sum.Held += one.Held
 			sum.Tight += one.Tight
-			sum.Gap = int(shorter(time.Duration(sum.Gap), time.Duration(one.Gap)))
+			sum.Gap = shorter(sum.Gap, one.Gap)
 			sums[one.Target] = sum
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -9,7 +9,9 @@
 
 	"bramleyshunt/admitter"
 	"bramleyshunt/coder"
+	"bramleyshunt/configurer"
 	"bramleyshunt/messenger"
+	"bramleyshunt/predictor"
 	"bramleyshunt/queuer"
 	"bramleyshunt/router"
 )
@@ -41,6 +43,13 @@
 	since time.Time // when its placement was first tried
 }
 
+// Predict fills in what follows from the declared speed of the service's engines.
+func (t *Ticket) Predict(e configurer.Engine) {
+	p := predictor.Predictor{Engine: e}
+	t.Read, t.Pieces = p.Read(t.Prompt, 1), p.Parts(t.Prompt, predictor.WholeRead, predictor.PieceRead)
+	t.Pass, t.Likely = p.Busy(), int(e.Answer)
+}
+
 // Placement is a target for a ticket, or the error that ends its wait.
 type Placement struct {
 	Ticket *Ticket
