Elect the former leader at once when it has restarted

A restarted voter refuses votes for one election timeout, as it may support a lease; the leader whose lease it was has restarted too. Change: voters record the disk and term of the leader that they follow before they acknowledge it. The former leader stands at once; the others release their promise at its own vote request of a later term. Restarted voters probe until they hear of a leader. Confirmation rounds and the first state of a confirmed keeper follow without the usual pauses. An accepted connection is closed when the server stops meanwhile. Ruled out: shorter timeouts (slow disks and frozen processes cost elections); votes without waiting for whoever asks (a partitioned leader may hold its lease).

--- a/keeper/control.go
+++ b/keeper/control.go
@@ -21,9 +21,13 @@
 	defer k.shutDown()
 	tick := time.NewTicker(k.cfg.HeartbeatInterval / ticksPerHeartbeat)
 	defer tick.Stop()
+	first := make(chan struct{}, 1) // the first step follows at once, as a restarted replica may stand for election
+	first <- struct{}{}
 	for {
 		var err error
 		select {
+		case <-first:
+			err = k.step(replicator.Event{})
 		case <-k.ctx.Done():
 			return
 		case <-tick.C:
--- a/muxer/muxer.go
+++ b/muxer/muxer.go
@@ -98,6 +98,12 @@
 	if err != nil {
 		return nil, nil, &coder.Error{Code: coder.TargetLost, Run: coder.NotRun, Cause: err}
 	}
+	return Connect(ctx, conn, cfg)
+}
+
+// Connect runs the handshake on an established connection, on the side that dialed it.
+// The returned function closes the connection.
+func Connect(ctx context.Context, conn net.Conn, cfg Config) (*Muxer, func(), error) {
 	return newMuxer(ctx, conn, cfg, firstDialID, nil)
 }
 
@@ -125,6 +131,9 @@
 		conn, err := l.Accept()
 		switch {
 		case ctx.Err() != nil:
+			if err == nil {
+				_ = conn.Close()
+			}
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept: %w", err)
--- a/publisher/confirmer.go
+++ b/publisher/confirmer.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"bramleyshunt/sleeper"
 )
 
 // confirmer runs confirmations by a quorum in rounds that callers share. A caller
@@ -70,15 +68,24 @@
 }
 
 // run begins a round on each request and at least once per interval, and calls onRound
-// after each. Rounds are at least minConfirmInterval or the interval apart, whichever
-// is shorter.
+// after each. Rounds begin at least minConfirmInterval or the interval apart, whichever
+// is shorter, except that the next one follows at once when the outcome changes: after a
+// restart of all keepers, watchers have waited for the first quorum.
 func (c *confirmer) run(ctx context.Context, interval time.Duration, confirm func(context.Context) (uint64, error), onRound func()) {
 	t := time.NewTicker(interval)
 	defer t.Stop()
 	for ctx.Err() == nil {
+		pause := time.NewTimer(min(minConfirmInterval, interval))
+		before, _ := c.lastRound()
 		c.runRound(ctx, confirm)
 		onRound()
-		_ = sleeper.Sleep(ctx, min(minConfirmInterval, interval))
+		if after, _ := c.lastRound(); after == before {
+			select {
+			case <-ctx.Done():
+			case <-pause.C:
+			}
+		}
+		pause.Stop()
 		select {
 		case <-ctx.Done():
 		case <-c.wake:
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -146,7 +146,10 @@
 		case f := <-p.inbox:
 			f()
 		case <-p.wake:
-			if due == nil {
+			if ok, _ := p.confirm.lastRound(); ok != p.state.Load().confirmed {
+				due = nil
+				p.publish()
+			} else if due == nil {
 				due = time.After(publishDelay)
 			}
 		case <-due:
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -21,9 +21,10 @@
 
 // tickFollower starts an election if no leader was in contact within the election
 // timeout. It probes as well, because the known member set may be so old that none of
-// its members can reach the leader.
+// its members can reach the leader. A replica that has restarted probes until it hears
+// from a leader, so that a former leader that has restarted too stands at once.
 func (r *Replicator) tickFollower() {
-	if r.awaitsFirstCommit() {
+	if r.awaitsFirstCommit() || !r.heardLeader {
 		r.probePeers()
 	}
 	if r.now < r.electionDeadline {
@@ -40,6 +41,9 @@
 	r.role, r.preVote, r.forced, r.leader = Candidate, true, false, messenger.Member{}
 	r.votes = map[uint64]bool{r.cfg.Self.Disk: true}
 	r.setElectionDeadline(r.cfg.ElectionTimeout / campaignRetryDivisor)
+	if r.leaderContact == never {
+		r.standSoon()
+	}
 	for _, m := range r.members.Voters {
 		if m.Disk != r.cfg.Self.Disk {
 			r.send(m, r.voteRequest(m, r.state.Term+1))
@@ -48,6 +52,33 @@
 	r.countVotes()
 }
 
+// standSoon draws the time of the next candidacy of a replica that need not wait for a
+// lease to end: long enough for an election by another replica to succeed first.
+func (r *Replicator) standSoon() {
+	r.electionDeadline = r.now + r.cfg.HeartbeatInterval + time.Duration(r.rng.Int64N(int64(r.cfg.HeartbeatInterval)))
+}
+
+// releaseLease ends this replica's support of the lease of the last leader that it
+// followed, if a vote request shows that this leader has lost its leadership. A leader
+// requests votes in a term above its own only after it has stepped down or restarted, and
+// it never leads in its former term again.
+func (r *Replicator) releaseLease(m *messenger.Vote) {
+	if r.role == Leader || m.From.Disk != r.state.Leader || m.Term <= r.state.LeaderTerm || r.leaderContact == never {
+		return
+	}
+	r.leaderContact, r.leader = never, messenger.Member{}
+	r.standSoon()
+}
+
+// onVoterProbe lets a replica that need not wait for a lease to end stand at once when
+// another voter looks for a leader: earlier vote requests may have come before its start.
+func (r *Replicator) onVoterProbe(m *messenger.Route) {
+	waiting := r.role == Follower || r.role == Candidate && r.preVote
+	if waiting && r.leaderContact == never && r.isVoter(r.cfg.Self.Disk) && r.isVoter(m.From.Disk) && m.Group == r.state.Group {
+		r.campaign()
+	}
+}
+
 // startElection requests votes in a new term. The replica's own vote is returned to it as
 // a message once it is saved.
 func (r *Replicator) startElection() {
@@ -76,6 +107,7 @@
 		return
 	}
 	r.recordNonmember(&m.Route)
+	r.releaseLease(m)
 	if m.Pre {
 		r.onPreVote(m)
 		return
@@ -157,14 +189,26 @@
 }
 
 func (r *Replicator) becomeLeader() {
-	r.role, r.leader = Leader, r.cfg.Self
+	r.role, r.leader, r.heardLeader = Leader, r.cfg.Self, true
 	r.progress = map[uint64]*progress{}
 	r.electedAt = r.now
 	r.nextHeartbeat = r.now
 	r.nonmembers, r.transferring = nil, false
 	r.termStart = r.log.lastIndex() + 1
 	r.trackProgress()
+	r.saveLeader(r.cfg.Self.Disk)
 	r.appendEntry(messenger.Entry{})
+	r.requestReadIndex()
+}
+
+// saveLeader records the leader of this term, whose lease depends on this replica from
+// now on. The record is saved before the replica acknowledges a message of that leader.
+func (r *Replicator) saveLeader(disk uint64) {
+	if r.state.Leader == disk && r.state.LeaderTerm == r.state.Term {
+		return
+	}
+	r.state.Leader, r.state.LeaderTerm = disk, r.state.Term
+	r.saveHardState()
 }
 
 // stepDown becomes a follower in term, whose leader is not known yet.
@@ -186,9 +230,14 @@
 	if m.Term > r.state.Term || r.role != Follower {
 		r.stepDown(m.Term)
 	}
-	r.leader = m.From
+	r.saveLeader(m.From.Disk)
+	known := r.leader.Disk == m.From.Disk
+	r.leader, r.heardLeader = m.From, true
 	r.leaderContact = r.now
 	r.resetElectionDeadline()
+	if !known {
+		r.requestReadIndex()
+	}
 }
 
 // tickLeader steps down if the lease has expired, and sends heartbeats.
--- a/replicator/founding.go
+++ b/replicator/founding.go
@@ -94,6 +94,7 @@
 	if m.Group == 0 || m.Group == r.state.Group {
 		r.recordNonmember(&m.Route)
 	}
+	r.onVoterProbe(&m.Route)
 	answer := &messenger.Probed{Route: r.route(m.From, r.state.Term), Nonce: m.Nonce, Formed: r.state.Group != 0, Leader: r.leader}
 	if r.isFounder(m.From.Node) {
 		r.discovery.token++
--- a/replicator/protocol_test.go
+++ b/replicator/protocol_test.go
@@ -248,3 +248,78 @@
 	h.Expect(change(1, "c").Accepted).To(HaveLen(1))
 	h.Expect(change(2, "b").Refused).To(Equal([]uint64{2}))
 }
+
+// followLeader has the replica acknowledge a message of disk 2, the leader of the present
+// term, and returns the state that is saved before the acknowledgement.
+func (h *harness) followLeader() replicator.HardState {
+	actions := h.step(replicator.Event{Message: &messenger.Append{Route: h.routeFrom(2), Prev: 1, PrevTerm: 1, Stamp: h.now}})
+	for _, s := range actions.Send {
+		h.Expect(s.Body).NotTo(BeAssignableToTypeOf(&messenger.Appended{}), "the leader must be saved before it is acknowledged")
+	}
+	h.Expect(actions.SendAfterSync).To(HaveLen(1))
+	h.Expect(actions.State).NotTo(BeNil())
+	return *actions.State
+}
+
+func (h *harness) grantsVote(disk, term uint64) bool {
+	vote := &messenger.Vote{Route: h.routeFrom(disk), Pre: true, Last: 5, LastTerm: 5}
+	vote.Term = term
+	for _, s := range h.step(replicator.Event{Message: vote}).SendAfterSync {
+		if v, ok := s.Body.(*messenger.Voted); ok {
+			return v.Granted
+		}
+	}
+	return false
+}
+
+// Guards against a wait for a lease that has ended: the leader's own vote request shows that
+// it has restarted. A delayed request of the election that it won shows nothing.
+func TestVoteOfFormerLeaderIsGrantedDespiteRecentContact(t *testing.T) {
+	for name, restarted := range map[string]bool{"following": false, "restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, savedLog())
+			saved := savedLog()
+			saved.State = h.followLeader()
+			if restarted {
+				h = newHarness(t, saved)
+			}
+			h.now += tick
+			h.Expect(h.grantsVote(3, 2)).To(BeFalse(), "another voter knows nothing of the leader's end")
+			h.Expect(h.grantsVote(2, 1)).To(BeFalse(), "a request of the leader's own term may be older than its lease")
+			h.Expect(h.grantsVote(2, 2)).To(BeTrue())
+			h.Expect(h.grantsVote(3, 2)).To(BeTrue(), "the lease that this voter supported has ended")
+		})
+	}
+}
+
+func TestFormerLeaderStandsAtOnceAfterRestart(t *testing.T) {
+	h := newHarness(t, savedLog())
+	h.becomeLeader()
+	saved := savedLog()
+	saved.State = h.rep.Status().State
+	h.Expect(saved.State.Leader).To(BeEquivalentTo(1))
+	h = newHarness(t, saved)
+	preVotes := func(actions replicator.Actions) (n int) {
+		for _, s := range actions.Send {
+			if v, ok := s.Body.(*messenger.Vote); ok && v.Pre {
+				n++
+			}
+		}
+		return n
+	}
+	h.Expect(preVotes(h.step(replicator.Event{}))).To(Equal(2))
+	probe := &messenger.Probe{Route: h.routeFrom(3)}
+	h.Expect(preVotes(h.step(replicator.Event{Message: probe}))).To(Equal(2), "a voter that started later looks for a leader")
+	probe.Group++
+	h.Expect(preVotes(h.step(replicator.Event{Message: probe}))).To(BeZero())
+}
+
+// A voter without a record of a leader, as of a build that wrote none, waits for a whole
+// election timeout.
+func TestRestartedVoterWithoutRecordRefusesVotes(t *testing.T) {
+	h := newHarness(t, savedLog())
+	h.now = election - tick
+	h.Expect(h.grantsVote(2, 2)).To(BeFalse())
+	h.now = election
+	h.Expect(h.grantsVote(2, 2)).To(BeTrue())
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -41,6 +41,11 @@
 	Group uint64 `msgpack:"group"`
 	Term  uint64 `msgpack:"term"`
 	Vote  uint64 `msgpack:"vote"` // disk voted for in Term; zero for none
+
+	// Leader is the disk of the last leader that this replica followed or was, and
+	// LeaderTerm the term of that leader. Zero means unknown.
+	Leader     uint64 `msgpack:"leader,omitempty"`
+	LeaderTerm uint64 `msgpack:"leader_term,omitempty"`
 }
 
 // Snapshot replaces all log entries up to and including Index.
@@ -134,7 +139,8 @@
 	members      messenger.Members
 	membersIndex uint64 // index of the entry that set members
 
-	leaderContact    time.Duration // last message from the leader, or the start of the process
+	leaderContact    time.Duration // last message from the leader, or the start of the process; never if no leader's lease depends on this replica
+	heardLeader      bool          // a leader was known at some time since the start of the process
 	electionDeadline time.Duration // when to start an election
 	preVote          bool          // candidate: collecting pre-votes
 	forced           bool          // candidate: after a leadership transfer; voters ignore their contact with the leader
@@ -167,7 +173,8 @@
 		log: logTail{base: saved.Snapshot.Index, baseTerm: saved.Snapshot.Term, entries: saved.Entries},
 	}
 	// Before its restart, the replica may have received a message from a leader and so
-	// support that leader's lease: it refuses votes for one election timeout.
+	// support that leader's lease: it refuses votes for one election timeout. A replica that
+	// was that leader itself has lost the lease with its process.
 	r.leaderContact = now
 	if r.state.Group != 0 {
 		r.role = Follower
@@ -176,6 +183,9 @@
 	r.discovery.token = r.rng.Uint64()
 	r.reloadMembers()
 	r.resetElectionDeadline()
+	if r.state.Leader != 0 && r.state.Leader == r.cfg.Self.Disk {
+		r.leaderContact, r.electionDeadline = never, now
+	}
 	return r
 }
 
