Record targets in the log, so that the first view after a restart holds the fleet

Cause: leases are in memory. After a restart of all keepers entries knew the few targets that had announced themselves, and sent everything that was held to these. Change: the leader records changed targets in the replicated log, at most once a second; a departure is recorded before it is acknowledged, and sticks to its incarnation. Ruled out: a file of each keeper (a wiped disk would know nothing, and a departure would have to be synced apart). TestTargetsAreKnownAfterRestartOfAllKeepers fails before.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -1,6 +1,6 @@
 // Package applier is the replicated state machine of the keepers. It holds the
 // configuration in force with the answers to its changes, idempotency claims, fencing
-// tokens and quarantined requests. The state is a pure function of the log: time comes
+// tokens, quarantined requests and the targets that keepers knew last. The state is a pure function of the log: time comes
 // only from the commands, and no result depends on the iteration order of a map.
 package applier
 
@@ -26,6 +26,7 @@
 	claims   claims
 	fences   fences
 	suspects suspects
+	targets  targets
 
 	subscribers []func()
 }
@@ -75,6 +76,9 @@
 	case c.Verb == VerbFence && c.Target != "":
 		a.fences.issue(c.Target, index)
 		return &Answer{Fence: index}, false
+	case c.Verb == VerbTargets && c.Targets != nil:
+		a.targets.change(c.Targets)
+		return &Answer{}, false
 	default:
 		return &Answer{Code: coder.BadFrame, Text: "command without content"}, false
 	}
--- a/applier/command.go
+++ b/applier/command.go
@@ -22,6 +22,7 @@
 	VerbClaim
 	VerbSuspect
 	VerbFence
+	VerbTargets
 )
 
 // Change replaces the whole configuration folder.
@@ -47,6 +48,7 @@
 	Claim   *messenger.Claim   `msgpack:"claim,omitempty"`
 	Suspect *messenger.Suspect `msgpack:"suspect,omitempty"`
 	Target  string             `msgpack:"target,omitempty"` // of a VerbFence
+	Targets *Targets           `msgpack:"targets,omitempty"`
 }
 
 // Record describes one accepted Change.
--- a/applier/rapid_test.go
+++ b/applier/rapid_test.go
@@ -40,7 +40,9 @@
 }
 
 func drawCommand(t *rapid.T) *applier.Command {
-	switch rapid.IntRange(0, 4).Draw(t, "verb") {
+	switch rapid.IntRange(0, 5).Draw(t, "verb") {
+	case 5:
+		return drawTargets(t)
 	case 0, 1:
 		return drawChange(t)
 	case 2:
@@ -54,6 +56,17 @@
 	}
 }
 
+func drawTargets(t *rapid.T) *applier.Command {
+	id := rapid.SampledFrom([]string{"t", "u", "v"})
+	known := messenger.Target{
+		ID: id.Draw(t, "known"), Address: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "address"),
+		Incarnation: rapid.Uint64Range(0, 3).Draw(t, "incarnation"), Leaving: rapid.Bool().Draw(t, "leaving"), Seq: 7,
+	}
+	return &applier.Command{Verb: applier.VerbTargets, Targets: &applier.Targets{
+		Known: []messenger.Target{known}, Gone: rapid.SliceOfN(id, 0, 1).Draw(t, "gone"),
+	}}
+}
+
 func drawStep(t *rapid.T) time.Duration {
 	steps := []time.Duration{0, time.Second, -time.Second, applier.HoldTimeout, applier.DefaultRetention, applier.DefaultMaxRunTime}
 	return rapid.SampledFrom(steps).Draw(t, "time")
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -32,6 +32,8 @@
 	Fences     []namedNumber    `msgpack:"fences"`
 	FenceFloor uint64           `msgpack:"passed"` // floor of the fencing tokens
 	Suspects   []suspect        `msgpack:"suspects"`
+
+	Targets []messenger.Target `msgpack:"targets,omitempty"` // remembered
 }
 
 // namedNumber is one key and value of a map.
@@ -79,6 +81,7 @@
 	for _, f := range slices.Sorted(maps.Keys(a.suspects.byFingerprint)) {
 		s.Suspects = append(s.Suspects, *a.suspects.byFingerprint[f])
 	}
+	s.Targets = a.targets.sorted()
 	return encode(&s)
 }
 
@@ -103,6 +106,7 @@
 	a.claims = s.claims()
 	a.fences = fences{issued: numbersByName(s.Fences), floor: s.FenceFloor}
 	a.suspects = s.suspects()
+	a.targets = s.targets()
 	subscribers := a.subscribers
 	a.mu.Unlock()
 	for _, f := range subscribers {
@@ -145,6 +149,14 @@
 	return out
 }
 
+func (s *snapshot) targets() targets {
+	out := targets{byID: make(map[string]messenger.Target, len(s.Targets))}
+	for _, t := range s.Targets {
+		out.byID[t.ID] = t
+	}
+	return out
+}
+
 func (s *snapshot) suspects() suspects {
 	out := suspects{byFingerprint: map[uint64]*suspect{}}
 	for _, sus := range s.Suspects {
--- a/applier/verb_string.go
+++ b/applier/verb_string.go
@@ -13,11 +13,12 @@
 	_ = x[VerbClaim-2]
 	_ = x[VerbSuspect-3]
 	_ = x[VerbFence-4]
+	_ = x[VerbTargets-5]
 }
 
-const _Verb_name = "VerbNoneVerbChangeVerbClaimVerbSuspectVerbFence"
+const _Verb_name = "VerbNoneVerbChangeVerbClaimVerbSuspectVerbFenceVerbTargets"
 
-var _Verb_index = [...]uint8{0, 8, 18, 27, 38, 47}
+var _Verb_index = [...]uint8{0, 8, 18, 27, 38, 47, 58}
 
 func (i Verb) String() string {
 	idx := int(i) - 0
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -65,8 +65,12 @@
 	ended   atomic.Bool
 
 	// Owned by the control goroutine.
-	leases registrar.Registrar
-	nodes  map[string]node
+	leases      registrar.Registrar
+	nodes       map[string]node
+	restored    bool      // the remembered targets were restored after the start
+	recordedRev uint64    // revision of the leases when they were last compared with the remembered targets
+	recordedAt  time.Time // when targets were last proposed to be remembered
+	recording   bool      // such a proposal is in progress
 }
 
 // New starts a Publisher. The returned function stops it and waits for its goroutines.
@@ -158,6 +162,7 @@
 		case <-t.C:
 			p.expireLeases()
 			p.publish()
+			p.recordTargets()
 		}
 	}
 }
@@ -175,6 +180,9 @@
 func (p *Publisher) publish() {
 	old := p.state.Load()
 	ok, round := p.confirm.lastRound()
+	if ok {
+		p.restoreTargets()
+	}
 	st := &state{
 		view: p.cfg.Applier.View(), blocked: p.cfg.Applier.Blocked(p.cfg.Now()),
 		live: old.live, ended: old.ended, leaseRev: p.leases.Rev(),
--- a/publisher/relay.go
+++ b/publisher/relay.go
@@ -20,7 +20,7 @@
 // only, and relays it to the other keepers. An announcement without an incarnation,
 // which is one without the target's start time, is assigned one. If the announcement
 // takes the target out of service, Announce waits until a majority of the keepers has
-// accepted it, and fails with NoQuorum otherwise.
+// accepted it and until it is recorded on a quorum of disks, and fails otherwise.
 func (p *Publisher) Announce(ctx context.Context, a messenger.Announce) error {
 	if a.Target.Incarnation == 0 {
 		p.do(ctx, func() { a.Target.Incarnation = p.leases.AssignIncarnation(p.cfg.Now(), a.Target) })
@@ -33,10 +33,15 @@
 		p.wg.Go(func() { p.relay(p.ctx, a) })
 		return nil
 	}
-	if got, want := 1+p.relay(ctx, a), len(p.cfg.Members())/2+1; got < want {
+	var recordErr error
+	var wg conc.WaitGroup
+	wg.Go(func() { recordErr = p.recordLeaving(ctx, a.Target) })
+	got, want := 1+p.relay(ctx, a), len(p.cfg.Members())/2+1
+	wg.Wait()
+	if got < want {
 		return coder.Errorf(coder.NoQuorum, "%d of %d keepers know that target %q leaves", got, want, a.Target.ID)
 	}
-	return nil
+	return recordErr
 }
 
 // relay sends an announcement to the other keepers and returns how many of them have
--- a/publisher/relay_test.go
+++ b/publisher/relay_test.go
@@ -38,7 +38,7 @@
 		p, stop, err := publisher.New(publisher.Config{
 			Applier: &applier.Applier{}, Pool: pool, Address: r.members[i].Address, Exclusive: true,
 			Members: func() []messenger.Member { return r.members },
-			Propose: func(context.Context, []byte) (uint64, []byte, error) { return 0, nil, nil },
+			Propose: func(context.Context, []byte) (uint64, []byte, error) { return 0, (&applier.Answer{}).Encode(), nil },
 			Confirm: func(context.Context) (uint64, error) { return 1, nil },
 		})
 		Expect(err).NotTo(HaveOccurred())
--- a/publisher/restart_test.go
+++ b/publisher/restart_test.go
@@ -18,6 +18,7 @@
 	"bramleyshunt/coder"
 	"bramleyshunt/keeper"
 	"bramleyshunt/merger"
+	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
 	"bramleyshunt/pooler"
 	"bramleyshunt/publisher"
@@ -170,7 +171,9 @@
 	})
 	Expect(err).NotTo(HaveOccurred())
 	pub, stopPublisher, err := publisher.New(publisher.Config{
-		Applier: k.applier, Propose: kp.Propose, Confirm: kp.Confirm, Pool: pool, Leader: func() string { return kp.Status().Leader },
+		Applier: k.applier, Propose: kp.Propose, Confirm: kp.Confirm, Pool: pool, Address: k.node,
+		Leader:  func() string { return kp.Status().Leader },
+		Members: func() []messenger.Member { return kp.Status().Voters },
 	})
 	Expect(err).NotTo(HaveOccurred())
 	k.keeper, k.watchers = kp, pub
@@ -262,6 +265,58 @@
 	return w.View()
 }
 
+func target(id string, leaving bool) messenger.Target {
+	return messenger.Target{ID: id, Service: "s", Address: id + ":1", Slots: 16, Incarnation: 5, Seq: 1, Leaving: leaving}
+}
+
+func leavingByID(v *watcher.View) map[string]bool {
+	out := map[string]bool{}
+	for _, t := range v.Targets {
+		out[t.ID] = t.Leaving
+	}
+	return out
+}
+
+// Guards against an entry that, after a restart of all keepers, knows only the few targets
+// that have announced themselves since, and sends everything that was held to these.
+func TestTargetsAreKnownAfterRestartOfAllKeepers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		g := newVirtualGroup(t, 1)
+		announce := func(keeper int, target messenger.Target) {
+			Expect(g.keepers[keeper].watchers.Announce(context.Background(), messenger.Announce{Target: target})).To(Succeed())
+		}
+		for i, id := range []string{"t1", "t2", "t3", "t4"} {
+			announce(i%3, target(id, false))
+		}
+		time.Sleep(2 * time.Second)
+		for i, id := range []string{"t1", "t2", "t3", "t4"} {
+			announce(i%3, target(id, false))
+		}
+		announce(2, target("t4", true)) // acknowledged just before all keepers die
+		g.killAll()
+		g.restartAll(0)
+		v := g.watchUntilConfirmed("e1")
+		Expect(leavingByID(v)).To(Equal(map[string]bool{"t1": false, "t2": false, "t3": false, "t4": true}))
+		announce(0, target("t4", false)) // a heartbeat that was sent before the target left
+		time.Sleep(time.Second)
+		Expect(leavingByID(g.watchUntilConfirmed("e2"))).To(HaveKeyWithValue("t4", true))
+		g.expectTargets(4 * time.Second) // those that do not announce themselves again are dropped
+		g.killAll()
+		time.Sleep(time.Second)
+	})
+}
+
+// expectTargets checks which targets the first keeper lists after the given time.
+func (g *virtualGroup) expectTargets(after time.Duration, ids ...string) {
+	time.Sleep(after)
+	var listed []string
+	for _, t := range g.keepers[0].watchers.Targets() {
+		listed = append(listed, t.ID)
+	}
+	Expect(listed).To(Equal(ids))
+}
+
 // All processes die at the same moment. Callers who come back wait until keepers have a
 // leader again and an entry has a confirmed view.
 func TestFirstViewAfterRestartOfAllKeepers(t *testing.T) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -94,6 +94,24 @@
 	return *l, nil
 }
 
+// Restore grants a lease to a target that was live when an earlier process last recorded
+// it, unless the target or another one at its address has been announced since. A target
+// that was leaving stays so until its next incarnation, unless it was on standby.
+func (r *Registrar) Restore(now time.Time, t messenger.Target) error {
+	for id, l := range r.live {
+		if id == t.ID || r.Exclusive && l.Target.Address == t.Address {
+			return nil
+		}
+	}
+	if _, err := r.Announce(now, messenger.Announce{Target: t}); err != nil {
+		return err
+	}
+	if t.Leaving && !t.Standby {
+		r.Leave(now, t.ID, t.Incarnation)
+	}
+	return nil
+}
+
 // update stores the announced target and raises the revisions if it changed.
 func (r *Registrar) update(l *Lease, t messenger.Target) {
 	if l.Rev == 0 || targetChanged(l.Target, t) {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -102,4 +102,33 @@
 		Entry("a different version", func(t *messenger.Target) { t.Version = "2" }, true, true),
 		Entry("an added adapter", func(t *messenger.Target) { t.Adapters = []string{"a"} }, true, true),
 	)
+
+	It("are restored for targets that have not been announced since", func() {
+		Expect(announce(r, 0, targetWith(2))).To(Succeed())
+		Expect(r.Restore(start, targetWith(1))).To(Succeed())
+		expectLive(r, 2)
+		other := messenger.Target{ID: "u", Incarnation: 7}
+		Expect(r.Restore(start, other)).To(Succeed())
+		expectLive(r, 2, 7)
+		Expect(r.Expire(start.Add(registrar.DefaultLease))).To(ContainElement("u"))
+	})
+
+	It("are not restored where another target has the address", func() {
+		r.Exclusive = true
+		a, b := targetWith(3), messenger.Target{ID: "u", Incarnation: 7, Address: "x:1"}
+		a.Address = "x:1"
+		Expect(announce(r, 0, a)).To(Succeed())
+		Expect(r.Restore(start, b)).To(Succeed())
+		expectLive(r, 3)
+	})
+
+	It("are restored as leaving until the next incarnation", func() {
+		t := targetWith(1)
+		t.Leaving = true
+		Expect(r.Restore(start, t)).To(Succeed())
+		Expect(announce(r, time.Second, targetWith(1))).To(Succeed())
+		Expect(r.Live()[0].Target.Leaving).To(BeTrue())
+		Expect(announce(r, time.Second, targetWith(2))).To(Succeed())
+		Expect(r.Live()[0].Target.Leaving).To(BeFalse())
+	})
 })
