Split a long prompt among all candidates where it delays streams

Hypothesis: a prompt that is placed beside streams that it delays costs less in more and shorter parts, also if these wait for another prefill.

--- a/router/gang.go
+++ b/router/gang.go
@@ -79,7 +79,8 @@
 		set = gangCandidates(now, open)
 	}
 	slices.SortStableFunc(set, byPendingPrefill)
-	for k := prefillTargets(req, set); k <= min(len(set), maxPrefillTargets); k++ {
+	most := min(len(set), maxPrefillTargets)
+	for k := min(most, req.PrefillTargets); k <= most; k++ { // the shorter the parts, the shorter the delay of each stream
 		if p, ok := newGang(now, set[:k], req); ok {
 			return p, true
 		}
@@ -190,20 +191,6 @@
 	return p, reserveMemory(&p, first, set, req.Prompt+req.Output)
 }
 
-// prefillTargets returns the number of targets that finish the prefill of a prompt
-// earliest, taken from the front of a set sorted by pending prefill. The first token
-// follows the last part, so one more target helps only if it is free before the other
-// targets have finished theirs.
-func prefillTargets(req Request, set []*targetState) int {
-	best, earliest := 1, time.Duration(math.MaxInt64)
-	for k := 1; k <= min(len(set), maxPrefillTargets, req.PrefillTargets); k++ {
-		if end := set[k-1].pendingPrefill() + req.Prefill/time.Duration(k); end < earliest {
-			best, earliest = k, end
-		}
-	}
-	return best
-}
-
 // heavy reports whether the prefill of a prompt, split among n targets, would delay their
 // streams by about the gap that the prompt itself allows.
 func (rq Request) heavy(n int) bool {
