Split prompts whose prefill takes 70 ms or more

Hypothesis: an unsplit prompt of 70 to 120 ms holds up short streams for about their whole allowed gap.

--- a/predictor/predictor.go
+++ b/predictor/predictor.go
@@ -13,7 +13,7 @@
 const (
 	// MaxUnsplitPrefill is the longest prefill that is not split: together with a decode
 	// pass it stays within the inter-token gap that streams of short prompts allow.
-	MaxUnsplitPrefill = 120 * time.Millisecond
+	MaxUnsplitPrefill = 70 * time.Millisecond
 	// PrefillPerTarget is the maximum prefill time per replica of a split prompt.
 	PrefillPerTarget = 50 * time.Millisecond
 )
