Give back the counts of a request abandoned when it is placed

Cause: the caller gave up between the placement and its delivery; abandon ended only the prefill, so a slot and the memory of the target stayed counted, here and at the peers. Ruled out: that the attempt's own clean-up covers it, as no attempt starts. Test: TestRequestAbandonedWhenPlacedIsNotCountedAtItsTarget fails before (one request in flight, one token of memory left), passes after.

--- a/conductor/control.go
+++ b/conductor/control.go
@@ -258,8 +258,8 @@
 	return placed
 }
 
-// abandon removes a ticket from its queue. If it was placed in the meantime, its prompt
-// is no longer counted at the target.
+// abandon removes a ticket from its queue. If it was placed in the meantime, it is no
+// longer counted at its targets.
 func (c *control) abandon(t *scheduler.Ticket, placed chan scheduler.Placement) {
 	c.do(func() {
 		delete(c.placements, t.ID)
@@ -270,6 +270,9 @@
 		case p := <-placed:
 			if p.Err == nil {
 				c.scheduler.PrefillDone(t, p.Pick, 0)
+				c.scheduler.Ended(t, p.Pick)
+				c.notifySendsChanged()
+				c.deliverPlacements()
 			}
 		default:
 		}
