Refuse at once when the view of an entry is stale before a send

Cause: code 2006 before a send counted as a refusal of the target; each target was excluded in turn and the caller got 2004 instead. Test: TestStaleEntryRefusesWithoutBlamingTargets fails before (2004 after two attempts), passes after.

--- /dev/null
+++ b/conductor/fault_test.go
@@ -0,0 +1,100 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramleyshunt/chainer"
+	"bramleyshunt/coder"
+	"bramleyshunt/configurer"
+	"bramleyshunt/messenger"
+	"bramleyshunt/pooler"
+	"bramleyshunt/watcher"
+)
+
+// withTargets runs f with a Conductor before two targets of a plain service, in the time
+// of a synctest bubble.
+func withTargets(t *testing.T, exchange func(context.Context, *Attempt) error, f func(cd *Conductor)) {
+	t.Helper()
+	view := &watcher.View{
+		Version: 1,
+		Config:  &configurer.Configurer{Services: map[string]configurer.Service{"s": {Kind: "plain", MaxTimeout: 10}}},
+		Targets: []messenger.Target{{ID: "t1", Service: "s", Incarnation: 1, Slots: 4}, {ID: "t2", Service: "s", Incarnation: 1, Slots: 4}},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		cd, stop, err := New(Config{Pool: &pooler.Pooler{}, View: func() *watcher.View { return view }, Exchange: exchange})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer stop()
+		f(cd)
+	})
+}
+
+// do passes a request through the filter chain and returns it with its error.
+func do(t *testing.T, cd *Conductor, path configurer.Path) (*chainer.Request, error) {
+	t.Helper()
+	ctx, r, end, err := cd.Begin(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer end()
+	r.Config, r.Service, r.PathConfig = cd.cfg.View().Config, "s", &path
+	r.Answer = chainer.Answer{
+		SetWriteDeadline: func(time.Time) {}, Begin: func() bool { return true },
+		Chunk: func(messenger.Chunk) error { return nil }, End: func(messenger.End) error { return nil },
+	}
+	return r, cd.Do(ctx, r)
+}
+
+// Guards against a slot that stays taken: the caller gives up at the moment at which its
+// request is placed.
+func TestRequestAbandonedWhenPlacedIsNotCountedAtItsTarget(t *testing.T) {
+	withTargets(t, nil, func(cd *Conductor) {
+		r := &chainer.Request{ID: "r", Service: "s", Prompt: 1, Config: &configurer.Configurer{}}
+		ticket := newTicket(r, nil)
+		placed := cd.control.enqueue(ticket, false)
+		if n := len(cd.Sends()); n != 1 {
+			t.Fatalf("%d targets have load after the placement, want 1", n)
+		}
+		cd.control.abandon(ticket, placed)
+		if sends := cd.Sends(); len(sends) > 0 {
+			t.Errorf("load is still counted: %+v", sends)
+		}
+	})
+}
+
+// Guards against blaming targets for an entry that has lost the keepers: each was excluded
+// in turn, and the caller was told that there is no target.
+func TestStaleEntryRefusesWithoutBlamingTargets(t *testing.T) {
+	attempts := 0
+	exchange := func(context.Context, *Attempt) error {
+		attempts++
+		return &coder.Error{Code: coder.Stale, Run: coder.NotRun, Cause: errors.New("not confirmed")}
+	}
+	withTargets(t, exchange, func(cd *Conductor) {
+		_, err := do(t, cd, configurer.Path{Kind: configurer.KindSafe, MaxAttempts: 3})
+		c := coder.Of(err)
+		if c == nil || c.Code != coder.Stale || c.Run != coder.NotRun || c.Retry != notReadyRetryAfter {
+			t.Errorf("got %v, want code Stale with a retry after %s", err, notReadyRetryAfter)
+		}
+		if attempts != 1 {
+			t.Errorf("%d attempts, want 1", attempts)
+		}
+	})
+}
+
+// Guards against a run that outlasts the claim of its key: claims are kept for the longest
+// timeout of the service.
+func TestTimeoutOfPathIsBoundedByService(t *testing.T) {
+	exchange := func(context.Context, *Attempt) error { return nil }
+	withTargets(t, exchange, func(cd *Conductor) {
+		r, err := do(t, cd, configurer.Path{Kind: configurer.KindSafe, Timeout: 7200})
+		if err != nil || r.Timeout != 10*time.Second {
+			t.Errorf("timeout %s, error %v; want 10s", r.Timeout, err)
+		}
+	})
+}
--- a/conductor/retry.go
+++ b/conductor/retry.go
@@ -33,6 +33,9 @@
 	if ctx.Err() != nil {
 		return err
 	}
+	if c.Code == coder.Stale { // this process may not send, to whatever target
+		return withRetryAfter(c, notReadyRetryAfter)
+	}
 	if c.Run == coder.NotRun && c.Code != coder.Voided {
 		x.refusals++
 		x.cd.control.avoidTarget(x.blamedPick(pick), targetBackoff(c))
