Bound the timeout of a path by the longest timeout of its service

Cause: claims are kept for the service's longest timeout, or one hour; a path's timeout above it let a claim expire under a running request. Test: TestTimeoutOfPathIsBoundedByService fails before (2h0m0s), passes after.

--- a/conductor/filters.go
+++ b/conductor/filters.go
@@ -75,11 +75,11 @@
 func (cd *Conductor) setDeadline(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
 		maxTimeout := seconds(r.Spec.MaxTimeout, DefaultMaxTimeout)
-		if r.Timeout > maxTimeout {
+		if r.PathConfig == nil && r.Timeout > maxTimeout {
 			return coder.Errorf(coder.BadTimeout, "more than %s", maxTimeout)
 		}
 		if r.PathConfig != nil {
-			r.Timeout = minNonZero(r.Timeout, seconds(r.PathConfig.Timeout, DefaultTimeout))
+			r.Timeout = min(minNonZero(r.Timeout, seconds(r.PathConfig.Timeout, DefaultTimeout)), maxTimeout)
 		}
 		if r.Timeout == 0 {
 			r.Timeout = min(maxTimeout, seconds(r.Spec.Timeout, DefaultTimeout))
