Synchronize the flags of gangs that two goroutines use

Cause: answerStarted is written by each segment's goroutine and prefill by the control goroutine while the member's goroutine reads it. Both are atomic now; the check and the set of answerStarted are one step, so two last segments cannot both run.

--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"bramleyshunt/chainer"
@@ -24,7 +25,7 @@
 	done          chan error
 	segments      map[string]*segment // members that are not freed, by attempt ID
 	finishing     bool                // the answer is complete; the goroutine that writes its end sends to done
-	answerStarted bool                // the last segment of a non-idempotent request was run; accessed by runSegment only
+	answerStarted atomic.Bool         // the last segment of a non-idempotent request was run
 }
 
 // segment is the exchange with one member of a gang.
@@ -32,9 +33,9 @@
 	attempt  string
 	address  string
 	stream   *muxer.Stream
-	prefill  bool
-	exported bool   // the prefill has ended; accessed only by the goroutine of runMember
-	received uint64 // chunks of the answer
+	prefill  atomic.Bool // prefills only; the answer comes from another member
+	exported bool        // the prefill has ended; accessed only by the goroutine of runMember
+	received uint64      // chunks of the answer
 	cancel   context.CancelFunc
 }
 
@@ -152,7 +153,7 @@
 			_ = s.stream.Send(messenger.KindReserve, g.reservation(a))
 		}
 	case ganger.Run:
-		s.prefill = a.Prefill
+		s.prefill.Store(a.Prefill)
 		g.cd.wg.Go(func() { g.runSegment(s, a) })
 	}
 }
--- a/conductor/segment.go
+++ b/conductor/segment.go
@@ -106,11 +106,10 @@
 	if !g.r.NonIdempotent {
 		return nil
 	}
-	if g.answerStarted {
+	if g.answerStarted.Swap(true) {
 		g.cd.control.sendGangEvent(ganger.Event{Kind: ganger.Cancel, ID: g.r.ID})
 		return coder.Errorf(coder.OutcomeUnknown, "the first run of the answer was lost")
 	}
-	g.answerStarted = true
 	return g.cd.claims.Run(g.ctx, claimOf(g.r), a.Target)
 }
 
@@ -155,7 +154,7 @@
 	if err := msg.Decode(&c); err != nil {
 		return err
 	}
-	if c.Attempt != s.attempt || s.prefill || c.Seq <= s.received {
+	if c.Attempt != s.attempt || s.prefill.Load() || c.Seq <= s.received {
 		return nil
 	}
 	if c.Seq != s.received+1 {
@@ -193,7 +192,7 @@
 	if end.Attempt != s.attempt {
 		return nil
 	}
-	if s.prefill {
+	if s.prefill.Load() {
 		s.exported = true
 		g.cd.control.sendGangEvent(ganger.Event{Kind: ganger.Exported, Attempt: s.attempt, Export: end.Export})
 		return nil
