Let heavy prompts wait for slack while others pass them

Hypothesis: a prompt that takes half of its own gap at every target breaks more than it earns when it is placed after a short wait, and while it waits it blocks its queue. Change: heavy prompts (now from 0.5 of the gap) wait up to twice their objective; tickets of engines with a declared speed pass a waiting one, shorter ones first, charged to their accounts.

--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -121,9 +121,23 @@
 	if it == nil {
 		return nil
 	}
+	q.serve(it)
+	return it
+}
+
+// Take removes a request out of turn and charges its cost to the account. It reports
+// whether the request was waiting.
+func (q *Queuer) Take(id string) bool {
+	it := q.items[id]
+	if it != nil {
+		q.serve(it)
+	}
+	return it != nil
+}
+
+func (q *Queuer) serve(it *Item) {
 	it.flow.deficit -= it.Cost
 	q.remove(it)
-	return it
 }
 
 // Remove removes a request without serving it, so that its cost is not charged to
--- a/router/gang.go
+++ b/router/gang.go
@@ -21,10 +21,13 @@
 	gapFraction = 0.9
 	// heavyGapFraction of the prompt's own allowed gap is the longest part of a prompt that
 	// is not heavy. The remainder is left for the decode pass and for other prefill in it.
-	heavyGapFraction = 0.7
+	heavyGapFraction = 0.5
 	// queueFraction of the time-to-first-token objective may be spent waiting for targets
 	// whose streams allow the prefill. The remainder is left for the prefill itself.
 	queueFraction = 0.25
+	// heavyQueueFraction is the same for heavy prompts, which are refused after it. Callers
+	// give up at four times the objective.
+	heavyQueueFraction = 2
 	// exclusiveFraction of the time-to-first-token objective may be spent on a prefill that
 	// has idle targets to itself. The remainder is left for the time before it starts.
 	exclusiveFraction = 0.8
@@ -47,13 +50,17 @@
 // maximum time.
 func (r *Router) ShouldRefuse(req Request) bool {
 	x := r.byName[req.Service]
-	return x != nil && x.bySlots && !r.Disabled.Heavy && req.heavy(len(x.ranked)) && !req.mayWait()
+	return x != nil && x.bySlots && !r.Disabled.Heavy && req.heavy(len(x.ranked)) && !r.mayWait(req, len(x.ranked))
 }
 
-// mayWait reports whether a prompt may wait longer for targets whose streams allow its
-// prefill.
-func (rq Request) mayWait() bool {
-	return rq.MaxGap > 0 && float64(rq.QueueTime) < queueFraction*float64(rq.Objective)
+// mayWait reports whether a prompt may wait longer for targets, of n of the service,
+// whose streams allow its prefill.
+func (r *Router) mayWait(req Request, n int) bool {
+	fraction := queueFraction
+	if req.heavy(n) && !r.Disabled.Heavy {
+		fraction = heavyQueueFraction
+	}
+	return req.MaxGap > 0 && float64(req.QueueTime) < fraction*float64(req.Objective)
 }
 
 // pickGang selects targets that prefill a prompt together: those whose streams allow it
@@ -70,7 +77,7 @@
 		if p, ok := newGang(now, withinGaps(sorted, req, n), req); ok {
 			return p, true
 		}
-		if req.heavy(n) && !r.Disabled.Heavy || req.mayWait() {
+		if req.heavy(n) && !r.Disabled.Heavy || r.mayWait(req, n) {
 			return Pick{}, false
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -20,6 +20,10 @@
 // has the same limit.
 const maxGangSize = 17
 
+// maxTriedBehind bounds the tickets behind the first one of a queue that one dispatch tries
+// to place.
+const maxTriedBehind = 16
+
 // Ticket is a request that waits for a target. Prompt and Output are predicted tokens.
 type Ticket struct {
 	ID           string
@@ -202,6 +206,8 @@
 
 // Dispatch places as many waiting tickets as the targets can accept now. A queue is
 // blocked while its first ticket fits no target, so that large requests do not starve.
+// Tickets with a predicted prefill time may pass each other: their wait ends by time, and
+// a heavy one may wait for seconds.
 func (s *Scheduler) Dispatch(now time.Time) []Placement {
 	var out []Placement
 	for _, k := range s.keys {
@@ -219,7 +225,7 @@
 	for it := q.Peek(); it != nil; it = q.Peek() {
 		p, ok := s.place(now, s.waiting[it.ID])
 		if !ok {
-			break
+			return append(out, s.dispatchBehind(now, k, s.waiting[it.ID])...)
 		}
 		q.Pop()
 		delete(s.waiting, it.ID)
@@ -228,6 +234,31 @@
 	return out
 }
 
+// dispatchBehind places tickets of a queue whose first ticket fits no target, shorter
+// prompts first.
+func (s *Scheduler) dispatchBehind(now time.Time, k queueKey, first *Ticket) []Placement {
+	q := s.queues[k]
+	if first.Prefill == 0 || q.Len() == 1 {
+		return nil
+	}
+	var behind []*Ticket
+	for _, t := range s.waiting {
+		if t != first && s.key(t) == k {
+			behind = append(behind, t)
+		}
+	}
+	slices.SortFunc(behind, func(a, b *Ticket) int { return cmp.Or(cmp.Compare(a.Prompt, b.Prompt), cmp.Compare(a.ID, b.ID)) })
+	var out []Placement
+	for _, t := range behind[:min(len(behind), maxTriedBehind)] {
+		if p, ok := s.place(now, t); ok {
+			q.Take(t.ID)
+			delete(s.waiting, t.ID)
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // place attempts to place a ticket. It reports whether the ticket leaves its queue, either
 // with a target or with an error.
 func (s *Scheduler) place(now time.Time, t *Ticket) (Placement, bool) {
