--- a/queuer/queuer_test.go
+++ b/queuer/queuer_test.go
@@ -73,6 +73,16 @@
 		Expect(long).To(BeNumerically("<=", 600000))
 	})
 
+	It("charges a request that is taken out of turn", func() {
+		var q queuer.Queuer
+		push(&q, "a", 1, 1000, 100)
+		push(&q, "b", 1, 1000, 100)
+		push(&q, "a", 1, 50000, 1)
+		Expect(q.Take(fmt.Sprint("a", 0, 50000))).To(BeTrue())
+		Expect(q.Take(fmt.Sprint("a", 0, 50000))).To(BeFalse())
+		Expect(popTokens(&q, 40000)).To(HaveKeyWithValue("b", BeNumerically(">=", 39000)))
+	})
+
 	It("orders the requests of an account by priority, then by deadline", func() {
 		var q queuer.Queuer
 		epoch := time.Unix(0, 0)
--- a/router/router.go
+++ b/router/router.go
@@ -79,6 +79,7 @@
 	byName  map[string]*serviceIndex
 	history history
 	peers   map[string]peerReport // by node name of the entry
+	since   time.Time             // when the first targets were known
 }
 
 // Features selects parts of the router that a benchmark disables.
@@ -95,6 +96,8 @@
 	Pieces bool // split prompts among several targets
 	Heavy  bool // refuse heavy prompts rather than delay the streams of a target
 	Apart  bool // place long prefills beside streams whose allowed gap leaves room for them
+
+	StartDelay bool // split no prompts in the first moment after the start
 }
 
 // Report records the load that a target or its agent sent with an answer. Reports of
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -118,6 +118,32 @@
 		Expect(placed[0].Ticket.ID).To(Equal("short"))
 	})
 
+	// Guards against a heavy prompt that waits for idle targets and holds up all long ones.
+	It("places long prompts while a heavy one waits for idle targets", func() {
+		s := &scheduler.Scheduler{}
+		var targets []messenger.Target
+		for i := range 8 {
+			targets = append(targets, messenger.Target{ID: fmt.Sprint("t", i), Service: "s", Slots: 16, Incarnation: 1})
+		}
+		s.Router.Update(now.Add(-time.Second), targets)
+		long := func(id string, prefill time.Duration) *scheduler.Ticket {
+			t := ticket(id, 150000)
+			t.Prefill, t.PrefillTargets, t.Objective, t.MaxGap = prefill, 40, 3*time.Second, time.Second
+			return t
+		}
+		s.Enqueue(long("running", time.Second))
+		Expect(s.Dispatch(now)).To(HaveLen(1))
+		s.Enqueue(long("heavy", 12*time.Second))
+		s.Enqueue(long("behind", 2*time.Second))
+		placed := s.Dispatch(now)
+		Expect(placed).To(HaveLen(1))
+		Expect(placed[0].Ticket.ID).To(Equal("behind"))
+		Expect(s.Dispatch(now.Add(5 * time.Second))).To(BeEmpty())
+		refused := s.Dispatch(now.Add(6 * time.Second))
+		Expect(refused).To(HaveLen(1))
+		expectCode(refused[0].Err, coder.Overloaded)
+	})
+
 	It("ends the wait of a request that has failed at every target", func() {
 		s := newScheduler()
 		t := ticket("x", 10)
