Add losses: where callers lost time, from entries' logs

Cause: finding what binds meant reading log lines by hand; the lines lacked the path's objectives and the time of failed attempts. 'losses' counts, by length class and step of time, how requests ended and the largest part of a late first token: held, queued, waiting, prefill, or retried after silence, a refusal or a cut.

--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -63,6 +63,11 @@
 	TargetRequests int           // known requests at the target when it was picked
 	Held           time.Duration // wait for the first view after the process started
 	Queued         time.Duration // wait for a target, over all attempts
+	Wait           time.Duration // from the last placement to the first chunk that followed it
+	Prefill        time.Duration // predicted part of Wait, without other requests at the target
+	Silence        time.Duration // attempts given up because the target was silent
+	Refusal        time.Duration // attempts that did not run
+	Cut            time.Duration // other attempts that failed
 	TTFT           time.Duration // from arrival to the first chunk of the answer
 	MaxGap         time.Duration // longest gap between two chunks
 }
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -63,6 +63,8 @@
 		Entry("bench with an unknown part switched off", commander.ExitInvalid, "no part", "bench", "--site", sitePath, "--day", "calm", "--without", "Luck"),
 		Entry("bench with a part switched off", commander.ExitOK, "| ours without Fill | ", "bench", "--site", sitePath, "--day", "calm", "--without", "Fill", "--seeds", "1"),
 		Entry("platform check of a missing file", commander.ExitInvalid, "none", "platform", "check", "none"),
+		Entry("losses of a missing file", commander.ExitInvalid, "none", "losses", "none"),
+		Entry("losses with an invalid step", commander.ExitInvalid, "invalid argument", "losses", "--step", "x"),
 		Entry("completion", commander.ExitOK, "bash completion", "completion", "bash"),
 	)
 
@@ -76,6 +78,13 @@
 		Entry("truncated JSON", "{", ":1:"),
 	)
 
+	It("shows where callers lost time in logs", func() {
+		first := writeTemp("a.log", `12.5 entry-1 {"msg":"request answered","time":"2026-12-04T10:00:01.000Z","ms":900,"prompt":5000,"objective":300,"first":800,"held":600}`)
+		second := writeTemp("b.log", `{"msg":"request failed","time":"2026-12-04T10:00:01.500Z","ms":0,"prompt":1,"code":2003,"run":"not-run"}`+"\nnoise\n")
+		expectRun([]string{"losses", first, second}, commander.ExitOK, "2 requests, 1 other lines")
+		expectRun([]string{"losses", "--json", first}, commander.ExitOK, `"held": 1`)
+	})
+
 	It("rejects a fleet key that is too short", func() {
 		path := writeTemp("s.json", `{"node": "a", "roles": ["entry"], "key": "`+writeTemp("key", "short")+`"}`)
 		expectRun([]string{"run", "--settings", path}, commander.ExitInvalid, "fleet key of 5 bytes")
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -65,11 +65,13 @@
 		}
 		x.attempts++
 		x.r.Trace.Attempts, x.r.Trace.Target, x.r.Trace.Helpers, x.r.Trace.TargetRequests = x.attempts, pick.Target.ID, len(pick.Helpers), pick.Running
+		since := x.cd.cfg.Now()
 		err = x.attempt(ctx, pick)
 		x.clearSuspect()
 		if err == nil {
 			return nil
 		}
+		x.traceFailure(coder.Of(err), x.cd.cfg.Now().Sub(since))
 		if c := coder.Of(err); c.Run != coder.NotRun {
 			x.lastFailure = c
 		}
@@ -79,6 +81,21 @@
 	}
 }
 
+// traceFailure adds the time of an attempt that failed before the first chunk to the
+// trace, by the kind of failure.
+func (x *execution) traceFailure(c *coder.Error, took time.Duration) {
+	t := &x.r.Trace
+	switch {
+	case x.gotChunk:
+	case c.Code == coder.Silent:
+		t.Silence += took
+	case c.Run == coder.NotRun:
+		t.Refusal += took
+	default:
+		t.Cut += took
+	}
+}
+
 // outcome returns the error to report to the caller. After an attempt that may have
 // run, it never states that the request did not run.
 func (x *execution) outcome(err error) error {
@@ -157,6 +174,7 @@
 		return coder.Errorf(coder.Internal, "an earlier attempt has already sent part of its answer")
 	}
 	prefilling, placed := true, x.cd.cfg.Now()
+	x.r.Trace.Prefill = x.ticket.Prefill / time.Duration(1+len(pick.Helpers))
 	started := func(after time.Duration) {
 		if prefilling {
 			prefilling = false
@@ -169,6 +187,9 @@
 		ID: fmt.Sprintf("%s-%d", x.r.ID, x.attempts), Request: x.r, Target: pick.Target, Helpers: pick.Helpers,
 		Remaining: x.remaining(), LastEventID: x.r.LastEventID,
 		Emit: func(c messenger.Chunk) error {
+			if !x.gotChunk {
+				x.r.Trace.Wait = x.cd.cfg.Now().Sub(placed)
+			}
 			started(x.cd.cfg.Now().Sub(placed))
 			x.observeChunk()
 			return x.r.Answer.Chunk(c)
