Switch off parts of the policy by name, on the platform and in bench

Left out, as rules rest on them: quarantine, the entries' shares of the retry budget, the bound on staleness, claims. TestFleetParts checks the same parts as before and those added.

--- a/bencher/fleet.go
+++ b/bencher/fleet.go
@@ -4,17 +4,16 @@
 	"math/rand/v2"
 	"time"
 
-	"bramleyshunt/router"
+	"bramleyshunt/switcher"
 )
 
 // Fleet simulates one run of a site: the production decision logic of its entries in
 // front of the engines modelled by package passer.
 type Fleet struct {
-	Site      Site
-	Kind      Kind
-	Seed      uint64
-	Disabled  router.Features
-	NoSharing bool // entries do not report their requests in flight to each other
+	Site     Site
+	Kind     Kind
+	Seed     uint64
+	Disabled switcher.Switcher // parts of the policy that are switched off
 
 	loop
 	rnd        *rand.Rand
--- a/bencher/fleet_test.go
+++ b/bencher/fleet_test.go
@@ -6,7 +6,7 @@
 
 	"bramleyshunt/bencher"
 	"bramleyshunt/configurer"
-	"bramleyshunt/router"
+	"bramleyshunt/switcher"
 )
 
 // phasedSite returns a site with alternating phases of mostly long and mostly short prompts.
@@ -72,16 +72,17 @@
 // in flight between entries, does not increase the worth earned.
 func TestFleetParts(t *testing.T) {
 	ours := runFleetSeeds(bencher.Fleet{}).Worth()
-	for name, parts := range map[string]router.Features{
-		"Fill": {Fill: true}, "Pieces": {Pieces: true}, "Heavy": {Heavy: true}, "Apart": {Apart: true},
+	for _, p := range []switcher.Part{
+		switcher.FirstFit, switcher.SplitPrefill, switcher.RefuseHeavy, switcher.KeepApart, switcher.PassWaiting, switcher.ShareCounts,
 	} {
-		t.Run(name, func(t *testing.T) {
-			atLeast(t, "worth of the policy in force", ours, runFleetSeeds(bencher.Fleet{Disabled: parts}).Worth())
+		t.Run(p.String(), func(t *testing.T) {
+			disabled, err := switcher.Parse([]string{p.String()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			atLeast(t, "worth of the policy in force", ours, runFleetSeeds(bencher.Fleet{Disabled: disabled}).Worth())
 		})
 	}
-	t.Run("entries do not share sends", func(t *testing.T) {
-		atLeast(t, "worth of the policy in force", ours, runFleetSeeds(bencher.Fleet{NoSharing: true}).Worth())
-	})
 }
 
 // TestFleetRepeats checks that runs with the same seeds are identical.
--- a/bencher/fleetentry.go
+++ b/bencher/fleetentry.go
@@ -13,6 +13,7 @@
 	"bramleyshunt/router"
 	"bramleyshunt/scheduler"
 	"bramleyshunt/sharer"
+	"bramleyshunt/switcher"
 )
 
 // maxAttempts limits the targets that a call is sent to.
@@ -38,7 +39,8 @@
 		f: f, name: fmt.Sprint("e", i), rotation: i, pending: map[*scheduler.Ticket]*call{}, inFlight: map[*node]int{},
 		scheduler: scheduler.Scheduler{
 			Admitter: admitter.Admitter{Seed: seed},
-			Router:   router.Router{Seed: seed, Disabled: f.Disabled},
+			Router:   router.Router{Seed: seed, Disabled: f.Disabled.Router()},
+			Disabled: f.Disabled.Scheduler(),
 		},
 	}
 	e.scheduler.Router.Update(f.now, f.targets())
@@ -158,7 +160,7 @@
 // shareSends reports this entry's requests in flight to the other entries, as package
 // sharer does: after a change, at most once per sharer.MinInterval.
 func (e *fleetEntry) shareSends() {
-	if e.f.NoSharing {
+	if e.f.Disabled.Off(switcher.ShareCounts) {
 		return
 	}
 	if e.throttled {
--- a/commander/bench.go
+++ b/commander/bench.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"reflect"
 	"strings"
 
 	"github.com/sourcegraph/conc/iter"
@@ -10,7 +9,7 @@
 
 	"bramleyshunt/bencher"
 	"bramleyshunt/platform"
-	"bramleyshunt/router"
+	"bramleyshunt/switcher"
 )
 
 // benchFlags holds the flags of the bench command.
@@ -31,9 +30,13 @@
 		Long: `Plays the streams of one day of a site in virtual time, with the deciders of its
 entries before engines that work in passes, and prints one line of a table a
 policy, over all seeds. "ours" is the policy in force; the others are baselines.
---without adds lines of "ours" with one part switched off each.`,
+--without adds lines of "ours" with one part switched off each. Parts that concern starts,
+silent targets or keepers change nothing here, as no faults are played.
+
+Parts:
+` + switcher.Help(),
 		Example: `  bramleyshunt bench --site site.toml --policy ours,round-robin --seeds 1,2,3
-  bramleyshunt bench --site site.toml --policy ours --without Fill,Pieces,Heavy,Apart`,
+  bramleyshunt bench --site site.toml --policy ours --without first-fit,split-prefill`,
 		Args: exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error { return bench(cmd, f) },
 	}
@@ -85,22 +88,11 @@
 		out = append(out, trial{name: name, fleet: bencher.Fleet{Site: site, Kind: kind}})
 	}
 	for _, name := range f.without {
-		parts, err := disableFeature(name)
+		disabled, err := switcher.Parse([]string{name})
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, trial{name: "ours without " + name, fleet: bencher.Fleet{Site: site, Disabled: parts}})
+		out = append(out, trial{name: "ours without " + name, fleet: bencher.Fleet{Site: site, Disabled: disabled}})
 	}
 	return out, nil
 }
-
-// disableFeature returns router features with the named one switched off.
-func disableFeature(name string) (router.Features, error) {
-	var parts router.Features
-	field := reflect.ValueOf(&parts).Elem().FieldByName(name)
-	if !field.IsValid() {
-		return parts, fmt.Errorf("the policy has no part %q", name)
-	}
-	field.SetBool(true)
-	return parts, nil
-}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -23,6 +23,7 @@
 	"bramleyshunt/messenger"
 	"bramleyshunt/pooler"
 	"bramleyshunt/setter"
+	"bramleyshunt/switcher"
 	"bramleyshunt/watcher"
 )
 
@@ -46,6 +47,7 @@
 	BodyTimeout    time.Duration                                                    // for receiving a request body; DefaultBodyTimeout if zero
 	MaxRetryBudget func(*watcher.View) float64                                      // max retry budget of a service in this process; the retrier's default if nil or zero
 	Allocator      *allocator.Allocator                                             // reserves memory at helpers; required with Exchange
+	Disabled       switcher.Switcher                                                // parts of the policy that are switched off
 	SendsChanged   func()                                                           // called when the result of Sends has changed; may be nil
 	Log            *logrus.Entry
 	Metrics        metrics.Registry
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -63,7 +63,8 @@
 		segments:   map[string]*segment{},
 		scheduler: scheduler.Scheduler{
 			Admitter: admitter.Admitter{Seed: cfg.Seed},
-			Router:   router.Router{Seed: cfg.Seed},
+			Router:   router.Router{Seed: cfg.Seed, Disabled: cfg.Disabled.Router()},
+			Disabled: cfg.Disabled.Scheduler(),
 		},
 	}
 	stop := make(chan struct{})
--- a/conductor/ready.go
+++ b/conductor/ready.go
@@ -6,6 +6,7 @@
 
 	"bramleyshunt/replicator"
 	"bramleyshunt/sleeper"
+	"bramleyshunt/switcher"
 )
 
 const (
@@ -29,7 +30,7 @@
 // AwaitReady returns the error of Ready. Zero remaining time means unknown.
 func (cd *Conductor) AwaitReady(ctx context.Context, remaining time.Duration) error {
 	err := cd.Ready()
-	if err == nil || !cd.starting() {
+	if err == nil || !cd.starting() || cd.cfg.Disabled.Off(switcher.HoldAtStart) {
 		return err
 	}
 	if cd.heldRequests.Add(1) > maxHeldRequests {
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -16,6 +16,7 @@
 	"bramleyshunt/predictor"
 	"bramleyshunt/router"
 	"bramleyshunt/scheduler"
+	"bramleyshunt/switcher"
 )
 
 const (
@@ -225,7 +226,7 @@
 // streams that another target can resume are bounded.
 func (x *execution) timeouts() (first, idle time.Duration) {
 	path := x.r.PathConfig
-	if path == nil || !path.Resume {
+	if path == nil || !path.Resume || x.cd.cfg.Disabled.Off(switcher.GiveUpSilent) {
 		return 0, 0
 	}
 	prefill := predictor.Predictor{Engine: x.r.Spec.Engine}.Prefill(x.r.Prompt, 1)
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -46,7 +46,9 @@
 	Address string                    // of this keeper, as in Members
 
 	// Exclusive reports whether two live targets never share an address.
-	Exclusive       bool
+	Exclusive bool
+	// ForgetTargets keeps recorded targets from being restored.
+	ForgetTargets   bool
 	ConfirmInterval time.Duration // longest time between confirmation rounds; DefaultConfirmInterval if zero
 	Log             *logrus.Entry
 	Metrics         metrics.Registry
--- a/publisher/remember.go
+++ b/publisher/remember.go
@@ -32,6 +32,9 @@
 		return
 	}
 	p.restored = true
+	if p.cfg.ForgetTargets {
+		return
+	}
 	recorded := p.cfg.Applier.Targets()
 	for _, t := range recorded {
 		if err := p.leases.Restore(p.cfg.Now(), t); err != nil {
--- a/router/slots.go
+++ b/router/slots.go
@@ -151,7 +151,7 @@
 // before they receive each other's reports; they select the less loaded of two random
 // targets among as many as are needed, plus some spare ones.
 func (r *Router) pickFirstFit(now time.Time, open []*targetState) Pick {
-	if spare := len(r.peers) / peersPerSpareTarget; spare > 0 {
+	if spare := len(r.peers) / peersPerSpareTarget; spare > 0 && !r.Disabled.Spare {
 		candidates := slices.DeleteFunc(slices.Clone(open[:min(len(open), targetsNeeded(open)+spare)]), func(s *targetState) bool { return !s.acceptsUnsplit(now) })
 		if len(candidates) > 0 {
 			return r.pickOfTwo(now, candidates)
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -26,6 +26,7 @@
 	"bramleyshunt/setter"
 	"bramleyshunt/sharer"
 	"bramleyshunt/sleeper"
+	"bramleyshunt/switcher"
 	"bramleyshunt/watcher"
 )
 
@@ -63,8 +64,8 @@
 	p, closer, err := publisher.New(publisher.Config{
 		Applier: a, Propose: k.Propose, Confirm: k.Confirm, Pool: r.pool,
 		Leader: func() string { return k.Status().Address }, Members: r.keeperMembers, Address: s.Listen,
-		Exclusive: s.Direct,
-		Log:       r.cfg.Log, Metrics: r.cfg.Metrics,
+		Exclusive: s.Direct, ForgetTargets: r.cfg.Disabled.Off(switcher.RememberTargets),
+		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
 	if err != nil {
 		return fmt.Errorf("publisher: %w", err)
@@ -154,7 +155,8 @@
 		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
 		View:  r.watcher.View,
 		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, MaxRetryBudget: r.maxRetryBudget, Seed: rand.Uint64(),
-		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
+		Disabled: r.cfg.Disabled,
+		Log:      r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
@@ -170,10 +172,14 @@
 // startSharer starts the sharer, which reports the requests that this entry has in
 // flight to the other entries.
 func (r *Runner) startSharer() {
-	s, closer := sharer.New(sharer.Config{
+	cfg := sharer.Config{
 		Node: r.cfg.Settings.Node, Address: r.cfg.Settings.Listen, Pool: r.pool, Peers: r.liveEntries,
 		Sends: r.Entry.Sends, Record: r.Entry.RecordSends, Keepers: r.keeperAddresses, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
-	})
+	}
+	if r.cfg.Disabled.Off(switcher.ShareCounts) { // entries still count each other, to divide the retries
+		cfg.Sends, cfg.Record = func() []messenger.Sent { return nil }, func(string, []messenger.Sent) {}
+	}
+	s, closer := sharer.New(cfg)
 	r.sharer.Store(s)
 	r.onClose(closer)
 	r.handlers = append(r.handlers, s.Handle)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -34,6 +34,7 @@
 	"bramleyshunt/recorder"
 	"bramleyshunt/setter"
 	"bramleyshunt/sharer"
+	"bramleyshunt/switcher"
 	"bramleyshunt/watcher"
 )
 
@@ -52,6 +53,7 @@
 	FleetRetryBudget float64                                               // maximum unused retries of a service, divided among all entries; each entry uses retrier.DefaultMaxBudget if zero
 	Files            recorder.Files                                        // file system of the keeper; that of the operating system if zero
 	StaleAfter       time.Duration                                         // how long a view is valid without a confirmation; watcher.DefaultStaleAfter if zero
+	Disabled         switcher.Switcher                                     // parts of the policy that are switched off
 	ElectionTimeout  time.Duration                                         // minimum time without a leader before an election; replicator.DefaultElectionTimeout if zero
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,6 +66,7 @@
 type Scheduler struct {
 	Admitter admitter.Admitter
 	Router   router.Router
+	Disabled Features // disabled for ablation benchmarks
 
 	queues    map[queueKey]*queuer.Queuer
 	keys      []queueKey // keys of queues, shorter classes first
@@ -74,6 +75,12 @@
 	drains    map[queueKey]*drainMeter
 }
 
+// Features selects parts of the scheduler that a benchmark disables.
+type Features struct {
+	PassWaiting bool // place requests behind one that waits for targets
+	RefuseLate  bool // refuse requests that are predicted to miss their deadline
+}
+
 // queueKey identifies one queue. Length classes have separate queues, so that a longer
 // prompt that waits for memory does not block shorter ones. Long and Huge share a queue,
 // as Long prompts would otherwise starve Huge ones.
@@ -106,6 +113,9 @@
 	if t.Prefill == 0 && s.ExceedsTarget(t) {
 		return coder.Errorf(coder.PromptTooLong, "about %d tokens, engine memory for %d", t.Prompt+t.Output, total.MaxMemory)
 	}
+	if s.Disabled.RefuseLate {
+		return nil
+	}
 	req := s.predictRequest(t, total)
 	req.Remaining = t.Deadline.Sub(now)
 	req.Wait = s.predictWait(now, t, k, total)
@@ -238,7 +248,7 @@
 // prompts first.
 func (s *Scheduler) dispatchBehind(now time.Time, k queueKey, first *Ticket) []Placement {
 	q := s.queues[k]
-	if first.Prefill == 0 || q.Len() == 1 {
+	if first.Prefill == 0 || q.Len() == 1 || s.Disabled.PassWaiting {
 		return nil
 	}
 	var behind []*Ticket
