Earn retries at the ratio of the platform's settings

Cause: the settings' ratio was read and not used; requests earned a tenth of a retry each, whatever the deployment allows. A lower bound than that would have been broken, a higher one was left unused. The ratio in retrier.Failure was never read and goes.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -45,6 +45,7 @@
 	ReserveTimeout time.Duration                                                    // for the answer to a reservation; the dispatcher's default if zero
 	Exchange       func(ctx context.Context, a *Attempt) error                      // runs an attempt; nil runs it through the target's agent
 	BodyTimeout    time.Duration                                                    // for receiving a request body; DefaultBodyTimeout if zero
+	RetryRatio     float64                                                          // retries that a request earns its service if the configuration sets none; the retrier's default if zero
 	MaxRetryBudget func(*watcher.View) float64                                      // max retry budget of a service in this process; the retrier's default if nil or zero
 	Allocator      *allocator.Allocator                                             // reserves memory at helpers; required with Exchange
 	Disabled       switcher.Switcher                                                // parts of the policy that are switched off
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -183,7 +184,7 @@
 			err = c.scheduler.Admit(c.cfg.Now(), newTicket(r, nil))
 		}
 		if err == nil {
-			c.retrier.RecordRequest(r.Service, r.Config.Limits.Retries)
+			c.retrier.RecordRequest(r.Service, cmp.Or(r.Config.Limits.Retries, c.cfg.RetryRatio))
 		}
 	})
 	return err
--- a/conductor/fault_test.go
+++ b/conductor/fault_test.go
@@ -16,8 +16,8 @@
 )
 
 // withTargets runs f with a Conductor before two targets of a plain service, in the time
-// of a synctest bubble.
-func withTargets(t *testing.T, exchange func(context.Context, *Attempt) error, f func(cd *Conductor)) {
+// of a synctest bubble. Further fields of cfg are kept.
+func withTargets(t *testing.T, cfg Config, f func(cd *Conductor)) {
 	t.Helper()
 	view := &watcher.View{
 		Version: 1,
@@ -25,7 +25,8 @@
 		Targets: []messenger.Target{{ID: "t1", Service: "s", Incarnation: 1, Slots: 4}, {ID: "t2", Service: "s", Incarnation: 1, Slots: 4}},
 	}
 	synctest.Test(t, func(t *testing.T) {
-		cd, stop, err := New(Config{Pool: &pooler.Pooler{}, View: func() *watcher.View { return view }, Exchange: exchange})
+		cfg.Pool, cfg.View = &pooler.Pooler{}, func() *watcher.View { return view }
+		cd, stop, err := New(cfg)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -53,7 +54,7 @@
 // Guards against a slot that stays taken: the caller gives up at the moment at which its
 // request is placed.
 func TestRequestAbandonedWhenPlacedIsNotCountedAtItsTarget(t *testing.T) {
-	withTargets(t, nil, func(cd *Conductor) {
+	withTargets(t, Config{}, func(cd *Conductor) {
 		r := &chainer.Request{ID: "r", Service: "s", Prompt: 1, Config: &configurer.Configurer{}}
 		ticket := newTicket(r, nil)
 		placed := cd.control.enqueue(ticket, false)
@@ -75,7 +76,7 @@
 		attempts++
 		return &coder.Error{Code: coder.Stale, Run: coder.NotRun, Cause: errors.New("not confirmed")}
 	}
-	withTargets(t, exchange, func(cd *Conductor) {
+	withTargets(t, Config{Exchange: exchange}, func(cd *Conductor) {
 		_, err := do(t, cd, configurer.Path{Kind: configurer.KindSafe, MaxAttempts: 3})
 		c := coder.Of(err)
 		if c == nil || c.Code != coder.Stale || c.Run != coder.NotRun || c.Retry != notReadyRetryAfter {
@@ -91,10 +92,33 @@
 // timeout of the service.
 func TestTimeoutOfPathIsBoundedByService(t *testing.T) {
 	exchange := func(context.Context, *Attempt) error { return nil }
-	withTargets(t, exchange, func(cd *Conductor) {
+	withTargets(t, Config{Exchange: exchange}, func(cd *Conductor) {
 		r, err := do(t, cd, configurer.Path{Kind: configurer.KindSafe, Timeout: 7200})
 		if err != nil || r.Timeout != 10*time.Second {
 			t.Errorf("timeout %s, error %v; want 10s", r.Timeout, err)
 		}
 	})
 }
+
+// Guards against a retry ratio of the settings that is ignored: the default may exceed it.
+func TestRetriesAreEarnedAtRatioOfSettings(t *testing.T) {
+	const requests = 20
+	for ratio, want := range map[float64]int{0.05: 1, 0.5: 10} {
+		attempts := 0
+		exchange := func(context.Context, *Attempt) error {
+			attempts++
+			return &coder.Error{Code: coder.EngineFailed, Run: coder.Ran}
+		}
+		cfg := Config{Exchange: exchange, RetryRatio: ratio, MaxRetryBudget: func(*watcher.View) float64 { return 1 }}
+		withTargets(t, cfg, func(cd *Conductor) {
+			for range requests {
+				if _, err := do(t, cd, configurer.Path{Kind: configurer.KindSafe, MaxAttempts: 2}); err == nil {
+					t.Fatal("a request succeeded at a failing target")
+				}
+			}
+		})
+		if retries := attempts - requests; retries < want || retries > want+1 {
+			t.Errorf("%d retries of %d requests at ratio %g, want %d and the initial one", retries, requests, ratio, want)
+		}
+	}
+}
--- a/conductor/retry.go
+++ b/conductor/retry.go
@@ -69,7 +69,7 @@
 func (x *execution) retryCase(err error) retrier.Failure {
 	return retrier.Failure{
 		Service: x.r.Service, Err: err, NonIdempotent: x.r.NonIdempotent, Attempts: x.attempts, Remaining: x.remaining(),
-		RetryRatio: x.r.Config.Limits.Retries, MaxAttempts: x.maxAttempts(),
+		MaxAttempts: x.maxAttempts(),
 	}
 }
 
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -32,7 +32,6 @@
 	Reserved      bool          // Reserve has already charged the retry to the budget
 	Attempts      int           // attempts made so far
 	Remaining     time.Duration // time until the deadline
-	RetryRatio    float64       // retries earned per request; DefaultRetryRatio if not positive
 	MaxAttempts   int           // capped at maxAttempts, which also applies if not positive
 }
 
