Play a restart of all entries in bench, weigh prompts by size, rank by worst windows

Cause: what follows a restart of everything could not be ranked in virtual time, and a long prompt counted like a short one of its kind, which favoured refusing the longest. The table has the worth of the two worst windows of two seconds.

--- a/bencher/fleet.go
+++ b/bencher/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bramleyshunt/switcher"
@@ -10,16 +11,19 @@
 // Fleet simulates one run of a site: the production decision logic of its entries in
 // front of the engines modelled by package passer.
 type Fleet struct {
-	Site     Site
-	Kind     Kind
-	Seed     uint64
-	Disabled switcher.Switcher // parts of the policy that are switched off
+	Site      Site
+	Kind      Kind
+	Seed      uint64
+	Disabled  switcher.Switcher // parts of the policy that are switched off
+	RestartAt time.Duration     // when all entries are killed; never if zero
 
 	loop
 	rnd        *rand.Rand
 	entries    []*fleetEntry
 	nodes      []*node
-	unfinished int // number of calls without an outcome
+	calls      []*call   // including those that continue calls cut off by a restart
+	upAt       time.Time // when the entries have restarted
+	unfinished int       // number of calls without an outcome
 }
 
 // call is one request of a caller and its outcome.
@@ -36,11 +40,13 @@
 	node      *node
 	retries   int // of the caller
 	done      bool
+	cut       bool          // by a restart of the entries; another call continues it
 	complete  bool          // the whole answer was received
 	refused   bool          // the latest attempt was refused
 	ttft      time.Duration // to the first event, since arrival; zero if none
 	maxGap    time.Duration // longest gap between two events
 	lastEvent time.Time     // time of the latest event, or of the arrival
+	emitted   int           // events received
 }
 
 const (
@@ -66,20 +72,31 @@
 	for i := range f.Site.Entries {
 		f.entries = append(f.entries, newFleetEntry(f, i))
 	}
-	calls := f.Site.drawCalls(f.Seed)
-	f.unfinished = len(calls)
-	for _, c := range calls {
+	f.calls = f.Site.drawCalls(f.Seed)
+	f.unfinished = len(f.calls)
+	for _, c := range f.calls {
 		f.after(c.at, func() { f.arrive(c) })
 	}
+	if f.RestartAt > 0 {
+		f.after(f.RestartAt, f.restart)
+	}
 	for f.unfinished > 0 {
 		f.runNext()
 	}
-	return &FleetResult{Site: f.Site, calls: calls}
+	calls := slices.DeleteFunc(f.calls, func(c *call) bool { return c.cut })
+	return &FleetResult{Site: f.Site, calls: calls, runs: [][]*call{calls}}
 }
 
-// arrive sends a new call to a random entry.
+// arrive sends a new call to a random entry. While the entries are down, the caller tries
+// again until they are back.
 func (f *Fleet) arrive(c *call) {
-	c.lastEvent = f.now
+	if f.now.Before(f.upAt) {
+		f.after(f.upAt.Sub(f.now)+f.returnDelay(), func() { f.arrive(c) })
+		return
+	}
+	if c.lastEvent.IsZero() {
+		c.lastEvent = f.now
+	}
 	c.entry = f.entries[f.rnd.IntN(len(f.entries))]
 	c.entry.arrive(c)
 	f.watchCaller(c)
@@ -148,6 +165,7 @@
 		c.maxGap = max(c.maxGap, f.now.Sub(c.lastEvent))
 	}
 	c.lastEvent = f.now
+	c.emitted++
 }
 
 // recordComplete finishes a call whose answer is complete.
--- a/bencher/fleetentry.go
+++ b/bencher/fleetentry.go
@@ -26,6 +26,7 @@
 	name      string
 	scheduler scheduler.Scheduler
 	pending   map[*scheduler.Ticket]*call
+	killed    bool          // by a restart
 	ticking   bool          // a tick is scheduled
 	throttled bool          // sharer.MinInterval has not passed since the latest message to peers
 	changed   bool          // requests in flight have changed since that message
@@ -160,7 +161,7 @@
 // shareSends reports this entry's requests in flight to the other entries, as package
 // sharer does: after a change, at most once per sharer.MinInterval.
 func (e *fleetEntry) shareSends() {
-	if e.f.Disabled.Off(switcher.ShareCounts) {
+	if e.killed || e.f.Disabled.Off(switcher.ShareCounts) {
 		return
 	}
 	if e.throttled {
--- a/bencher/fleetresult.go
+++ b/bencher/fleetresult.go
@@ -11,10 +11,14 @@
 type FleetResult struct {
 	Site  Site
 	calls []*call
+	runs  [][]*call // calls by run
 }
 
-// Add appends the calls of another run.
-func (r *FleetResult) Add(o *FleetResult) { r.calls = append(r.calls, o.calls...) }
+// Add appends the calls of another result.
+func (r *FleetResult) Add(o *FleetResult) {
+	r.calls = append(r.calls, o.calls...)
+	r.runs = append(r.runs, o.runs...)
+}
 
 // Worth returns the earned fraction of the total worth of all calls. An answer that is
 // complete but misses an objective earns Traffic.LateWorth.
@@ -30,20 +34,57 @@
 func (r *FleetResult) worth(keep func(*call) bool) float64 {
 	earned, all := 0.0, 0.0
 	for _, c := range r.calls {
-		if !keep(c) {
-			continue
-		}
-		all += c.traffic.Worth
-		switch {
-		case c.inTime():
-			earned += c.traffic.Worth
-		case c.complete:
-			earned += c.traffic.LateWorth
+		if keep(c) {
+			earned += c.earned()
+			all += c.worth()
 		}
 	}
 	return earned / max(all, 1)
 }
 
+// worth returns the worth of the call if it is answered in time.
+func (c *call) worth() float64 { return c.traffic.Worth * c.traffic.sizeFactor(c.prompt) }
+
+// earned returns the worth that the call's outcome earns.
+func (c *call) earned() float64 {
+	switch {
+	case c.inTime():
+		return c.worth()
+	case c.complete:
+		return c.traffic.LateWorth * c.traffic.sizeFactor(c.prompt)
+	default:
+		return 0
+	}
+}
+
+const (
+	windowLength = 2 * time.Second
+	worstWindows = 2 // number of windows that WorstWindows averages
+)
+
+// WorstWindows returns the mean, over the runs, of the fraction of the worth that is earned
+// in the worst windows of a run, by arrival.
+func (r *FleetResult) WorstWindows() float64 {
+	sum := 0.0
+	for _, calls := range r.runs {
+		earned, all := map[time.Duration]float64{}, map[time.Duration]float64{}
+		for _, c := range calls {
+			earned[c.at/windowLength] += c.earned()
+			all[c.at/windowLength] += c.worth()
+		}
+		var shares []float64
+		for w := range all {
+			shares = append(shares, earned[w]/all[w])
+		}
+		slices.Sort(shares)
+		n := min(worstWindows, len(shares))
+		for _, s := range shares[:n] {
+			sum += s / float64(n*len(r.runs))
+		}
+	}
+	return sum
+}
+
 // inTime reports whether the answer is complete and met both objectives.
 func (c *call) inTime() bool {
 	return c.complete && c.ttft <= c.traffic.Objective && c.maxGap <= c.traffic.MaxGap
@@ -90,7 +131,7 @@
 // Row returns a row of a Markdown table. Times are in milliseconds, shares in percent.
 func (r *FleetResult) Row(name string) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "| %s | %.3f |", name, r.Worth())
+	fmt.Fprintf(&b, "| %s | %.3f | %.3f |", name, r.Worth(), r.WorstWindows())
 	for k := range r.Site.Traffic {
 		fmt.Fprintf(&b, " %.0f | %d, %d | %d, %d | %.0f, %.0f, %.1f |", 100*r.share(k, (*call).inTime),
 			r.TTFT(k, 0.5).Milliseconds(), r.TTFT(k, 0.95).Milliseconds(),
@@ -105,10 +146,10 @@
 // TableHeader returns the header of the table that FleetResult.Row fills.
 func (s Site) TableHeader() string {
 	var b strings.Builder
-	b.WriteString("| policy | worth |")
+	b.WriteString("| policy | worth | worst windows |")
 	for _, t := range s.Traffic {
 		fmt.Fprintf(&b, " %s in time %% | first p50, p95 ms | pause p50, p95 ms | late first, late pause, not served %% |", t.Name)
 	}
-	b.WriteString("\n|" + strings.Repeat("---|", 2+4*len(s.Traffic)))
+	b.WriteString("\n|" + strings.Repeat("---|", 3+4*len(s.Traffic)))
 	return b.String()
 }
--- a/bencher/site.go
+++ b/bencher/site.go
@@ -32,8 +32,19 @@
 	Objective time.Duration // for the time to the first event
 	MaxGap    time.Duration // objective for the longest gap between events
 	Timeout   time.Duration
-	Worth     float64 // of an answer that meets both objectives
+	Worth     float64 // of an answer to a mean prompt that meets both objectives
 	LateWorth float64 // of a complete answer that misses one
+	SizeShare float64 // part of both that grows with the prompt, in proportion to the mean one
+	MaxSize   float64 // bounds the factor by which a long prompt is worth more; no bound if zero
+}
+
+// sizeFactor returns the worth of an answer to a prompt, relative to that of the mean one.
+func (t Traffic) sizeFactor(prompt int) float64 {
+	x := 1 - t.SizeShare + t.SizeShare*float64(prompt)/t.Prompt.Mean
+	if t.MaxSize > 0 {
+		x = min(x, t.MaxSize)
+	}
+	return x
 }
 
 // Spread is a log-normal distribution whose values are capped at Max if Max is positive.
--- a/commander/bench.go
+++ b/commander/bench.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/sourcegraph/conc/iter"
 	"github.com/spf13/cobra"
@@ -18,6 +19,8 @@
 	day      string
 	policies []string
 	without  []string
+	restart  time.Duration
+	targets  int
 	seeds    []uint
 	jobs     int
 }
@@ -45,6 +48,8 @@
 	flags.StringVar(&f.day, "day", "quiet-1", "day of the site; its bursts are played, no other trouble")
 	flags.StringSliceVar(&f.policies, "policy", bencher.Policies(), "policies, separated by commas")
 	flags.StringSliceVar(&f.without, "without", nil, "parts of the policy to switch off, one a line")
+	flags.DurationVar(&f.restart, "restart", 0, "when all entries restart; never if zero")
+	flags.IntVar(&f.targets, "targets", 0, "number of targets; that of the site if zero")
 	flags.UintSliceVar(&f.seeds, "seeds", []uint{1, 2, 3, 4}, "seeds of the traffic")
 	flags.IntVar(&f.jobs, "jobs", 2, "runs at once")
 	return cmd
@@ -61,6 +66,9 @@
 	if err != nil {
 		return invalid(err)
 	}
+	if f.targets > 0 {
+		site.Targets = f.targets
+	}
 	trials, err := f.trials(site)
 	if err != nil {
 		return invalid(err)
@@ -69,7 +77,7 @@
 		all := &bencher.FleetResult{Site: site}
 		for _, seed := range f.seeds {
 			x := t.fleet
-			x.Seed = uint64(seed)
+			x.Seed, x.RestartAt = uint64(seed), f.restart
 			all.Add(x.Run())
 		}
 		return all.Row(t.name)
