--- a/router/gang.go
+++ b/router/gang.go
@@ -81,7 +81,7 @@
 	if req.MaxGap > 0 && !r.Disabled.Apart {
 		sorted := slices.Clone(open)
 		slices.SortStableFunc(sorted, byPendingPrefill)
-		if p, ok := newGang(now, withinGaps(sorted, req, n), req); ok {
+		if p, ok := r.newGang(now, open, withinGaps(sorted, req, n), req); ok {
 			return p, true
 		}
 		if req.heavy(n) && !r.Disabled.Heavy || r.mayWait(req, n) {
@@ -95,7 +95,7 @@
 	slices.SortStableFunc(set, byPendingPrefill)
 	most := min(len(set), maxPrefillTargets)
 	for k := min(most, req.PrefillTargets); k <= most; k++ { // the shorter the parts, the shorter the delay of each stream
-		if p, ok := newGang(now, set[:k], req); ok {
+		if p, ok := r.newGang(now, open, set[:k], req); ok {
 			return p, true
 		}
 	}
@@ -185,16 +185,23 @@
 	return req.prefillBudget(shorterGap(gap, req.MaxGap)) - s.pendingPrefill()
 }
 
-// newGang assigns the prefill and the memory of a prompt to a set of targets. The first
-// target is the one with the least reserved memory. It returns false if the set is empty
-// or lacks the memory.
-func newGang(now time.Time, set []*targetState, req Request) (Pick, bool) {
+// newGang assigns the prefill and the memory of a prompt to a set of targets. The one that
+// decodes may replace the last of them; otherwise it is the one with the least reserved
+// memory. It returns false if the set is empty or lacks the memory. The open targets are in
+// rank order.
+func (r *Router) newGang(now time.Time, open, set []*targetState, req Request) (Pick, bool) {
 	if len(set) == 0 {
 		return Pick{}, false
 	}
-	first := slices.MinFunc(set, func(a, b *targetState) int {
-		return cmp.Or(cmp.Compare(a.reservedMemory(), b.reservedMemory()), cmp.Compare(a.running(now), b.running(now)))
-	})
+	first := r.decodeTarget(open, set, req)
+	switch {
+	case first == nil:
+		first = slices.MinFunc(set, func(a, b *targetState) int {
+			return cmp.Or(cmp.Compare(a.reservedMemory(), b.reservedMemory()), cmp.Compare(a.running(now), b.running(now)))
+		})
+	case !slices.Contains(set, first):
+		set = append([]*targetState{first}, set[:len(set)-1]...)
+	}
 	p := Pick{Target: first.target, Running: first.running(now)}
 	for _, s := range set {
 		if s != first {
@@ -205,6 +212,22 @@
 	return p, reserveMemory(&p, first, set, req.Prompt+req.Output)
 }
 
+// decodeTarget returns the first target in rank order that has the memory for a prompt and
+// whose streams allow a part of its prefill, nil if there is none. As all long prompts
+// decode on few targets, the other ones can prefill without delaying a stream.
+func (r *Router) decodeTarget(open, set []*targetState, req Request) *targetState {
+	if r.Disabled.Group {
+		return nil
+	}
+	part := req.Prefill / time.Duration(len(set))
+	for _, s := range open {
+		if s.freeMemory() >= req.Prompt+req.Output && (slices.Contains(set, s) || s.prefillSlack(req, false) >= part) {
+			return s
+		}
+	}
+	return nil
+}
+
 // heavy reports whether the prefill of a prompt, split among n targets, would delay their
 // streams by about the gap that the prompt itself allows.
 func (rq Request) heavy(n int) bool {
--- a/router/router.go
+++ b/router/router.go
@@ -97,6 +97,7 @@
 	Heavy  bool // refuse heavy prompts rather than delay the streams of a target
 	Apart  bool // place long prefills beside streams whose allowed gap leaves room for them
 
+	Group      bool // decode for split prompts on few targets
 	Spare      bool // fill some targets more than needed where there are many entries
 	StartDelay bool // split no prompts in the first moment after the start
 }
--- a/router/slots_test.go
+++ b/router/slots_test.go
@@ -268,6 +268,32 @@
 	})
 })
 
+// Guards against streams of long prompts at every target: the prefill of the next long
+// prompt delays all of them, so that they last many times as long and pile up.
+var _ = Describe("streams of long prompts", func() {
+	It("are decoded on few targets as far as memory and gaps allow", func() {
+		const memory = 400000
+		r := &router.Router{Seed: 1}
+		var targets []messenger.Target
+		for i := range targetCount {
+			targets = append(targets, messenger.Target{
+				ID: fmt.Sprintf("t%d", i), Service: "s", Slots: slotsPerTarget, Incarnation: 1, Load: messenger.Load{Seq: 1, Memory: memory},
+			})
+		}
+		r.Update(started, targets)
+		req := longRequest
+		req.Prompt, req.Prefill, req.PrefillTargets, req.Objective, req.MaxGap = 90000, time.Second, 20, 3*time.Second, time.Second
+		used := map[string]int{}
+		for range 8 {
+			p := place(r, req)
+			r.PrefillDone(p, req)
+			Expect(p.HelperMemory).To(HaveEach(0))
+			used[p.Target.ID]++
+		}
+		Expect(used).To(HaveLen(2), "each target has the memory for four prompts")
+	})
+})
+
 // Guards against long prompts that take all targets right after a restart, before the
 // short ones have come back.
 var _ = Describe("a router that has just got its targets", func() {
--- a/switcher/part_string.go
+++ b/switcher/part_string.go
@@ -12,26 +12,27 @@
 	_ = x[SplitPrefill-1]
 	_ = x[RefuseHeavy-2]
 	_ = x[KeepApart-3]
-	_ = x[SpareTargets-4]
-	_ = x[SplitDelay-5]
-	_ = x[PassWaiting-6]
-	_ = x[RefuseLate-7]
-	_ = x[ShareCounts-8]
-	_ = x[HoldAtStart-9]
-	_ = x[GiveUpSilent-10]
-	_ = x[RememberTargets-11]
-	_ = x[Lanes-12]
-	_ = x[OwnSends-13]
-	_ = x[PrefixCache-14]
-	_ = x[WaitBound-15]
-	_ = x[ClassWait-16]
-	_ = x[RoomCheck-17]
-	_ = x[Aging-18]
+	_ = x[GroupDecode-4]
+	_ = x[SpareTargets-5]
+	_ = x[SplitDelay-6]
+	_ = x[PassWaiting-7]
+	_ = x[RefuseLate-8]
+	_ = x[ShareCounts-9]
+	_ = x[HoldAtStart-10]
+	_ = x[GiveUpSilent-11]
+	_ = x[RememberTargets-12]
+	_ = x[Lanes-13]
+	_ = x[OwnSends-14]
+	_ = x[PrefixCache-15]
+	_ = x[WaitBound-16]
+	_ = x[ClassWait-17]
+	_ = x[RoomCheck-18]
+	_ = x[Aging-19]
 }
 
-const _Part_name = "first-fitsplit-prefillrefuse-heavykeep-apartspare-targetssplit-delaypass-waitingrefuse-lateshare-countshold-at-startgive-up-silentremember-targetslanesown-sendsprefix-cachewait-boundclass-waitroom-checkaging"
+const _Part_name = "first-fitsplit-prefillrefuse-heavykeep-apartgroup-decodespare-targetssplit-delaypass-waitingrefuse-lateshare-countshold-at-startgive-up-silentremember-targetslanesown-sendsprefix-cachewait-boundclass-waitroom-checkaging"
 
-var _Part_index = [...]uint8{0, 9, 22, 34, 44, 57, 68, 80, 91, 103, 116, 130, 146, 151, 160, 172, 182, 192, 202, 207}
+var _Part_index = [...]uint8{0, 9, 22, 34, 44, 56, 69, 80, 92, 103, 115, 128, 142, 158, 163, 172, 184, 194, 204, 214, 219}
 
 func (i Part) String() string {
 	idx := int(i) - 0
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -23,6 +23,7 @@
 	SplitPrefill                // split-prefill
 	RefuseHeavy                 // refuse-heavy
 	KeepApart                   // keep-apart
+	GroupDecode                 // group-decode
 	SpareTargets                // spare-targets
 	SplitDelay                  // split-delay
 	PassWaiting                 // pass-waiting
@@ -48,6 +49,7 @@
 	SplitPrefill:    "split long prompts among several targets",
 	RefuseHeavy:     "let prompts that would delay every stream wait for idle targets, then refuse them",
 	KeepApart:       "place long prefills beside streams only as far as their allowed gaps leave room",
+	GroupDecode:     "decode for split prompts on few targets, so that the others prefill without delaying streams",
 	SpareTargets:    "fill some targets more than needed where there are many entries",
 	SplitDelay:      "split no prompts in the first moment after the start",
 	PassWaiting:     "place requests behind one that waits for targets",
@@ -119,7 +121,7 @@
 func (s Switcher) Router() router.Features {
 	return router.Features{
 		Fill: s.Off(FirstFit), Pieces: s.Off(SplitPrefill), Heavy: s.Off(RefuseHeavy), Apart: s.Off(KeepApart),
-		Spare: s.Off(SpareTargets), StartDelay: s.Off(SplitDelay), Lanes: s.Off(Lanes), OwnSends: s.Off(OwnSends),
+		Group: s.Off(GroupDecode), Spare: s.Off(SpareTargets), StartDelay: s.Off(SplitDelay), Lanes: s.Off(Lanes), OwnSends: s.Off(OwnSends),
 		Cached: s.Off(PrefixCache), WaitBound: s.Off(WaitBound), ClassWait: s.Off(ClassWait), RoomCheck: s.Off(RoomCheck), Aging: s.Off(Aging),
 	}
 }
