Let prefills queue at targets without streams

Hypothesis: where nothing decodes, a queue of prefills delays no stream; it is bounded by the objective for the first token, not by the prompt's own gap.

--- a/router/gang.go
+++ b/router/gang.go
@@ -38,6 +38,9 @@
 	// is split. Callers of short prompts come back at the same moment when all processes
 	// have restarted, and the counts of the other entries are not known yet.
 	splitStartDelay = 200 * time.Millisecond
+	// idleQueueFraction of the time-to-first-token objective may be spent on the prefill at a
+	// target without streams, that of earlier prompts included.
+	idleQueueFraction = 0.4
 	// filledFraction of a target's slots in use marks it as one that unsplit prompts fill.
 	filledFraction = 0.25
 	// reservationSlack is reserved in addition at each helper, as targets allocate memory in
@@ -81,7 +84,7 @@
 	if req.MaxGap > 0 && !r.Disabled.Apart {
 		sorted := slices.Clone(open)
 		slices.SortStableFunc(sorted, byPendingPrefill)
-		if p, ok := r.newGang(now, open, withinGaps(sorted, req, n), req); ok {
+		if p, ok := r.newGang(now, open, r.withinGaps(sorted, req, n), req); ok {
 			return p, true
 		}
 		if req.heavy(n) && !r.Disabled.Heavy || r.mayWait(req, n) {
@@ -105,10 +108,10 @@
 // withinGaps returns the targets that finish the prefill of a prompt earliest without
 // delaying a stream beyond its allowed gap; none if there are too few. The open targets
 // are sorted by pending prefill; the service has n targets, open or not.
-func withinGaps(open []*targetState, req Request, n int) []*targetState {
+func (r *Router) withinGaps(open []*targetState, req Request, n int) []*targetState {
 	slack := make([]time.Duration, len(open))
 	for i, s := range open {
-		slack[i] = s.prefillSlack(req, req.exclusive(n))
+		slack[i] = r.prefillSlack(s, req, req.exclusive(n))
 	}
 	best, last, earliest := 0, -1, time.Duration(math.MaxInt64)
 	for k := req.minPrefillTargets(n, len(open)); k <= min(len(open), maxPrefillTargets, req.PrefillTargets); k++ {
@@ -174,7 +177,7 @@
 
 // prefillSlack returns how long a target may prefill a prompt. An exclusive prefill may
 // use idle targets for any time.
-func (s *targetState) prefillSlack(req Request, exclusive bool) time.Duration {
+func (r *Router) prefillSlack(s *targetState, req Request, exclusive bool) time.Duration {
 	gap := shorterGap(s.counts.gaps.shortest(), time.Duration(s.counts.peers.MinGap)*time.Millisecond)
 	if gap == 0 && exclusive {
 		if s.pendingPrefill() > 0 {
@@ -182,6 +185,9 @@
 		}
 		return math.MaxInt64
 	}
+	if gap == 0 && req.Objective > 0 && !r.Disabled.IdleQueue {
+		return time.Duration(idleQueueFraction*float64(req.Objective)) - s.pendingPrefill()
+	}
 	return req.prefillBudget(shorterGap(gap, req.MaxGap)) - s.pendingPrefill()
 }
 
@@ -221,7 +227,7 @@
 	}
 	part := req.Prefill / time.Duration(len(set))
 	for _, s := range open {
-		if s.freeMemory() >= req.Prompt+req.Output && (slices.Contains(set, s) || s.prefillSlack(req, false) >= part) {
+		if s.freeMemory() >= req.Prompt+req.Output && (slices.Contains(set, s) || r.prefillSlack(s, req, false) >= part) {
 			return s
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -98,6 +98,7 @@
 	Apart  bool // place long prefills beside streams whose allowed gap leaves room for them
 
 	Group      bool // decode for split prompts on few targets
+	IdleQueue  bool // let prefills queue at targets without streams, as far as the objective allows
 	Spare      bool // fill some targets more than needed where there are many entries
 	StartDelay bool // split no prompts in the first moment after the start
 }
--- a/switcher/part_string.go
+++ b/switcher/part_string.go
@@ -13,26 +13,27 @@
 	_ = x[RefuseHeavy-2]
 	_ = x[KeepApart-3]
 	_ = x[GroupDecode-4]
-	_ = x[SpareTargets-5]
-	_ = x[SplitDelay-6]
-	_ = x[PassWaiting-7]
-	_ = x[RefuseLate-8]
-	_ = x[ShareCounts-9]
-	_ = x[HoldAtStart-10]
-	_ = x[GiveUpSilent-11]
-	_ = x[RememberTargets-12]
-	_ = x[Lanes-13]
-	_ = x[OwnSends-14]
-	_ = x[PrefixCache-15]
-	_ = x[WaitBound-16]
-	_ = x[ClassWait-17]
-	_ = x[RoomCheck-18]
-	_ = x[Aging-19]
+	_ = x[IdleQueue-5]
+	_ = x[SpareTargets-6]
+	_ = x[SplitDelay-7]
+	_ = x[PassWaiting-8]
+	_ = x[RefuseLate-9]
+	_ = x[ShareCounts-10]
+	_ = x[HoldAtStart-11]
+	_ = x[GiveUpSilent-12]
+	_ = x[RememberTargets-13]
+	_ = x[Lanes-14]
+	_ = x[OwnSends-15]
+	_ = x[PrefixCache-16]
+	_ = x[WaitBound-17]
+	_ = x[ClassWait-18]
+	_ = x[RoomCheck-19]
+	_ = x[Aging-20]
 }
 
-const _Part_name = "first-fitsplit-prefillrefuse-heavykeep-apartgroup-decodespare-targetssplit-delaypass-waitingrefuse-lateshare-countshold-at-startgive-up-silentremember-targetslanesown-sendsprefix-cachewait-boundclass-waitroom-checkaging"
+const _Part_name = "first-fitsplit-prefillrefuse-heavykeep-apartgroup-decodeidle-queuespare-targetssplit-delaypass-waitingrefuse-lateshare-countshold-at-startgive-up-silentremember-targetslanesown-sendsprefix-cachewait-boundclass-waitroom-checkaging"
 
-var _Part_index = [...]uint8{0, 9, 22, 34, 44, 56, 69, 80, 92, 103, 115, 128, 142, 158, 163, 172, 184, 194, 204, 214, 219}
+var _Part_index = [...]uint8{0, 9, 22, 34, 44, 56, 66, 79, 90, 102, 113, 125, 138, 152, 168, 173, 182, 194, 204, 214, 224, 229}
 
 func (i Part) String() string {
 	idx := int(i) - 0
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -24,6 +24,7 @@
 	RefuseHeavy                 // refuse-heavy
 	KeepApart                   // keep-apart
 	GroupDecode                 // group-decode
+	IdleQueue                   // idle-queue
 	SpareTargets                // spare-targets
 	SplitDelay                  // split-delay
 	PassWaiting                 // pass-waiting
@@ -50,6 +51,7 @@
 	RefuseHeavy:     "let prompts that would delay every stream wait for idle targets, then refuse them",
 	KeepApart:       "place long prefills beside streams only as far as their allowed gaps leave room",
 	GroupDecode:     "decode for split prompts on few targets, so that the others prefill without delaying streams",
+	IdleQueue:       "let prefills queue at targets without streams, as far as the objective allows",
 	SpareTargets:    "fill some targets more than needed where there are many entries",
 	SplitDelay:      "split no prompts in the first moment after the start",
 	PassWaiting:     "place requests behind one that waits for targets",
@@ -121,7 +123,7 @@
 func (s Switcher) Router() router.Features {
 	return router.Features{
 		Fill: s.Off(FirstFit), Pieces: s.Off(SplitPrefill), Heavy: s.Off(RefuseHeavy), Apart: s.Off(KeepApart),
-		Group: s.Off(GroupDecode), Spare: s.Off(SpareTargets), StartDelay: s.Off(SplitDelay), Lanes: s.Off(Lanes), OwnSends: s.Off(OwnSends),
+		Group: s.Off(GroupDecode), IdleQueue: s.Off(IdleQueue), Spare: s.Off(SpareTargets), StartDelay: s.Off(SplitDelay), Lanes: s.Off(Lanes), OwnSends: s.Off(OwnSends),
 		Cached: s.Off(PrefixCache), WaitBound: s.Off(WaitBound), ClassWait: s.Off(ClassWait), RoomCheck: s.Off(RoomCheck), Aging: s.Off(Aging),
 	}
 }
