Count prompts as heavy from 0.35 of their allowed gap

Hypothesis: with decoding apart, prompts between 0.35 and 0.5 of the gap wait for idle targets and are served there, in place of breaking streams after a quarter of their objective.

--- a/router/gang.go
+++ b/router/gang.go
@@ -21,7 +21,7 @@
 	gapFraction = 0.9
 	// heavyGapFraction of the prompt's own allowed gap is the longest part of a prompt that
 	// is not heavy. The remainder is left for the decode pass and for other prefill in it.
-	heavyGapFraction = 0.5
+	heavyGapFraction = 0.35
 	// queueFraction of the time-to-first-token objective may be spent waiting for targets
 	// whose streams allow the prefill. The remainder is left for the prefill itself.
 	queueFraction = 0.25
