Keep the rank order of targets while a gang is chosen without keep-apart

Cause: with that part switched off the open targets were sorted in place, so that the decoding target was no longer the first in rank order.

--- a/router/gang.go
+++ b/router/gang.go
@@ -91,7 +91,7 @@
 			return Pick{}, false
 		}
 	}
-	set := open
+	set := slices.Clone(open)
 	if !r.Disabled.Apart {
 		set = gangCandidates(now, open)
 	}
