--- a/keeper/control.go
+++ b/keeper/control.go
@@ -16,27 +16,13 @@
 	call    *call
 }
 
-// run is the control goroutine. Inputs that arrive during a sync share the next one.
+// run is the control goroutine. Inputs that arrive during a sync share the next one. The
+// first step follows at once, as a restarted replica may stand for election.
 func (k *Keeper) run() {
 	defer k.shutDown()
 	tick := time.NewTicker(k.cfg.HeartbeatInterval / ticksPerHeartbeat)
 	defer tick.Stop()
-	first := make(chan struct{}, 1) // the first step follows at once, as a restarted replica may stand for election
-	first <- struct{}{}
-	for {
-		var err error
-		select {
-		case <-first:
-			err = k.step(replicator.Event{})
-		case <-k.ctx.Done():
-			return
-		case <-tick.C:
-			err = k.step(replicator.Event{})
-		case staged := <-k.staged:
-			err = k.commitSnapshot(staged)
-		case in := <-k.inputs:
-			err = k.handleInputs(in)
-		}
+	for err := k.step(replicator.Event{}); ; err = k.next(tick.C) {
 		if err == nil {
 			err = k.flush()
 		}
@@ -44,10 +30,27 @@
 			k.cfg.Fatal(err)
 			return
 		}
+		if k.ctx.Err() != nil {
+			return
+		}
 		k.publishStatus()
 	}
 }
 
+// next waits for the next event and handles it.
+func (k *Keeper) next(tick <-chan time.Time) error {
+	select {
+	case <-k.ctx.Done():
+		return nil
+	case <-tick:
+		return k.step(replicator.Event{})
+	case staged := <-k.staged:
+		return k.commitSnapshot(staged)
+	case in := <-k.inputs:
+		return k.handleInputs(in)
+	}
+}
+
 // handleInputs handles an input and those queued behind it, up to maxBatch.
 func (k *Keeper) handleInputs(in input) error {
 	var calls []*call
