Ask the leader that the keeper of this process follows

A keeper passed it on to the leader that had answered last, which was frozen, and waited for it until its own time was up, although it followed the new leader for seconds. Ruled out: a lost record or quorum, as the new leader acknowledged what reached it meanwhile. Test: 'asks the leader that the keeper of this process follows instead of one that answered last' fails before (two requests to the former one).

--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -37,6 +37,10 @@
 	Locator        *locator.Locator // replaces Keepers if their group may grow; nil otherwise
 	Pool           *pooler.Pooler
 	RequestTimeout time.Duration // of one request to one keeper; defaultRequestTimeout if zero
+	// Leader returns the address of the leader that this process's own keeper follows,
+	// empty if it knows none. It is nil without a keeper. The keeper hears of a new leader
+	// sooner than a request to a frozen former one fails.
+	Leader func() string
 
 	leader atomic.Pointer[string] // address of the keeper that answered last
 	relay  atomic.Pointer[relay]  // to a leader that this process can't reach
@@ -53,7 +57,10 @@
 // immediately.
 func (p *Proposer) Call(ctx context.Context, kind messenger.Kind, v, out any) error {
 	var lastErr error
-	for round := 0; ctx.Err() == nil; round++ {
+	for ctx.Err() == nil {
+		if own := p.ownLeader(); own != "" {
+			p.leader.Store(&own)
+		}
 		for _, k := range p.keepers() {
 			err := p.callVia(ctx, k.Address, kind, v, out)
 			if err == nil || final(err) {
@@ -69,6 +76,13 @@
 	return &coder.Error{Code: coder.NoQuorum, Run: coder.NotRun, Retry: time.Second, Cause: errors.Join(lastErr, ctx.Err())}
 }
 
+func (p *Proposer) ownLeader() string {
+	if p.Leader == nil {
+		return ""
+	}
+	return p.Leader()
+}
+
 func (p *Proposer) keepers() []setter.Keeper {
 	if p.Locator != nil {
 		return p.Locator.Keepers()
--- a/proposer/proposer_test.go
+++ b/proposer/proposer_test.go
@@ -138,6 +138,20 @@
 		Entry("names a leader that can't be reached", refuseWith(coder.NotLeader, func() string { return "127.0.0.1:1" })),
 	)
 
+	// Guards against changes that are not acknowledged for seconds: the former leader is frozen,
+	// and each request waits for its answer although the keeper of this process follows another.
+	It("asks the leader that the keeper of this process follows instead of one that answered last", func() {
+		former, leader := startKeeper(sendProposed), startKeeper(sendProposed)
+		own := former.addr
+		p := newProposer(former, leader)
+		p.Leader = func() string { return own }
+		expectAnswer(p)
+		own = leader.addr
+		expectAnswer(p)
+		Expect(former.requests.Load()).To(BeEquivalentTo(1))
+		Expect(leader.requests.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("returns NoQuorum, not run, when the context ends", func() {
 		_, err := callWithin(newProposer(startKeeper(refuseWith(coder.NotLeader, nil)), startKeeper(hang)), 500*time.Millisecond)
 		Expect(coder.Of(err).Code).To(Equal(coder.NoQuorum))
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -60,6 +60,7 @@
 		return fmt.Errorf("keeper: %w", err)
 	}
 	r.Keeper = k
+	r.proposer.Leader = func() string { return k.Status().Address }
 	r.onClose(closer)
 	p, closer, err := publisher.New(publisher.Config{
 		Applier: a, Propose: k.Propose, Confirm: k.Confirm, Pool: r.pool,
