--- a/replicator/partition_test.go
+++ b/replicator/partition_test.go
@@ -76,3 +76,24 @@
 		g.Expect(n.rep.Status().State.Term).To(Equal(term))
 	}
 }
+
+// The leader is cut off while its lease is valid, and the other voters restart at once. The
+// lease must end before they elect another leader; checkLeaders fails otherwise.
+func TestRestartedVotersWaitForLeaseOfIsolatedLeader(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(seed, 3, t.Fatalf)
+		c.run(10 * election)
+		l := c.leader()
+		for _, n := range c.nodes {
+			if n != l {
+				c.cutLinks[[2]int{n.index, l.index}], c.cutLinks[[2]int{l.index, n.index}] = true, true
+				n.kill()
+				n.start()
+			}
+		}
+		c.run(10 * election)
+		if now := c.leader(); now == nil || now == l {
+			t.Fatalf("seed %d: the restarted voters elected no leader", seed)
+		}
+	}
+}
--- a/replicator/protocol_test.go
+++ b/replicator/protocol_test.go
@@ -286,6 +286,7 @@
 			h.now += tick
 			h.Expect(h.grantsVote(3, 2)).To(BeFalse(), "another voter knows nothing of the leader's end")
 			h.Expect(h.grantsVote(2, 1)).To(BeFalse(), "a request of the leader's own term may be older than its lease")
+			h.Expect(h.grantsVote(3, 2)).To(BeFalse(), "and does not end that lease")
 			h.Expect(h.grantsVote(2, 2)).To(BeTrue())
 			h.Expect(h.grantsVote(3, 2)).To(BeTrue(), "the lease that this voter supported has ended")
 		})
