--- a/router/gang.go
+++ b/router/gang.go
@@ -34,10 +34,6 @@
 	// delayedFraction of the objective may be spent on an exclusive prefill that misses the
 	// objective in any case. Callers give up at four times the objective.
 	delayedFraction = 2.4
-	// splitStartDelay is the time after the first targets were known during which no prompt
-	// is split. Callers of short prompts come back at the same moment when all processes
-	// have restarted, and the counts of the other entries are not known yet.
-	splitStartDelay = 200 * time.Millisecond
 	// idleQueueFraction of the time-to-first-token objective may be spent on the prefill at a
 	// target without streams, that of earlier prompts included.
 	idleQueueFraction = 0.4
@@ -75,9 +71,6 @@
 // delays the fewest streams. The service has n targets, of which the open ones may accept
 // requests.
 func (r *Router) pickGang(now time.Time, n int, open []*targetState, req Request) (Pick, bool) {
-	if now.Sub(r.since) < splitStartDelay && !r.Disabled.StartDelay {
-		return Pick{}, false
-	}
 	byPendingPrefill := func(a, b *targetState) int {
 		return cmp.Or(cmp.Compare(a.pendingPrefill(), b.pendingPrefill()), cmp.Compare(a.running(now), b.running(now)))
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -79,7 +79,6 @@
 	byName  map[string]*serviceIndex
 	history history
 	peers   map[string]peerReport // by node name of the entry
-	since   time.Time             // when the first targets were known
 }
 
 // Features selects parts of the router that a benchmark disables.
@@ -97,10 +96,9 @@
 	Heavy  bool // refuse heavy prompts rather than delay the streams of a target
 	Apart  bool // place long prefills beside streams whose allowed gap leaves room for them
 
-	Group      bool // decode for split prompts on few targets
-	IdleQueue  bool // let prefills queue at targets without streams, as far as the objective allows
-	Spare      bool // fill some targets more than needed where there are many entries
-	StartDelay bool // split no prompts in the first moment after the start
+	Group     bool // decode for split prompts on few targets
+	IdleQueue bool // let prefills queue at targets without streams, as far as the objective allows
+	Spare     bool // fill some targets more than needed where there are many entries
 }
 
 // Report records the load that a target or its agent sent with an answer. Reports of
--- a/router/state.go
+++ b/router/state.go
@@ -55,9 +55,6 @@
 // Update replaces the set of known targets. A load report older than the recorded one
 // of the same incarnation is ignored.
 func (r *Router) Update(now time.Time, targets []messenger.Target) {
-	if r.since.IsZero() && len(targets) > 0 {
-		r.since = now
-	}
 	byID := make(map[string]*targetState, len(targets))
 	byName := map[string]*serviceIndex{}
 	for _, t := range targets {
--- a/switcher/part_string.go
+++ b/switcher/part_string.go
@@ -15,25 +15,24 @@
 	_ = x[GroupDecode-4]
 	_ = x[IdleQueue-5]
 	_ = x[SpareTargets-6]
-	_ = x[SplitDelay-7]
-	_ = x[PassWaiting-8]
-	_ = x[RefuseLate-9]
-	_ = x[ShareCounts-10]
-	_ = x[HoldAtStart-11]
-	_ = x[GiveUpSilent-12]
-	_ = x[RememberTargets-13]
-	_ = x[Lanes-14]
-	_ = x[OwnSends-15]
-	_ = x[PrefixCache-16]
-	_ = x[WaitBound-17]
-	_ = x[ClassWait-18]
-	_ = x[RoomCheck-19]
-	_ = x[Aging-20]
+	_ = x[PassWaiting-7]
+	_ = x[RefuseLate-8]
+	_ = x[ShareCounts-9]
+	_ = x[HoldAtStart-10]
+	_ = x[GiveUpSilent-11]
+	_ = x[RememberTargets-12]
+	_ = x[Lanes-13]
+	_ = x[OwnSends-14]
+	_ = x[PrefixCache-15]
+	_ = x[WaitBound-16]
+	_ = x[ClassWait-17]
+	_ = x[RoomCheck-18]
+	_ = x[Aging-19]
 }
 
-const _Part_name = "first-fitsplit-prefillrefuse-heavykeep-apartgroup-decodeidle-queuespare-targetssplit-delaypass-waitingrefuse-lateshare-countshold-at-startgive-up-silentremember-targetslanesown-sendsprefix-cachewait-boundclass-waitroom-checkaging"
+const _Part_name = "first-fitsplit-prefillrefuse-heavykeep-apartgroup-decodeidle-queuespare-targetspass-waitingrefuse-lateshare-countshold-at-startgive-up-silentremember-targetslanesown-sendsprefix-cachewait-boundclass-waitroom-checkaging"
 
-var _Part_index = [...]uint8{0, 9, 22, 34, 44, 56, 66, 79, 90, 102, 113, 125, 138, 152, 168, 173, 182, 194, 204, 214, 224, 229}
+var _Part_index = [...]uint8{0, 9, 22, 34, 44, 56, 66, 79, 91, 102, 114, 127, 141, 157, 162, 171, 183, 193, 203, 213, 218}
 
 func (i Part) String() string {
 	idx := int(i) - 0
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -16,7 +16,7 @@
 // Part is a part of the policy.
 type Part uint8
 
-// Parts of the policy. Those up to SplitDelay concern targets that report their slots,
+// Parts of the policy. Those up to SpareTargets concern targets that report their slots,
 // those from Lanes on other targets.
 const (
 	FirstFit        Part = iota // first-fit
@@ -26,7 +26,6 @@
 	GroupDecode                 // group-decode
 	IdleQueue                   // idle-queue
 	SpareTargets                // spare-targets
-	SplitDelay                  // split-delay
 	PassWaiting                 // pass-waiting
 	RefuseLate                  // refuse-late
 	ShareCounts                 // share-counts
@@ -53,7 +52,6 @@
 	GroupDecode:     "decode for split prompts on few targets, so that the others prefill without delaying streams",
 	IdleQueue:       "let prefills queue at targets without streams, as far as the objective allows",
 	SpareTargets:    "fill some targets more than needed where there are many entries",
-	SplitDelay:      "split no prompts in the first moment after the start",
 	PassWaiting:     "place requests behind one that waits for targets",
 	RefuseLate:      "refuse requests that are predicted to miss their deadline",
 	ShareCounts:     "tell other entries the requests in flight",
@@ -123,7 +121,7 @@
 func (s Switcher) Router() router.Features {
 	return router.Features{
 		Fill: s.Off(FirstFit), Pieces: s.Off(SplitPrefill), Heavy: s.Off(RefuseHeavy), Apart: s.Off(KeepApart),
-		Group: s.Off(GroupDecode), IdleQueue: s.Off(IdleQueue), Spare: s.Off(SpareTargets), StartDelay: s.Off(SplitDelay), Lanes: s.Off(Lanes), OwnSends: s.Off(OwnSends),
+		Group: s.Off(GroupDecode), IdleQueue: s.Off(IdleQueue), Spare: s.Off(SpareTargets), Lanes: s.Off(Lanes), OwnSends: s.Off(OwnSends),
 		Cached: s.Off(PrefixCache), WaitBound: s.Off(WaitBound), ClassWait: s.Off(ClassWait), RoomCheck: s.Off(RoomCheck), Aging: s.Off(Aging),
 	}
 }
