Wait in prover until a suspended keeper has stopped

Cause: SIGSTOP takes effect after kill returns. Beside four busy processes the leader accepted version 2 in term 2, in the second in which it was stopped, and stayed the leader; the spec waited 25 s for another one. Ruled out: a second leader or a lost change, as the log shows one term and one accepted version.

--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -80,6 +80,24 @@
 	Expect(p.session.Command.Process.Signal(s)).To(Succeed())
 }
 
+// suspend stops the process and waits until all of its threads have stopped: SIGSTOP takes
+// effect after the call returns, and a busy machine may run the process for longer.
+func (p *process) suspend() {
+	GinkgoHelper()
+	p.signal(syscall.SIGSTOP)
+	tasks := fmt.Sprintf("/proc/%d/task/*/stat", p.session.Command.Process.Pid)
+	Eventually(func(g Gomega) {
+		files, err := filepath.Glob(tasks)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(files).NotTo(BeEmpty())
+		for _, f := range files {
+			stat, err := os.ReadFile(f)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(stat)).To(ContainSubstring(") T "))
+		}
+	}).Should(Succeed())
+}
+
 // end kills the process if it is running, also if it is suspended.
 func (p *process) end() {
 	if p.session.ExitCode() < 0 {
--- a/prover/keepers_test.go
+++ b/prover/keepers_test.go
@@ -34,7 +34,7 @@
 	It("is not reverted by a former leader that was suspended and resumes", func() {
 		f := newFleet(GinkgoTB())
 		leader := f.leader()
-		f.keepers[leader].signal(syscall.SIGSTOP)
+		f.keepers[leader].suspend()
 		Expect(f.apply(2)).To(BeEquivalentTo(2))
 		f.keepers[leader].signal(syscall.SIGCONT)
 		f.expectVersion(2)
