Log what is left of the retry budget, and its limit

Lines of retries carry service and budget; a retry that only the budget prevents leaves a line and a count; so does a change of the limit.

Logic unchanged.

--- a/conductor/control.go
+++ b/conductor/control.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"bramleyshunt/admitter"
@@ -341,13 +342,14 @@
 }
 
 // nextRetry returns the delay before another attempt, or the error to report if none
-// may follow.
-func (c *control) nextRetry(k retrier.Failure) (delay time.Duration, err error) {
+// may follow, and the retries that the service has left.
+func (c *control) nextRetry(k retrier.Failure) (delay time.Duration, unused float64, err error) {
 	c.do(func() {
 		c.updateRetryBudget()
 		delay, err = c.retrier.Retry(k)
+		unused = c.retrier.Unused(k.Service)
 	})
-	return delay, err
+	return delay, unused, err
 }
 
 // reserveRetry reports whether another attempt may follow a failed one, and reserves
@@ -363,8 +365,12 @@
 // updateRetryBudget sets this entry's part of the retries that all entries together
 // may accumulate.
 func (c *control) updateRetryBudget() {
-	if c.cfg.MaxRetryBudget != nil {
-		c.retrier.MaxBudget = c.cfg.MaxRetryBudget(c.view)
+	if c.cfg.MaxRetryBudget == nil {
+		return
+	}
+	if limit := c.cfg.MaxRetryBudget(c.view); limit != c.retrier.MaxBudget {
+		c.cfg.Log.WithFields(logrus.Fields{"from": c.retrier.MaxBudget, "to": limit, "hasView": c.view != nil}).Info("retry budget limit changed")
+		c.retrier.MaxBudget = limit
 	}
 }
 
--- a/conductor/retry.go
+++ b/conductor/retry.go
@@ -45,26 +45,40 @@
 	}
 	k := x.retryCase(err)
 	k.AnswerStarted, k.Reserved = !x.r.Answer.Begin(), x.retryReserved.Swap(false)
-	delay, err := x.cd.control.nextRetry(k)
+	delay, unused, err := x.cd.control.nextRetry(k)
 	if err != nil {
+		x.logNoRetry(pick, coder.Of(err), unused)
 		return err
 	}
 	x.exclude = append(x.exclude, x.blamedPick(pick).Target.ID)
 	x.cd.meter.count("retries")
-	x.logRetry(pick, c, delay)
+	x.logRetry(pick, c, delay, unused)
 	if sleeper.Sleep(ctx, delay) != nil {
 		return x.placementError(ctx)
 	}
 	return nil
 }
 
-func (x *execution) logRetry(pick router.Pick, c *coder.Error, delay time.Duration) {
+func (x *execution) logRetry(pick router.Pick, c *coder.Error, delay time.Duration, unused float64) {
 	x.cd.cfg.Log.WithError(c).WithFields(logrus.Fields{
 		"request": x.r.CallerID, "id": x.r.ID, "target": pick.Target.ID, "blamed": x.blamedPick(pick).Target.ID, "code": int(c.Code),
 		"run": c.Run.Header(), "tries": x.attempts, "helpers": len(pick.Helpers), "busy": pick.Running, "delay": delay.Milliseconds(),
+		"service": x.r.Service, "budget": unused,
 	}).Info("attempt failed, trying again")
 }
 
+// logNoRetry logs that the budget alone prevents a retry. Other reasons are the code of
+// the request's own line.
+func (x *execution) logNoRetry(pick router.Pick, c *coder.Error, unused float64) {
+	if c.Code != coder.RetryBudget {
+		return
+	}
+	x.cd.meter.count("retries-refused")
+	x.cd.cfg.Log.WithFields(logrus.Fields{
+		"request": x.r.CallerID, "id": x.r.ID, "target": pick.Target.ID, "tries": x.attempts, "service": x.r.Service, "budget": unused,
+	}).Info("no retry: budget spent")
+}
+
 // retryCase describes a failed attempt to the retrier.
 func (x *execution) retryCase(err error) retrier.Failure {
 	return retrier.Failure{
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -76,6 +76,10 @@
 	return true
 }
 
+// Unused returns the retries that a service has left. It is negative if MaxBudget has
+// been lowered below what is spent.
+func (r *Retrier) Unused(service string) float64 { return r.maxBudget() - r.spent[service] }
+
 func (r *Retrier) check(f Failure, delay time.Duration) error {
 	e := coder.Of(f.Err)
 	if !retryable(e, f) || f.Attempts >= attemptLimit(f) || delay >= f.Remaining {
