--- a/conductor/fault_test.go
+++ b/conductor/fault_test.go
@@ -15,15 +15,20 @@
 	"bramleyshunt/watcher"
 )
 
-// withTargets runs f with a Conductor before two targets of a plain service, in the time
-// of a synctest bubble. Further fields of cfg are kept.
-func withTargets(t *testing.T, cfg Config, f func(cd *Conductor)) {
-	t.Helper()
-	view := &watcher.View{
+// twoTargets returns a view of two targets of the plain service "s".
+func twoTargets() *watcher.View {
+	return &watcher.View{
 		Version: 1,
 		Config:  &configurer.Configurer{Services: map[string]configurer.Service{"s": {Kind: "plain", MaxTimeout: 10}}},
 		Targets: []messenger.Target{{ID: "t1", Service: "s", Incarnation: 1, Slots: 4}, {ID: "t2", Service: "s", Incarnation: 1, Slots: 4}},
 	}
+}
+
+// withTargets runs f with a Conductor before twoTargets, in the time of a synctest bubble.
+// Further fields of cfg are kept.
+func withTargets(t *testing.T, cfg Config, f func(cd *Conductor)) {
+	t.Helper()
+	view := twoTargets()
 	synctest.Test(t, func(t *testing.T) {
 		cfg.Pool, cfg.View = &pooler.Pooler{}, func() *watcher.View { return view }
 		cd, stop, err := New(cfg)
