Count the retry budget of a started entry as spent for one window

Cause: each entry keeps its part of the retries that the fleet may send beyond those that requests earn in memory, and started with all of it. A restart handed the part out again within the window in which the process before had spent it. Ruled out: the ratio without a margin (control without kills: at most 350 retries in 10 s, about 400 allowed), parts from a wrong number of entries (4.01 everywhere), retries that are not counted (493 logged, 480 arrived).

Why this works: what is spent is given back by requests as before, or after the platform's window. A process starts with everything spent, as of its start, and a raised limit counts as spent, too. So the processes of a node together have in any window at most the limit and what requests earn. Giving back after the window is what the bound allows, and makes up for a part of what a start costs.

--- a/bencher/entry.go
+++ b/bencher/entry.go
@@ -289,7 +289,7 @@
 		a.entry.enqueue(r)
 		return
 	}
-	delay, err := a.entry.retrier.Retry(retrier.Failure{Service: "s", Err: err, Attempts: r.attempts, Remaining: r.deadline().Sub(b.now)})
+	delay, err := a.entry.retrier.Retry(b.now, retrier.Failure{Service: "s", Err: err, Attempts: r.attempts, Remaining: r.deadline().Sub(b.now)})
 	if err != nil {
 		a.entry.finish(r, err)
 		return
--- a/conductor/budget_test.go
+++ b/conductor/budget_test.go
@@ -31,7 +31,7 @@
 	view := twoTargets()
 	seen := map[string]bool{}
 	cd, stop, err := New(Config{
-		Pool: &pooler.Pooler{}, View: func() *watcher.View { return view }, RetryRatio: f.ratio,
+		Pool: &pooler.Pooler{}, View: func() *watcher.View { return view }, RetryRatio: f.ratio, RetryWindow: f.window,
 		MaxRetryBudget: func(*watcher.View) float64 { return f.slack / float64(f.entries) },
 		Exchange: func(_ context.Context, a *Attempt) error {
 			times := &f.requests
@@ -54,32 +54,44 @@
 func (f *retryFleet) run(t *testing.T, length time.Duration, restarts func(i int) []time.Duration) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		entries, stops := make([]*Conductor, f.entries), make([]func(), f.entries)
-		due := make([][]time.Duration, f.entries)
-		for i := range entries {
-			entries[i], stops[i] = f.start(t)
-			due[i] = restarts(i)
+		nodes := make([]*retryNode, f.entries)
+		for i := range nodes {
+			nodes[i] = &retryNode{restarts: restarts(i)}
+			nodes[i].cd, nodes[i].stop = f.start(t)
 		}
 		since := time.Now()
 		for time.Since(since) < length {
-			for i := range entries {
-				if len(due[i]) > 0 && time.Since(since) >= due[i][0] {
-					due[i] = due[i][1:]
-					stops[i]()
-					entries[i], stops[i] = f.start(t)
-				}
-				if _, err := do(t, entries[i], configurer.Path{Kind: configurer.KindSafe, MaxAttempts: 2}); err == nil {
+			for _, n := range nodes {
+				n.restartIfDue(t, f, time.Since(since))
+				if _, err := do(t, n.cd, configurer.Path{Kind: configurer.KindSafe, MaxAttempts: 2}); err == nil {
 					t.Fatal("a request succeeded at a failing target")
 				}
 				time.Sleep(f.interval / time.Duration(f.entries))
 			}
 		}
-		for _, stop := range stops {
-			stop()
+		for _, n := range nodes {
+			n.stop()
 		}
 	})
 }
 
+// retryNode is a node of a retryFleet with its current process.
+type retryNode struct {
+	cd       *Conductor
+	stop     func()
+	restarts []time.Duration // times of the restarts to come
+}
+
+func (n *retryNode) restartIfDue(t *testing.T, f *retryFleet, elapsed time.Duration) {
+	t.Helper()
+	if len(n.restarts) == 0 || elapsed < n.restarts[0] {
+		return
+	}
+	n.restarts = n.restarts[1:]
+	n.stop()
+	n.cd, n.stop = f.start(t)
+}
+
 // expectWithinBound checks every window that begins with a retry.
 func (f *retryFleet) expectWithinBound(t *testing.T) {
 	t.Helper()
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -57,7 +57,7 @@
 		cfg:        cfg,
 		events:     make(chan func(), eventBufferSize),
 		done:       make(chan struct{}),
-		retrier:    retrier.Retrier{Seed: cfg.Seed},
+		retrier:    retrier.Retrier{Seed: cfg.Seed, Window: cfg.RetryWindow, Started: cfg.Now()},
 		placements: map[string]chan scheduler.Placement{},
 		suspects:   map[string]string{},
 		offered:    map[string]*watcher.View{},
@@ -345,9 +345,10 @@
 // may follow, and the retries that the service has left.
 func (c *control) nextRetry(k retrier.Failure) (delay time.Duration, unused float64, err error) {
 	c.do(func() {
-		c.updateRetryBudget()
-		delay, err = c.retrier.Retry(k)
-		unused = c.retrier.Unused(k.Service)
+		now := c.cfg.Now()
+		c.updateRetryBudget(now)
+		delay, err = c.retrier.Retry(now, k)
+		unused = c.retrier.Unused(now, k.Service)
 	})
 	return delay, unused, err
 }
@@ -356,21 +357,23 @@
 // its retry.
 func (c *control) reserveRetry(k retrier.Failure) (ok bool) {
 	c.do(func() {
-		c.updateRetryBudget()
-		ok = c.retrier.Reserve(k)
+		now := c.cfg.Now()
+		c.updateRetryBudget(now)
+		ok = c.retrier.Reserve(now, k)
 	})
 	return ok
 }
 
 // updateRetryBudget sets this entry's part of the retries that all entries together
 // may accumulate.
-func (c *control) updateRetryBudget() {
+func (c *control) updateRetryBudget(now time.Time) {
 	if c.cfg.MaxRetryBudget == nil {
 		return
 	}
-	if limit := c.cfg.MaxRetryBudget(c.view); limit != c.retrier.MaxBudget {
-		c.cfg.Log.WithFields(logrus.Fields{"from": c.retrier.MaxBudget, "to": limit, "hasView": c.view != nil}).Info("retry budget limit changed")
-		c.retrier.MaxBudget = limit
+	from := c.retrier.MaxBudget()
+	c.retrier.SetMaxBudget(now, c.cfg.MaxRetryBudget(c.view))
+	if to := c.retrier.MaxBudget(); to != from {
+		c.cfg.Log.WithFields(logrus.Fields{"from": from, "to": to, "hasView": c.view != nil}).Info("retry budget limit changed")
 	}
 }
 
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -13,8 +13,8 @@
 	// DefaultRetryRatio is the number of retries that each request of a service earns
 	// if the service sets no ratio.
 	DefaultRetryRatio = 0.1
-	// DefaultMaxBudget is the maximum number of unused retries of a service if
-	// Retrier.MaxBudget is zero.
+	// DefaultMaxBudget is the maximum number of unused retries of a service unless
+	// SetMaxBudget sets another one.
 	DefaultMaxBudget = 20.0
 
 	maxAttempts  = 6
@@ -35,32 +35,82 @@
 	MaxAttempts   int           // capped at maxAttempts, which also applies if not positive
 }
 
-// Retrier holds the retry budgets of all services. Its zero value is ready to use;
-// every budget starts full.
+// Retrier holds the retry budgets of all services. Its zero value is ready to use: every
+// budget starts full, and only requests earn back what is spent.
+//
+// With a Window, spent retries are also given back after that time. Then a budget is full
+// only once the process has run for a Window, so that in no Window the processes of a node
+// together retry more than MaxBudget allows beyond what requests earn.
 type Retrier struct {
-	Seed      uint64
-	MaxBudget float64 // maximum unused retries of a service; DefaultMaxBudget if not positive
+	Seed    uint64
+	Window  time.Duration
+	Started time.Time // start of the process; used with Window
+
+	rnd       *rand.Rand
+	maxBudget float64   // DefaultMaxBudget if zero
+	since     time.Time // when maxBudget was last raised; Started if never
+	budgets   map[string]*budget
+}
 
-	rnd   *rand.Rand
-	spent map[string]float64 // retries charged and not yet earned back, by service
+// SetMaxBudget sets the maximum number of unused retries of each service;
+// DefaultMaxBudget if not positive.
+func (r *Retrier) SetMaxBudget(now time.Time, n float64) {
+	if n > r.MaxBudget() {
+		r.since = now
+	}
+	r.maxBudget = max(0, n)
+	for _, b := range r.budgets {
+		b.resize(now, r.MaxBudget(), r.Window)
+	}
+}
+
+// MaxBudget returns the maximum number of unused retries of each service.
+func (r *Retrier) MaxBudget() float64 {
+	if r.maxBudget > 0 {
+		return r.maxBudget
+	}
+	return DefaultMaxBudget
+}
+
+// Unused returns the retries that a service has left.
+func (r *Retrier) Unused(now time.Time, service string) float64 {
+	b := r.budget(service)
+	b.expire(now, r.Window)
+	return b.unused()
 }
 
 // RecordRequest credits a service's budget for the first attempt of a request.
 func (r *Retrier) RecordRequest(service string, ratio float64) {
-	r.charge(service, -retryRatio(ratio))
+	r.budget(service).earn(retryRatio(ratio))
+}
+
+func (r *Retrier) budget(service string) *budget {
+	if r.budgets == nil {
+		r.budgets = map[string]*budget{}
+	}
+	b := r.budgets[service]
+	if b == nil {
+		since := r.Started
+		if r.since.After(since) {
+			since = r.since
+		}
+		b = newBudget(r.MaxBudget(), since, r.Window)
+		r.budgets[service] = b
+	}
+	return b
 }
 
 // Retry charges a retry to the budget, unless it was reserved, and returns the delay
 // before the next attempt. If the request must not be retried it returns the error to
 // report to the caller: that of the attempt, or coder.RetryBudget if only the budget
 // prevents the retry.
-func (r *Retrier) Retry(f Failure) (time.Duration, error) {
+func (r *Retrier) Retry(now time.Time, f Failure) (time.Duration, error) {
 	delay := r.delay(f.Attempts)
-	if err := r.check(f, delay); err != nil {
+	if err := r.check(now, f, delay); err != nil {
 		return 0, err
 	}
 	if !f.Reserved {
-		r.charge(f.Service, 1)
+		r.budget(f.Service).charge(now, 1)
 	}
 	return delay, nil
 }
@@ -68,36 +118,25 @@
 // Reserve reports whether Retry would return a delay. If so it charges the retry to
 // the budget at once, and the caller sets Reserved in the failure that it passes to
 // Retry.
-func (r *Retrier) Reserve(f Failure) bool {
-	if r.check(f, r.delay(f.Attempts)) != nil {
+func (r *Retrier) Reserve(now time.Time, f Failure) bool {
+	if r.check(now, f, r.delay(f.Attempts)) != nil {
 		return false
 	}
-	r.charge(f.Service, 1)
+	r.budget(f.Service).charge(now, 1)
 	return true
 }
 
-// Unused returns the retries that a service has left. It is negative if MaxBudget has
-// been lowered below what is spent.
-func (r *Retrier) Unused(service string) float64 { return r.maxBudget() - r.spent[service] }
-
-func (r *Retrier) check(f Failure, delay time.Duration) error {
+func (r *Retrier) check(now time.Time, f Failure, delay time.Duration) error {
 	e := coder.Of(f.Err)
 	if !retryable(e, f) || f.Attempts >= attemptLimit(f) || delay >= f.Remaining {
 		return f.Err
 	}
-	if !f.Reserved && r.spent[f.Service] > r.maxBudget()-1 {
+	if !f.Reserved && r.Unused(now, f.Service) < 1 {
 		return &coder.Error{Code: coder.RetryBudget, Run: e.Run, Retry: max(e.Retry, time.Second), Cause: f.Err}
 	}
 	return nil
 }
 
-func (r *Retrier) maxBudget() float64 {
-	if r.MaxBudget > 0 {
-		return r.MaxBudget
-	}
-	return DefaultMaxBudget
-}
-
 func attemptLimit(f Failure) int {
 	if f.MaxAttempts <= 0 {
 		return maxAttempts
@@ -118,13 +157,6 @@
 	}
 }
 
-func (r *Retrier) charge(service string, n float64) {
-	if r.spent == nil {
-		r.spent = map[string]float64{}
-	}
-	r.spent[service] = max(0, r.spent[service]+n)
-}
-
 // delay returns the backoff after the given number of attempts. It doubles with each
 // attempt up to maxDelay; half of it is random.
 func (r *Retrier) delay(attempts int) time.Duration {
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -11,10 +11,11 @@
 )
 
 var _ = Describe("Retrier", func() {
+	now := time.Unix(0, 0)
 	lost := coder.Errorf(coder.TargetLost, "")
 	retry := func(r *retrier.Retrier, f retrier.Failure) error {
 		f.Remaining = time.Minute
-		_, err := r.Retry(f)
+		_, err := r.Retry(now, f)
 		return err
 	}
 
@@ -50,20 +51,46 @@
 	})
 
 	It("charges a reserved retry once", func() {
-		r := retrier.Retrier{MaxBudget: 2}
+		var r retrier.Retrier
+		r.SetMaxBudget(now, 2)
 		f := retrier.Failure{Service: "a", Err: lost, Remaining: time.Minute}
-		Expect(r.Reserve(f)).To(BeTrue())
-		Expect(r.Reserve(f)).To(BeTrue())
-		Expect(r.Reserve(f)).To(BeFalse())
+		Expect(r.Reserve(now, f)).To(BeTrue())
+		Expect(r.Reserve(now, f)).To(BeTrue())
+		Expect(r.Reserve(now, f)).To(BeFalse())
 		Expect(retry(&r, f)).NotTo(Succeed())
 		f.Reserved = true
 		Expect(retry(&r, f)).To(Succeed())
 		f.Service, f.NonIdempotent, f.Reserved = "b", true, false
-		Expect(r.Reserve(f)).To(BeFalse())
+		Expect(r.Reserve(now, f)).To(BeFalse())
+	})
+
+	It("has a full budget again one window after its start and after each retry", func() {
+		r := retrier.Retrier{Window: 10 * time.Second, Started: now}
+		r.SetMaxBudget(now, 2)
+		f := retrier.Failure{Service: "a", Err: lost, Remaining: time.Minute}
+		reserve := func(after time.Duration) bool { return r.Reserve(now.Add(after), f) }
+		Expect(reserve(9 * time.Second)).To(BeFalse())
+		Expect(reserve(10 * time.Second)).To(BeTrue())
+		Expect(reserve(15 * time.Second)).To(BeTrue())
+		Expect(reserve(19 * time.Second)).To(BeFalse())
+		Expect(reserve(20 * time.Second)).To(BeTrue())
+		Expect(reserve(20 * time.Second)).To(BeFalse())
 	})
 
-	It("holds at most MaxBudget retries", func() {
-		r := retrier.Retrier{MaxBudget: 3}
+	It("counts what is added to its maximum as spent for one window", func() {
+		r := retrier.Retrier{Window: 10 * time.Second, Started: now.Add(-time.Hour)}
+		r.SetMaxBudget(now, 1)
+		f := retrier.Failure{Service: "a", Err: lost, Remaining: time.Minute}
+		Expect(r.Reserve(now, f)).To(BeTrue())
+		r.SetMaxBudget(now, 20)
+		Expect(r.Reserve(now.Add(9*time.Second), f)).To(BeFalse())
+		r.SetMaxBudget(now.Add(9*time.Second), 1)
+		Expect(r.Unused(now.Add(10*time.Second), "a")).To(BeNumerically("<=", 1))
+	})
+
+	It("holds at most its maximum of retries", func() {
+		var r retrier.Retrier
+		r.SetMaxBudget(now, 3)
 		n := 0
 		for retry(&r, retrier.Failure{Service: "a", Err: lost}) == nil {
 			n++
@@ -73,12 +100,12 @@
 
 	It("increases the delay with each attempt and never waits past the deadline", func() {
 		r := retrier.Retrier{Seed: 1}
-		first, err := r.Retry(retrier.Failure{Err: lost, Attempts: 1, Remaining: time.Minute})
+		first, err := r.Retry(now, retrier.Failure{Err: lost, Attempts: 1, Remaining: time.Minute})
 		Expect(err).NotTo(HaveOccurred())
-		later, err := r.Retry(retrier.Failure{Err: lost, Attempts: 4, Remaining: time.Minute})
+		later, err := r.Retry(now, retrier.Failure{Err: lost, Attempts: 4, Remaining: time.Minute})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(later).To(BeNumerically(">", first))
-		_, err = r.Retry(retrier.Failure{Err: lost, Attempts: 4, Remaining: later / 4})
+		_, err = r.Retry(now, retrier.Failure{Err: lost, Attempts: 4, Remaining: later / 4})
 		Expect(err).To(MatchError(lost))
 	})
 })
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -156,7 +156,7 @@
 		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
 		View:  r.watcher.View,
 		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, MaxRetryBudget: r.maxRetryBudget, Seed: rand.Uint64(),
-		Disabled: r.cfg.Disabled, RetryRatio: r.cfg.RetryRatio,
+		Disabled: r.cfg.Disabled, RetryRatio: r.cfg.RetryRatio, RetryWindow: r.cfg.RetryWindow,
 		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
 	if err != nil {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -51,6 +51,7 @@
 	Exchange         func(ctx context.Context, a *conductor.Attempt) error // runs an attempt; nil runs it through the target's agent
 	Allocator        *allocator.Allocator                                  // reserves memory at targets; used with Exchange
 	RetryRatio       float64                                               // retries that a request earns its service if the configuration sets none; the retrier's default if zero
+	RetryWindow      time.Duration                                         // after which entries give spent retries back, and in which their budgets hold across restarts; zero for neither
 	FleetRetryBudget float64                                               // maximum unused retries of a service, divided among all entries; each entry uses retrier.DefaultMaxBudget if zero
 	Files            recorder.Files                                        // file system of the keeper; that of the operating system if zero
 	StaleAfter       time.Duration                                         // how long a view is valid without a confirmation; watcher.DefaultStaleAfter if zero
