Log the rate limits that targets name in their answers

The logs could not show whether answers name a limit: no source read the field. Each entry now reports it with the attempt, keeps it beside the target's counts and logs each change. An answer without a limit ends it only if its request was sent after the limit was seen. Nothing depends on the value yet; placement is unchanged.

--- a/conductor/run.go
+++ b/conductor/run.go
@@ -163,6 +163,7 @@
 	LastEventID    string             // last event of the stream that the caller has received; empty to start with the first
 	Emit           func(messenger.Chunk) error
 	ReportLoad     func(messenger.Load) // receives load reports that came with the answer
+	ReportLimit    func(float64)        // receives the rate limit that the target named in its answer, in requests per second; zero if none
 	ReserveRetry   func(error) bool     // reports whether a retry at another target is reserved after this failure; if so, the attempt must end
 
 	TargetAlive  bool   // set if the target was lost while it ran the request but still accepts connections
@@ -195,7 +196,8 @@
 			x.observeChunk()
 			return x.r.Answer.Chunk(c)
 		},
-		ReportLoad: func(l messenger.Load) { x.cd.control.recordLoad(pick, l) },
+		ReportLoad:  func(l messenger.Load) { x.cd.control.recordLoad(pick, l) },
+		ReportLimit: func(rate float64) { x.cd.control.recordLimit(placed, pick, rate) },
 		ReserveRetry: func(err error) bool {
 			ok := x.cd.control.reserveRetry(x.retryCase(err))
 			x.retryReserved.Store(ok)
--- a/router/state.go
+++ b/router/state.go
@@ -37,6 +37,7 @@
 	reportedAt   time.Time   // when the target last reported its load
 	refusedUntil time.Time   // no requests are sent before this time
 	counts       slotCounts
+	limit        rateLimit
 }
 
 // classTokens counts tokens by length class.
