--- /dev/null
+++ b/router/limit_test.go
@@ -0,0 +1,219 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"bramleyshunt/messenger"
+	"bramleyshunt/router"
+)
+
+// limitedFleet is a number of entries before targets of which some name a rate limit from
+// limitedFrom to limitedUntil.
+type limitedFleet struct {
+	entries    int
+	targets    int
+	limited    int           // targets that name the limit, first ones in number
+	limit      float64       // requests per second
+	load       float64       // requests per second, of all entries together
+	shareEvery time.Duration // between two reports of an entry to the others
+	now        time.Time
+	rnd        *rand.Rand
+	routers    []*router.Router
+	told       []map[string]time.Time // when each entry received the first answer with a limit, by target
+	events     []limitEvent           // sorted by time
+	waiting    []waitingRequest
+	arrivals   map[string][]limitArrival // by target
+	unplaced   int
+}
+
+const (
+	limitTick      = 10 * time.Millisecond
+	limitedFrom    = 5 * time.Second
+	limitedUntil   = 25 * time.Second
+	limitRunTime   = 35 * time.Second
+	firstChunk     = 150 * time.Millisecond // from sending a request to the header of its answer
+	answerDuration = time.Second
+	maxQueueTime   = 2 * time.Second
+
+	// The platform's rule: limitGrace after the first answer that named a limit, at most
+	// limitFactor of the limit and limitSlack requests arrive in any limitWindow, counted
+	// over the entries that have received such an answer limitKnown ago.
+	limitGrace  = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitKnown  = 500 * time.Millisecond
+)
+
+type limitEvent struct {
+	at time.Time
+	do func()
+}
+
+type waitingRequest struct {
+	entry int
+	since time.Time
+}
+
+type limitArrival struct {
+	at    time.Time
+	knows bool // the entry that sent it has known the limit for limitKnown
+}
+
+func (f *limitedFleet) run() {
+	f.now, f.rnd, f.arrivals = time.Unix(0, 0), rand.New(rand.NewPCG(1, 2)), map[string][]limitArrival{}
+	var targets []messenger.Target
+	for i := range f.targets {
+		targets = append(targets, messenger.Target{ID: limitTarget(i), Service: "s", Slots: slotsPerTarget, Incarnation: 1})
+	}
+	for i := range f.entries {
+		r := &router.Router{Seed: uint64(i)}
+		r.Update(f.now, targets)
+		f.routers, f.told = append(f.routers, r), append(f.told, map[string]time.Time{})
+	}
+	for f.elapsed() < limitRunTime {
+		f.tick()
+	}
+}
+
+func limitTarget(i int) string { return fmt.Sprintf("t%d", i) }
+
+func (f *limitedFleet) elapsed() time.Duration { return f.now.Sub(time.Unix(0, 0)) }
+
+func (f *limitedFleet) tick() {
+	for len(f.events) > 0 && !f.events[0].at.After(f.now) {
+		e := f.events[0]
+		f.events = f.events[1:]
+		e.do()
+	}
+	if f.elapsed()%f.shareEvery == 0 {
+		f.share()
+	}
+	for i := range f.entries {
+		if f.rnd.Float64() < f.load/float64(f.entries)*limitTick.Seconds() {
+			f.waiting = append(f.waiting, waitingRequest{entry: i, since: f.now})
+		}
+	}
+	f.waiting = slices.DeleteFunc(f.waiting, f.place)
+	f.now = f.now.Add(limitTick)
+}
+
+// place reports whether a request no longer waits.
+func (f *limitedFleet) place(w waitingRequest) bool {
+	r := f.routers[w.entry]
+	p, ok := r.Pick(f.now, shortRequest)
+	if !ok {
+		if f.now.Sub(w.since) < maxQueueTime {
+			return false
+		}
+		f.unplaced++
+		return true
+	}
+	r.Sent(f.now, p, shortRequest)
+	id, sent := p.Target.ID, f.now
+	since, told := f.told[w.entry][id]
+	f.arrivals[id] = append(f.arrivals[id], limitArrival{at: sent, knows: told && sent.Sub(since) >= limitKnown})
+	f.after(firstChunk, func() {
+		r.PrefillDone(p, shortRequest)
+		f.answer(w.entry, p, sent)
+	})
+	f.after(answerDuration, func() { r.Ended(p, shortRequest) })
+	return true
+}
+
+// answer delivers the header of an answer.
+func (f *limitedFleet) answer(entry int, p router.Pick, sent time.Time) {
+	rate := 0.0
+	if f.isLimited(p.Target.ID) {
+		rate = f.limit
+		if _, ok := f.told[entry][p.Target.ID]; !ok {
+			f.told[entry][p.Target.ID] = f.now
+		}
+	}
+	f.routers[entry].RecordLimit(f.now, sent, p, rate)
+}
+
+func (f *limitedFleet) isLimited(id string) bool {
+	for i := range f.limited {
+		if id == limitTarget(i) {
+			return f.elapsed() >= limitedFrom && f.elapsed() < limitedUntil
+		}
+	}
+	return false
+}
+
+// after schedules an event.
+func (f *limitedFleet) after(d time.Duration, do func()) {
+	at := f.now.Add(d)
+	i, _ := slices.BinarySearchFunc(f.events, at, func(e limitEvent, at time.Time) int { return e.at.Compare(at) })
+	for i < len(f.events) && f.events[i].at.Equal(at) {
+		i++
+	}
+	f.events = slices.Insert(f.events, i, limitEvent{at: at, do: do})
+}
+
+// share passes the counts of each entry on to the others.
+func (f *limitedFleet) share() {
+	for i, from := range f.routers {
+		sends := from.Sends()
+		for j, to := range f.routers {
+			if i != j {
+				to.RecordPeer(f.now, fmt.Sprint(i), sends)
+			}
+		}
+	}
+}
+
+// expectLimitKept checks every window that begins with an arrival.
+func (f *limitedFleet) expectLimitKept(t *testing.T) {
+	t.Helper()
+	allowed := limitFactor*f.limit*limitWindow.Seconds() + limitSlack
+	for i := range f.limited {
+		for _, from := range f.arrivals[limitTarget(i)] {
+			if from.at.Before(time.Unix(0, 0).Add(limitedFrom + limitGrace)) {
+				continue
+			}
+			n := 0
+			for _, a := range f.arrivals[limitTarget(i)] {
+				if a.knows && !a.at.Before(from.at) && a.at.Before(from.at.Add(limitWindow)) && a.at.Before(time.Unix(0, 0).Add(limitedUntil)) {
+					n++
+				}
+			}
+			if float64(n) > allowed {
+				t.Fatalf("%s got %d requests in %s from entries that knew its limit of %g a second, want at most %g", limitTarget(i), n, limitWindow, f.limit, allowed)
+			}
+		}
+	}
+}
+
+// arrivalsBetween returns the number of requests at a target in a part of the run.
+func (f *limitedFleet) arrivalsBetween(id string, from, to time.Duration) (n int) {
+	for _, a := range f.arrivals[id] {
+		if at := a.at.Sub(time.Unix(0, 0)); at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against requests beyond the rate that a target in need accepts: the entries that
+// know its limit divide it among each other.
+func TestTargetLimitIsKeptByAllEntriesTogether(t *testing.T) {
+	for name, f := range map[string]*limitedFleet{
+		"four entries":          {entries: 4, targets: 18, limited: 2, limit: 1.9, load: 60, shareEvery: 50 * time.Millisecond},
+		"thirty entries":        {entries: 30, targets: 18, limited: 2, limit: 1.9, load: 60, shareEvery: 200 * time.Millisecond},
+		"a low limit":           {entries: 30, targets: 18, limited: 2, limit: 0.4, load: 60, shareEvery: 200 * time.Millisecond},
+		"a high limit":          {entries: 30, targets: 18, limited: 2, limit: 8, load: 200, shareEvery: 200 * time.Millisecond},
+		"every target":          {entries: 4, targets: 3, limited: 3, limit: 3, load: 12, shareEvery: 50 * time.Millisecond},
+		"reports come too late": {entries: 30, targets: 18, limited: 2, limit: 1.9, load: 60, shareEvery: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f.run()
+			f.expectLimitKept(t)
+		})
+	}
+}
