Keep to the rate limits that targets name, all entries together

What callers saw: nothing directly; replicas in need got 24 requests in 4 s where 16 were allowed, so they stayed in need.

Evidence: arrivals at both replicas are the same before and after they named it, from all four entries; no source had the field. Ruled out: each entry keeping to the whole limit (no dent in arrivals), arrivals that were not placed (arrivals and attempts in the logs agree second by second).

Why this works: for a target with a limit all entries rank each other alike; the first 3, and one more for each request per second of the limit, send to it, one request per interval each. In any period they exceed the limit by one request each at most, which the rule allows. An entry tells the others what it observes, so that those which send nothing learn of changes and of the end. Split prompts spare limited targets. A request that the limits of all targets let start too late is refused at once.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -47,10 +47,11 @@
 	BodyTimeout    time.Duration                                                    // for receiving a request body; DefaultBodyTimeout if zero
 	RetryRatio     float64                                                          // retries that a request earns its service if the configuration sets none; the retrier's default if zero
 	MaxRetryBudget func(*watcher.View) float64                                      // max retry budget of a service in this process; the retrier's default if nil or zero
+	Entries        func(*watcher.View) []string                                     // node names of the live entries in a view; nil stands for this process alone
 	RetryWindow    time.Duration                                                    // after which spent retries are given back, and in which the budget holds across restarts; zero for neither
 	Allocator      *allocator.Allocator                                             // reserves memory at helpers; required with Exchange
 	Disabled       switcher.Switcher                                                // parts of the policy that are switched off
-	SendsChanged   func()                                                           // called when the result of Sends has changed; may be nil
+	SendsChanged   func()                                                           // called when the result of Sends or Limits has changed; may be nil
 	Log            *logrus.Entry
 	Metrics        metrics.Registry
 	Now            func() time.Time
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -131,6 +131,7 @@
 	}
 	c.view, c.viewRefreshed = v, now
 	c.scheduler.Router.Update(now, withDeclaredLoads(v))
+	c.scheduler.Router.SetEntries(c.cfg.Settings.Node, c.entries())
 }
 
 // withDeclaredLoads returns the targets of a view. Targets that report no load get the
@@ -295,7 +296,7 @@
 	c.do(func() { c.scheduler.Router.RecordPeer(c.cfg.Now(), node, sends) })
 }
 
-// notifySendsChanged reports that the result of Sends has changed.
+// notifySendsChanged reports that the result of Sends or Limits has changed.
 func (c *control) notifySendsChanged() {
 	if c.cfg.SendsChanged != nil {
 		c.cfg.SendsChanged()
@@ -331,17 +332,6 @@
 	})
 }
 
-// recordLimit records the rate limit that a target named in its answer to a request sent
-// at the given time.
-func (c *control) recordLimit(sent time.Time, pick router.Pick, rate float64) {
-	c.do(func() {
-		from, to := c.scheduler.Router.RecordLimit(c.cfg.Now(), sent, pick, rate)
-		if from != to {
-			c.cfg.Log.WithFields(logrus.Fields{"target": pick.Target.ID, "service": pick.Target.Service, "from": from, "to": to}).Info("target limit changed")
-		}
-	})
-}
-
 // prefillEnded stops counting a request's prompt at its target. after is the time from
 // the placement to the first chunk of the answer, zero if there was none.
 func (c *control) prefillEnded(t *scheduler.Ticket, pick router.Pick, after time.Duration) {
--- a/messenger/share.go
+++ b/messenger/share.go
@@ -1,9 +1,20 @@
 package messenger
 
-// Share reports to the other entries the requests that an entry has in flight, by target.
+// Share reports to the other entries the requests that an entry has in flight, by target,
+// and the rate limits that it has observed.
 type Share struct {
 	Node  string `msgpack:"node"`
 	Sends []Sent `msgpack:"sends"`
+
+	Limits []Limit `msgpack:"limits,omitempty"`
+}
+
+// Limit is a rate limit that an entry has observed in an answer of a target.
+type Limit struct {
+	Target      uint64  `msgpack:"target"`      // hash of the target's id
+	Incarnation uint64  `msgpack:"incarnation"` // of the target
+	Rate        float64 `msgpack:"rate"`        // requests per second that the target accepts from all entries together; zero if it named none
+	Age         int     `msgpack:"age"`         // milliseconds since the answer
 }
 
 // Sent counts the requests in flight of one entry at one target.
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -20,21 +20,25 @@
 	limit      float64       // requests per second
 	load       float64       // requests per second, of all entries together
 	shareEvery time.Duration // between two reports of an entry to the others
-	now        time.Time
-	rnd        *rand.Rand
-	routers    []*router.Router
-	told       []map[string]time.Time // when each entry received the first answer with a limit, by target
-	events     []limitEvent           // sorted by time
-	waiting    []waitingRequest
-	arrivals   map[string][]limitArrival // by target
-	unplaced   int
+	leave      int           // entries that stop at limitedLeave, which the other ones learn one by one
+
+	names    []string
+	now      time.Time
+	rnd      *rand.Rand
+	routers  []*router.Router
+	told     []map[string]time.Time // when each entry received the first answer with a limit, by target
+	events   []limitEvent           // sorted by time
+	waiting  []waitingRequest
+	arrivals map[string][]limitArrival // by target
+	unplaced int
 }
 
 const (
 	limitTick      = 10 * time.Millisecond
 	limitedFrom    = 5 * time.Second
 	limitedUntil   = 25 * time.Second
-	limitRunTime   = 35 * time.Second
+	limitedLeave   = 12 * time.Second
+	limitRunTime   = 42 * time.Second
 	firstChunk     = 150 * time.Millisecond // from sending a request to the header of its answer
 	answerDuration = time.Second
 	maxQueueTime   = 2 * time.Second
@@ -71,8 +75,13 @@
 		targets = append(targets, messenger.Target{ID: limitTarget(i), Service: "s", Slots: slotsPerTarget, Incarnation: 1})
 	}
 	for i := range f.entries {
+		f.names = append(f.names, fmt.Sprint(i))
+	}
+	for i, name := range f.names {
 		r := &router.Router{Seed: uint64(i)}
 		r.Update(f.now, targets)
+		r.SetEntries(name, f.names)
+		f.after(limitedLeave+time.Duration(i)*100*time.Millisecond, func() { r.SetEntries(name, f.names[f.leave:]) })
 		f.routers, f.told = append(f.routers, r), append(f.told, map[string]time.Time{})
 	}
 	for f.elapsed() < limitRunTime {
@@ -93,7 +102,11 @@
 	if f.elapsed()%f.shareEvery == 0 {
 		f.share()
 	}
-	for i := range f.entries {
+	first := 0
+	if f.elapsed() >= limitedLeave {
+		first = f.leave
+	}
+	for i := first; i < f.entries; i++ {
 		if f.rnd.Float64() < f.load/float64(f.entries)*limitTick.Seconds() {
 			f.waiting = append(f.waiting, waitingRequest{entry: i, since: f.now})
 		}
@@ -159,10 +172,11 @@
 // share passes the counts of each entry on to the others.
 func (f *limitedFleet) share() {
 	for i, from := range f.routers {
-		sends := from.Sends()
+		sends, limits := from.Sends(), from.Limits(f.now)
 		for j, to := range f.routers {
 			if i != j {
 				to.RecordPeer(f.now, fmt.Sprint(i), sends)
+				to.RecordPeerLimits(f.now, limits, func(string, float64, float64) {})
 			}
 		}
 	}
@@ -173,23 +187,38 @@
 	t.Helper()
 	allowed := limitFactor*f.limit*limitWindow.Seconds() + limitSlack
 	for i := range f.limited {
-		for _, from := range f.arrivals[limitTarget(i)] {
-			if from.at.Before(time.Unix(0, 0).Add(limitedFrom + limitGrace)) {
-				continue
-			}
+		id := limitTarget(i)
+		counted := slices.DeleteFunc(slices.Clone(f.arrivals[id]), func(a limitArrival) bool {
+			at := a.at.Sub(time.Unix(0, 0))
+			return !a.knows || at < limitedFrom+limitGrace || at >= limitedUntil
+		})
+		for k, from := range counted {
 			n := 0
-			for _, a := range f.arrivals[limitTarget(i)] {
-				if a.knows && !a.at.Before(from.at) && a.at.Before(from.at.Add(limitWindow)) && a.at.Before(time.Unix(0, 0).Add(limitedUntil)) {
-					n++
-				}
+			for n < len(counted)-k && counted[k+n].at.Before(from.at.Add(limitWindow)) {
+				n++
 			}
 			if float64(n) > allowed {
-				t.Fatalf("%s got %d requests in %s from entries that knew its limit of %g a second, want at most %g", limitTarget(i), n, limitWindow, f.limit, allowed)
+				t.Fatalf("%s got %d requests in %s from entries that knew its limit of %g a second, want at most %g", id, n, limitWindow, f.limit, allowed)
 			}
 		}
 	}
 }
 
+// expectUsedAfterwards fails unless the targets are used again once their limits have
+// ended. At the limited rate a few requests are needed to learn that, and a report.
+func (f *limitedFleet) expectUsedAfterwards(t *testing.T) {
+	t.Helper()
+	settled := limitedUntil + time.Duration(4/f.limit*float64(time.Second)) + 2*f.shareEvery + time.Second
+	before, after := 0, 0
+	for i := range f.limited {
+		before += f.arrivalsBetween(limitTarget(i), limitedFrom/2, limitedFrom)
+		after += f.arrivalsBetween(limitTarget(i), settled, settled+limitedFrom/2)
+	}
+	if after < before/2 {
+		t.Errorf("%d requests after the limits ended, %d in an equal time before they began", after, before)
+	}
+}
+
 // arrivalsBetween returns the number of requests at a target in a part of the run.
 func (f *limitedFleet) arrivalsBetween(id string, from, to time.Duration) (n int) {
 	for _, a := range f.arrivals[id] {
@@ -209,11 +238,13 @@
 		"a low limit":           {entries: 30, targets: 18, limited: 2, limit: 0.4, load: 60, shareEvery: 200 * time.Millisecond},
 		"a high limit":          {entries: 30, targets: 18, limited: 2, limit: 8, load: 200, shareEvery: 200 * time.Millisecond},
 		"every target":          {entries: 4, targets: 3, limited: 3, limit: 3, load: 12, shareEvery: 50 * time.Millisecond},
+		"entries leave":         {entries: 30, targets: 18, limited: 2, limit: 1.9, load: 60, shareEvery: 200 * time.Millisecond, leave: 10},
 		"reports come too late": {entries: 30, targets: 18, limited: 2, limit: 1.9, load: 60, shareEvery: 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f.run()
 			f.expectLimitKept(t)
+			f.expectUsedAfterwards(t)
 		})
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -79,6 +79,8 @@
 	byName  map[string]*serviceIndex
 	history history
 	peers   map[string]peerReport // by node name of the entry
+	self    string                // node name of this entry
+	entries []string              // node names of all live entries
 }
 
 // Features selects parts of the router that a benchmark disables.
@@ -122,6 +124,7 @@
 	if s == nil {
 		return
 	}
+	s.limit.charge(now)
 	if s.slots() > 0 {
 		r.sentBySlots(p, req)
 		return
--- a/router/slots.go
+++ b/router/slots.go
@@ -118,7 +118,7 @@
 func (r *Router) pickBySlots(now time.Time, x *serviceIndex, req Request) (Pick, bool) {
 	open := slices.DeleteFunc(slices.Clone(x.ranked), func(s *targetState) bool {
 		r.Examined++
-		return now.Before(s.refusedUntil) || slices.Contains(req.Exclude, s.target.ID) || s.running(now) >= s.slots()
+		return now.Before(s.refusedUntil) || !s.limit.allows(now) || slices.Contains(req.Exclude, s.target.ID) || s.running(now) >= s.slots()
 	})
 	switch {
 	case len(open) == 0:
@@ -126,7 +126,7 @@
 	case req.Prefill == 0:
 		return r.pickLeastLoaded(now, open), true
 	case req.PrefillTargets > 1 && !r.Disabled.Pieces:
-		return r.pickGang(now, len(x.ranked), open, req)
+		return r.pickGang(now, len(x.ranked), withoutLimited(now, open), req)
 	case r.Disabled.Fill:
 		return r.pickLeastLoaded(now, open), true
 	default:
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -155,7 +155,7 @@
 	e, closer, err := entry.New(entry.Config{
 		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
 		View:  r.watcher.View,
-		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, MaxRetryBudget: r.maxRetryBudget, Seed: rand.Uint64(),
+		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, MaxRetryBudget: r.maxRetryBudget, Entries: entryNames, Seed: rand.Uint64(),
 		Disabled: r.cfg.Disabled, RetryRatio: r.cfg.RetryRatio, RetryWindow: r.cfg.RetryWindow,
 		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
@@ -175,10 +175,16 @@
 func (r *Runner) startSharer() {
 	cfg := sharer.Config{
 		Node: r.cfg.Settings.Node, Address: r.cfg.Settings.Listen, Pool: r.pool, Peers: r.liveEntries,
-		Sends: r.Entry.Sends, Record: r.Entry.RecordSends, Keepers: r.keeperAddresses, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
+		Report: func() messenger.Share { return messenger.Share{Sends: r.Entry.Sends(), Limits: r.Entry.Limits()} },
+		Record: func(m messenger.Share) {
+			r.Entry.RecordSends(m.Node, m.Sends)
+			r.Entry.RecordLimits(m.Node, m.Limits)
+		},
+		Keepers: r.keeperAddresses, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	}
-	if r.cfg.Disabled.Off(switcher.ShareCounts) { // entries still count each other, to divide the retries
-		cfg.Sends, cfg.Record = func() []messenger.Sent { return nil }, func(string, []messenger.Sent) {}
+	if r.cfg.Disabled.Off(switcher.ShareCounts) { // entries still divide retries and rate limits
+		cfg.Report = func() messenger.Share { return messenger.Share{Limits: r.Entry.Limits()} }
+		cfg.Record = func(m messenger.Share) { r.Entry.RecordLimits(m.Node, m.Limits) }
 	}
 	s, closer := sharer.New(cfg)
 	r.sharer.Store(s)
@@ -202,6 +208,16 @@
 	return min(retrier.DefaultMaxBudget, r.cfg.FleetRetryBudget/float64(max(1, len(v.ByService[sharer.ServiceEntries]))))
 }
 
+// entryNames returns the node names of the live entries in a view, sorted.
+func entryNames(v *watcher.View) []string {
+	var out []string
+	for _, t := range v.ByService[sharer.ServiceEntries] {
+		out = append(out, t.ID)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // liveEntries returns the live entries in this process's view.
 func (r *Runner) liveEntries() []messenger.Target {
 	v := r.watcher.View()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -113,6 +113,9 @@
 	if t.Prefill == 0 && s.ExceedsTarget(t) {
 		return coder.Errorf(coder.PromptTooLong, "about %d tokens, engine memory for %d", t.Prompt+t.Output, total.MaxMemory)
 	}
+	if err := s.checkLimits(now, t, s.queued(k)); err != nil {
+		return err
+	}
 	if s.Disabled.RefuseLate {
 		return nil
 	}
@@ -122,6 +125,26 @@
 	return s.Admitter.Admit(req)
 }
 
+// checkLimits returns an error if the rate limits of the service's targets let the ticket,
+// behind a number of others, start too late to finish before its deadline.
+func (s *Scheduler) checkLimits(now time.Time, t *Ticket, ahead int) error {
+	wait, ok := s.Router.LimitWait(now, t.Service, ahead)
+	if ok && (wait == 0 || wait+s.PredictDuration(t) < t.Deadline.Sub(now)) {
+		return nil
+	}
+	e := coder.Errorf(coder.Overloaded, "every target limits its rate")
+	e.Retry = s.Admitter.RetryAfter(wait)
+	return e
+}
+
+// queued returns the number of tickets in a queue.
+func (s *Scheduler) queued(k queueKey) int {
+	if q := s.queues[k]; q != nil {
+		return q.Len()
+	}
+	return 0
+}
+
 // noTarget returns the error for a ticket that no target can serve.
 func (s *Scheduler) noTarget(t *Ticket) error {
 	e := coder.Errorf(coder.NoTarget, "service %q", t.Service)
@@ -286,6 +309,9 @@
 		e.Retry = s.Admitter.RetryAfter(0)
 		return Placement{Ticket: t, Err: e}, true
 	}
+	if err := s.checkLimits(now, t, 0); err != nil {
+		return Placement{Ticket: t, Err: err}, true
+	}
 	if s.capacity(t).Targets > len(t.Exclude) {
 		return Placement{}, false
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -9,6 +9,7 @@
 
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
+	"bramleyshunt/router"
 	"bramleyshunt/scheduler"
 )
 
@@ -47,6 +48,52 @@
 		Expect(s.Dispatch(now)).To(HaveLen(1))
 	})
 
+	It("refuses at once requests that the rate limits of all targets let start too late", func() {
+		s := newScheduler()
+		s.Router.SetEntries("e", []string{"e"})
+		s.Enqueue(ticket("first", 2000))
+		placed := s.Dispatch(now)
+		Expect(placed).To(HaveLen(1))
+		s.Router.RecordLimit(now, now, placed[0].Pick, 0.15)
+		s.Enqueue(ticket("second", 2000))
+		Expect(s.Dispatch(now)).To(HaveLen(1))
+
+		Expect(s.Admit(now, ticket("x", 2000))).To(Succeed(), "the next one starts in 7 s")
+		s.Enqueue(ticket("third", 2000))
+		Expect(s.Dispatch(now)).To(BeEmpty())
+		err := s.Admit(now, ticket("x", 2000))
+		expectCode(err, coder.Overloaded)
+		Expect(coder.Of(err).Retry).To(BeNumerically(">=", 13*time.Second))
+		Expect(coder.Of(err).Run).To(Equal(coder.NotRun))
+
+		s = newScheduler()
+		s.Enqueue(ticket("first", 2000))
+		placed = s.Dispatch(now)
+		s.Enqueue(ticket("admitted", 100000))
+		Expect(s.Dispatch(now)).To(BeEmpty())
+		s.Router.RecordLimit(now, now, placed[0].Pick, 0.05)
+		s.Router.Sent(now, placed[0].Pick, router.Request{})
+		refused := s.Dispatch(now)
+		Expect(refused).To(HaveLen(1))
+		expectCode(refused[0].Err, coder.Overloaded)
+	})
+
+	It("refuses at once requests to targets that only other entries may send to", func() {
+		s := newScheduler()
+		s.Enqueue(ticket("first", 2000))
+		placed := s.Dispatch(now)
+		s.Router.RecordLimit(now, now, placed[0].Pick, 0.5)
+		entries := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+		serving := 0
+		for _, e := range entries {
+			s.Router.SetEntries(e, entries)
+			if s.Admit(now, ticket("x", 2000)) == nil {
+				serving++
+			}
+		}
+		Expect(serving).To(Equal(3))
+	})
+
 	It("admits by the queue ahead and by the prefill rate of recent requests", func() {
 		s := newScheduler()
 		Expect(s.Admit(now, ticket("x", 50000))).To(Succeed())
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -1,7 +1,7 @@
 // Package sharer reports the number of requests that this entry has in flight at each
-// target to the other entries, so that all of them place requests by the same counts. The
-// counts are a hint: an entry that receives none relies on its own counts and on the load
-// that targets report.
+// target to the other entries, so that all of them place requests by the same counts, and
+// the rate limits that targets have named to it. The counts are a hint: an entry that
+// receives none relies on its own counts and on the load that targets report.
 package sharer
 
 import (
@@ -44,10 +44,10 @@
 	Node    string
 	Address string // at which other entries reach this one
 	Pool    *pooler.Pooler
-	Peers   func() []messenger.Target                 // live entries, including this one
-	Sends   func() []messenger.Sent                   // counts of the requests that this entry has in flight, by target
-	Record  func(node string, sends []messenger.Sent) // called with the counts of another entry
-	Keepers func() []string                           // addresses of keepers
+	Peers   func() []messenger.Target // live entries, including this one
+	Report  func() messenger.Share    // counts and limits of this entry; Node is filled in
+	Record  func(messenger.Share)     // called with those of another entry
+	Keepers func() []string           // addresses of keepers
 	Log     *logrus.Entry
 	Metrics metrics.Registry
 }
@@ -132,7 +132,9 @@
 		}
 		peers := s.cfg.Peers()
 		if len(peers) > 1 {
-			s.send(peers, &messenger.Share{Node: s.cfg.Node, Sends: s.cfg.Sends()})
+			m := s.cfg.Report()
+			m.Node = s.cfg.Node
+			s.send(peers, &m)
 		}
 		_ = sleeper.Sleep(s.ctx, MinInterval(len(peers)))
 	}
@@ -223,7 +225,7 @@
 			s.cfg.Log.WithError(err).Warn("could not decode the counts of another entry")
 			return true
 		}
-		s.cfg.Record(m.Node, m.Sends)
+		s.cfg.Record(m)
 		var err error
 		if msg, err = stream.Receive(ctx); err != nil || msg.Kind != messenger.KindShare {
 			return true
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -47,12 +47,12 @@
 	pool, closePool := pooler.New(muxer.Config{Node: name})
 	s, stop := sharer.New(sharer.Config{
 		Node: name, Address: l.Addr().String(), Pool: pool, Peers: c.entries,
-		Sends:   func() []messenger.Sent { return own },
+		Report:  func() messenger.Share { return messenger.Share{Sends: own} },
 		Keepers: func() []string { return nil },
-		Record: func(node string, sends []messenger.Sent) {
+		Record: func(m messenger.Share) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			c.received[name+" from "+node] = sends
+			c.received[name+" from "+m.Node] = m.Sends
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
