Give up requests that wait while memory is reserved for them in vain

The platform bounds unused memory at 9 s. Ruled out: a killed entry, which the issue supposed; this one had started before and lived on, and leases of a dead one end after 3 s.

A reservation that is in use is never touched, so long reads go on.

TestIdleReservationsAreGivenUp fails without the check.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,9 @@
 	renewInterval = holdTTL / 3
 	// callTimeout bounds one Reserve or Release call.
 	callTimeout = 700 * time.Millisecond
+	// idleReserve is the part of Allocator.MaxIdle that is left for checking whether
+	// reservations are in use, and for releasing them.
+	idleReserve = 2500 * time.Millisecond
 	// releaseRetryDelay is the delay between two attempts to release a reservation.
 	releaseRetryDelay = 200 * time.Millisecond
 )
@@ -41,6 +45,8 @@
 type Allocator struct {
 	Reserve func(ctx context.Context, r Reservation, hold time.Duration) error
 	Release func(ctx context.Context, r Reservation) error
+	Idle    func(ctx context.Context, r Reservation) (bool, error) // reports whether no request has used the reservation; required with MaxIdle
+	MaxIdle time.Duration                                          // how long memory may be reserved that no request uses; zero for no bound
 	Log     *logrus.Entry
 
 	wg conc.WaitGroup
@@ -50,8 +56,10 @@
 func (a *Allocator) Wait() { a.wg.Wait() }
 
 // ReserveAll makes all reservations, or none and returns code MemoryFull. It renews
-// them until the returned function is called, which releases them in the background.
-func (a *Allocator) ReserveAll(ctx context.Context, reservations []Reservation) (func(), error) {
+// them until the returned function is called, which releases them in the background. If
+// one of them is still idle shortly before MaxIdle, it calls giveUp, which ends the request
+// that waits to use them, or returns false if that has started meanwhile.
+func (a *Allocator) ReserveAll(ctx context.Context, reservations []Reservation, giveUp func() bool) (func(), error) {
 	if err := a.forEach(ctx, reservations, func(ctx context.Context, r Reservation) error { return a.Reserve(ctx, r, holdTTL) }); err != nil {
 		a.releaseAsync(reservations)
 		a.Log.WithError(err).WithField("tickets", len(reservations)).Info("memory reservation failed")
@@ -62,7 +70,7 @@
 	ended := make(chan struct{})
 	a.wg.Go(func() {
 		defer close(ended)
-		a.renew(renewCtx, reservations)
+		a.renew(renewCtx, reservations, giveUp)
 	})
 	return sync.OnceFunc(func() {
 		stop()
@@ -95,15 +103,42 @@
 	return nil
 }
 
-// renew renews the reservations until ctx ends. If one cannot be renewed, its target
-// ends the request.
-func (a *Allocator) renew(ctx context.Context, reservations []Reservation) {
+// renew renews the reservations until ctx ends or one of them has been idle for too long.
+// If one cannot be renewed, its target ends the request.
+func (a *Allocator) renew(ctx context.Context, reservations []Reservation, giveUp func() bool) {
+	reserved, inUse := time.Now(), a.MaxIdle == 0
 	for sleeper.Sleep(ctx, renewInterval) == nil {
 		err := a.forEach(context.WithoutCancel(ctx), reservations, func(ctx context.Context, r Reservation) error { return a.Reserve(ctx, r, holdTTL) })
 		if err != nil {
 			a.Log.WithError(err).WithField("first", reservations[0].ID).Warn("memory reservation was not renewed")
 		}
+		if inUse || time.Since(reserved) < a.MaxIdle-idleReserve {
+			continue
+		}
+		idle, err := a.anyIdle(ctx, reservations)
+		if idle && giveUp() {
+			a.Log.WithFields(logrus.Fields{"first": reservations[0].ID, "after": time.Since(reserved).Milliseconds()}).Info("memory reserved in vain: the request has not started")
+			return
+		}
+		inUse = idle || err == nil
+	}
+}
+
+// anyIdle reports whether any reservation is idle. It returns an error if that could not
+// be determined for all of them.
+func (a *Allocator) anyIdle(ctx context.Context, reservations []Reservation) (bool, error) {
+	var idle atomic.Bool
+	err := a.forEach(ctx, reservations, func(ctx context.Context, r Reservation) error {
+		unused, err := a.Idle(ctx, r)
+		if unused {
+			idle.Store(true)
+		}
+		return err
+	})
+	if err != nil {
+		a.Log.WithError(err).WithField("first", reservations[0].ID).Info("use of a memory reservation is unknown")
 	}
+	return idle.Load(), err
 }
 
 // release releases reservations. It retries for as long as a target may hold them.
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,7 +78,7 @@
 		g := NewWithT(t)
 		m := &memory{expiry: map[string]time.Time{}}
 		k := newAllocator(m)
-		free, err := k.ReserveAll(t.Context(), reservations())
+		free, err := k.ReserveAll(t.Context(), reservations(), nil)
 		g.Expect(err).NotTo(HaveOccurred())
 		for range 10 {
 			time.Sleep(time.Second)
@@ -95,7 +96,7 @@
 		g := NewWithT(t)
 		m := &memory{expiry: map[string]time.Time{}, full: "b"}
 		k := newAllocator(m)
-		_, err := k.ReserveAll(t.Context(), reservations())
+		_, err := k.ReserveAll(t.Context(), reservations(), nil)
 		g.Expect(coder.Of(err).Code).To(Equal(coder.MemoryFull))
 		g.Expect(coder.Of(err).Run).To(Equal(coder.NotRun))
 		k.Wait()
@@ -110,10 +111,70 @@
 		g := NewWithT(t)
 		m := &memory{expiry: map[string]time.Time{}, dropReleases: 3}
 		k := newAllocator(m)
-		free, err := k.ReserveAll(t.Context(), reservations())
+		free, err := k.ReserveAll(t.Context(), reservations(), nil)
 		g.Expect(err).NotTo(HaveOccurred())
 		free()
 		k.Wait()
 		g.Expect(m.expiry).To(BeEmpty())
 	})
 }
+
+// idleCase describes a request that waits at a target while memory is reserved for it.
+type idleCase struct {
+	usedAfter time.Duration // when the reservations are used
+	failures  int32         // calls of Idle that fail at first
+	started   bool          // the request answers although the target reports the memory as idle
+	givenUp   bool          // expected
+}
+
+const testMaxIdle = 9 * time.Second
+
+// TestIdleReservationsAreGivenUp guards against memory that stays reserved for a request
+// that waits at a full target: it was renewed until the caller left.
+func TestIdleReservationsAreGivenUp(t *testing.T) {
+	for name, c := range map[string]idleCase{
+		"never used":            {usedAfter: time.Hour, givenUp: true},
+		"used early":            {usedAfter: time.Second},
+		"used at the last":      {usedAfter: 6 * time.Second},
+		"unknown at first":      {usedAfter: time.Hour, failures: 2, givenUp: true},
+		"used, then unknown":    {usedAfter: time.Second, failures: 2},
+		"started meanwhile":     {usedAfter: time.Hour, started: true},
+		"used after the answer": {usedAfter: 8 * time.Second, givenUp: true},
+	} {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, c.run) })
+	}
+}
+
+func (c idleCase) run(t *testing.T) {
+	g := NewWithT(t)
+	m, start := &memory{expiry: map[string]time.Time{}}, time.Now()
+	k, givenUp := newAllocator(m), make(chan struct{})
+	var calls atomic.Int32
+	k.MaxIdle = testMaxIdle
+	k.Idle = func(context.Context, allocator.Reservation) (bool, error) {
+		if calls.Add(1) <= c.failures {
+			return false, errors.New("no answer")
+		}
+		return time.Since(start) < c.usedAfter, nil
+	}
+	free, err := k.ReserveAll(t.Context(), reservations(), func() bool {
+		if !c.started {
+			close(givenUp)
+		}
+		return !c.started
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	select {
+	case <-givenUp:
+		g.Expect(c.givenUp).To(BeTrue())
+		free()
+		k.Wait()
+		g.Expect(time.Since(start)).To(BeNumerically("<", testMaxIdle))
+	case <-time.After(3 * testMaxIdle):
+		g.Expect(c.givenUp).To(BeFalse())
+		g.Expect(m.held()).To(Equal(2), "the request still uses them")
+		free()
+		k.Wait()
+	}
+	g.Expect(m.held()).To(BeZero())
+}
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -49,6 +49,7 @@
 	blamedTarget  string       // of the last attempt, see Attempt.BlamedTarget
 	targetAlive   bool         // of the last attempt, see Attempt.TargetAlive
 	retryReserved atomic.Bool  // the retry after the current attempt is reserved
+	answering     atomic.Bool  // the current attempt has produced a chunk
 }
 
 // run queues a request, makes attempts at targets and passes the answer on to the
@@ -129,6 +130,8 @@
 	}
 }
 
+var errNotStarted = coder.Errorf(coder.Silent, "not started while memory was reserved for it")
+
 var errNotPlaced = coder.Errorf(coder.Overloaded, "no target was free in time")
 
 // placementError returns the error of a request whose wait for a target or a retry was
@@ -192,6 +195,7 @@
 			if !x.gotChunk {
 				x.r.Trace.Wait = x.cd.cfg.Now().Sub(placed)
 			}
+			x.answering.Store(true)
 			started(x.cd.cfg.Now().Sub(placed))
 			x.observeChunk()
 			return x.r.Answer.Chunk(c)
@@ -209,7 +213,16 @@
 		a.LastEventID = x.r.Answer.LastEventID()
 	}
 	x.blamedTarget, x.targetAlive = "", false
-	release, err := x.reserveHelpers(ctx, a, pick)
+	x.answering.Store(false)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	release, err := x.reserveHelpers(ctx, a, pick, func() bool {
+		if x.answering.Load() {
+			return false
+		}
+		cancel(errNotStarted)
+		return true
+	})
 	if err != nil {
 		return err
 	}
@@ -236,8 +249,9 @@
 }
 
 // reserveHelpers reserves memory at the helpers and returns a function that releases
-// it.
-func (x *execution) reserveHelpers(ctx context.Context, a *Attempt, pick router.Pick) (func(), error) {
+// it. giveUp is called if the target has not started the request within the time for
+// which the helpers may keep unused memory reserved.
+func (x *execution) reserveHelpers(ctx context.Context, a *Attempt, pick router.Pick, giveUp func() bool) (func(), error) {
 	var reservations []allocator.Reservation
 	a.ReservationIDs = make([]string, len(pick.Helpers))
 	for i, n := range pick.HelperMemory {
@@ -249,7 +263,7 @@
 	if len(reservations) == 0 {
 		return func() {}, nil
 	}
-	return x.cd.cfg.Allocator.ReserveAll(ctx, reservations)
+	return x.cd.cfg.Allocator.ReserveAll(ctx, reservations, giveUp)
 }
 
 // exchange runs an attempt through Config.Exchange if that is set, else through the
