Name the fields of rate limits, log entries beside the retry limit

Reading the diff as a newcomer: two errors of one kind stand together, the interval of a rate limit has its meaning, the line about the retry limit says how many entries it was divided by. No behaviour changes.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -120,7 +120,7 @@
 			a.Log.WithFields(logrus.Fields{"first": reservations[0].ID, "after": time.Since(reserved).Milliseconds()}).Info("memory reserved in vain: the request has not started")
 			return
 		}
-		inUse = idle || err == nil
+		inUse = idle || err == nil // idle: the request has started, whatever the target reports
 	}
 }
 
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -374,7 +374,7 @@
 	from := c.retrier.MaxBudget()
 	c.retrier.SetMaxBudget(now, c.cfg.MaxRetryBudget(c.view))
 	if to := c.retrier.MaxBudget(); to != from {
-		c.cfg.Log.WithFields(logrus.Fields{"from": from, "to": to, "hasView": c.view != nil}).Info("retry budget limit changed")
+		c.cfg.Log.WithFields(logrus.Fields{"from": from, "to": to, "entries": len(c.entries())}).Info("retry budget limit changed")
 	}
 }
 
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -130,9 +130,10 @@
 	}
 }
 
-var errNotStarted = coder.Errorf(coder.Silent, "not started while memory was reserved for it")
-
-var errNotPlaced = coder.Errorf(coder.Overloaded, "no target was free in time")
+var (
+	errNotPlaced  = coder.Errorf(coder.Overloaded, "no target was free in time")
+	errNotStarted = coder.Errorf(coder.Silent, "not started while memory was reserved for it")
+)
 
 // placementError returns the error of a request whose wait for a target or a retry was
 // ended by ctx.
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -88,7 +88,7 @@
 		Expect(r.Unused(now.Add(10*time.Second), "a")).To(BeNumerically("<=", 1))
 	})
 
-	It("holds at most its maximum of retries", func() {
+	It("holds at most MaxBudget retries", func() {
 		var r retrier.Retrier
 		r.SetMaxBudget(now, 3)
 		n := 0
--- a/router/limit.go
+++ b/router/limit.go
@@ -27,12 +27,12 @@
 
 // rateLimit is the request rate that a target accepts from all entries together.
 type rateLimit struct {
-	rate       float64   // requests per second; zero for no limit
-	observedAt time.Time // when an answer last named it
-	own        bool      // observed by this entry
-	interval   time.Duration
-	sender     bool      // this entry sends requests, one per interval
-	nextAt     time.Time // of the next request
+	rate       float64       // requests per second; zero for no limit
+	observedAt time.Time     // when an answer last named it
+	own        bool          // observed by this entry
+	interval   time.Duration // between two requests of one sender
+	sender     bool          // this entry is one of the senders
+	nextAt     time.Time     // of this entry's next request
 }
 
 func (l *rateLimit) inForce(now time.Time) bool {
