Let targets return whose agents reported them as leaving for a while

Found by running old and new builds side by side: once a keeper had restarted, its entry refused all requests for a model with 2004, for over 30 s.

Cause: an agent reports its target as leaving until the engine answers, and whenever it does not. Since targets are recorded in the log, the record of a target that leaves is final for its incarnation, as on the users' platform, and a keeper that restores it refuses the agent's word. Evidence: the log of the restarted keeper says two targets restored, the agents' announcements of the same incarnation before that say leaving, and the agents said that they accept work.

Agents now say that their targets may return; such a target is as its last announcement says, also where an older build recorded that it left. Targets of the users' platform don't say so: there leaving stays final.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -214,7 +214,7 @@
 	s := a.cfg.Settings
 	t := messenger.Target{
 		ID: s.Target.ID, Service: s.Target.Service, Model: s.Target.Model,
-		Address: s.Listen, Zone: s.Zone,
+		Address: s.Listen, Zone: s.Zone, MayReturn: true,
 	}
 	if t.ID == "" {
 		t.ID = s.Node
--- a/applier/targets.go
+++ b/applier/targets.go
@@ -48,8 +48,8 @@
 }
 
 // MergeTarget returns what is remembered of a target once next is reported after old. A
-// target that leaves stays so until its next incarnation, unless it was on standby. A
-// report without an address only states that the target leaves.
+// target that leaves stays so until its next incarnation, unless it may return or was on
+// standby. A report without an address only states that the target leaves.
 func MergeTarget(old, next messenger.Target) messenger.Target {
 	if next.Incarnation < old.Incarnation {
 		return old
@@ -60,7 +60,7 @@
 	}
 	next = withoutLoad(next)
 	if next.Incarnation == old.Incarnation {
-		next.Leaving = next.Leaving || old.Leaving && !old.Standby
+		next.Leaving = next.Leaving || old.Leaving && !old.Standby && !next.MayReturn
 	}
 	return next
 }
--- a/applier/targets_test.go
+++ b/applier/targets_test.go
@@ -50,6 +50,19 @@
 		Expect(l.applier.Targets()).To(Equal([]messenger.Target{target(1, false)}))
 	})
 
+	It("return within an incarnation if they may, also where an older build recorded that they left", func() {
+		back := target(1, false)
+		back.MayReturn = true
+		left := back
+		left.Leaving = true
+		for _, recorded := range []messenger.Target{left, target(1, true)} {
+			remember([]string{"t"}, recorded)
+			remember(nil, back)
+			Expect(l.applier.Targets()).To(Equal([]messenger.Target{back}))
+			remember([]string{"t"})
+		}
+	})
+
 	It("do not include an unknown target of which only the departure was reported", func() {
 		remember(nil, messenger.Target{ID: "t", Incarnation: 1, Leaving: true})
 		Expect(l.applier.Targets()).To(BeEmpty())
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -144,6 +144,9 @@
 	// Standby reports that the target is leaving because a controller put it on
 	// standby; a controller may activate it again.
 	Standby bool `msgpack:"standby,omitempty"`
+	// MayReturn reports that Leaving may end within an incarnation, as for a target whose
+	// engine does not answer. Without it, only a target on standby returns.
+	MayReturn bool `msgpack:"return,omitempty"`
 	// Empty reports that the engine has no model loaded; Model is then the model that
 	// it is configured for.
 	Empty bool `msgpack:"empty,omitempty"`
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -82,7 +82,7 @@
 	if l != nil && l.Target.Incarnation == t.Incarnation && t.Seq < l.Target.Seq {
 		return *l, nil // a later announcement was received before this one
 	}
-	t.Leaving = t.Leaving || t.Incarnation <= r.deregistered[t.ID].Incarnation
+	t.Leaving = t.Leaving || !t.MayReturn && t.Incarnation <= r.deregistered[t.ID].Incarnation
 	if l == nil && len(r.live) >= MaxTargets {
 		return Lease{}, coder.Errorf(coder.Overloaded, "%d targets are announced", len(r.live))
 	}
@@ -96,7 +96,8 @@
 
 // Restore grants a lease to a target that was live when an earlier process last recorded
 // it, unless the target or another one at its address has been announced since. A target
-// that was leaving stays so until its next incarnation, unless it was on standby.
+// that was leaving stays so until its next incarnation, unless it was on standby or
+// announces that it may return.
 func (r *Registrar) Restore(now time.Time, t messenger.Target) error {
 	for id, l := range r.live {
 		if id == t.ID || r.Exclusive && l.Target.Address == t.Address {
@@ -147,7 +148,8 @@
 }
 
 // Leave marks a target as leaving until the given incarnation ends, or the current one
-// if it is zero. Later announcements of that incarnation do not undo it.
+// if it is zero. Later announcements of that incarnation do not undo it, unless the target
+// may return.
 func (r *Registrar) Leave(now time.Time, id string, incarnation uint64) {
 	if incarnation == 0 {
 		incarnation = r.highestIncarnation(id)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -122,6 +122,17 @@
 		expectLive(r, 3)
 	})
 
+	It("are restored as leaving until they are announced otherwise, if they may return", func() {
+		left := targetWith(1)
+		left.Leaving = true
+		Expect(r.Restore(start, left)).To(Succeed())
+		Expect(r.Live()[0].Target.Leaving).To(BeTrue())
+		back := targetWith(1)
+		back.MayReturn = true
+		Expect(announce(r, time.Second, back)).To(Succeed())
+		Expect(r.Live()[0].Target.Leaving).To(BeFalse())
+	})
+
 	It("are restored as leaving until the next incarnation", func() {
 		t := targetWith(1)
 		t.Leaving = true
