--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -52,3 +52,47 @@
 		}
 	}
 }
+
+// BenchmarkPeerLimits records a report of another entry that has observed the limits of
+// some targets.
+func BenchmarkPeerLimits(b *testing.B) {
+	const limited = 8
+	now := time.Unix(0, 0)
+	for _, n := range []int{14, 100, 850} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			from, to := newSlotRouter(n), newSlotRouter(n)
+			for range limited {
+				p, _ := from.Pick(now, plainRequest)
+				from.Sent(now, p, plainRequest)
+				from.RecordLimit(now, now, p, 2)
+			}
+			for b.Loop() {
+				now = now.Add(time.Second)
+				to.RecordPeerLimits(now, from.Limits(now), func(string, float64, float64) {})
+			}
+		})
+	}
+}
+
+// BenchmarkSetEntries divides the limits of some targets anew among the entries.
+func BenchmarkSetEntries(b *testing.B) {
+	const limited = 8
+	now := time.Unix(0, 0)
+	for _, n := range []int{4, 31, 370} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			var names []string
+			for i := range n {
+				names = append(names, fmt.Sprint("entry-", i))
+			}
+			r := newSlotRouter(850)
+			for range limited {
+				p, _ := r.Pick(now, plainRequest)
+				r.Sent(now, p, plainRequest)
+				r.RecordLimit(now, now, p, 2)
+			}
+			for i := 0; b.Loop(); i++ {
+				r.SetEntries(names[0], names[i%2:])
+			}
+		})
+	}
+}
--- a/router/limit.go
+++ b/router/limit.go
@@ -1,7 +1,7 @@
 package router
 
 import (
-	"maps"
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -110,14 +110,14 @@
 // that have ended. They are sent to the other entries.
 func (r *Router) Limits(now time.Time) []messenger.Limit {
 	var out []messenger.Limit
-	for _, id := range slices.Sorted(maps.Keys(r.byID)) {
-		s := r.byID[id]
+	for id, s := range r.byID {
 		if age := now.Sub(s.limit.observedAt); s.limit.own && age < limitTTL {
 			out = append(out, messenger.Limit{
 				Target: xxhash.Sum64String(id), Incarnation: s.target.Incarnation, Rate: s.limit.rate, Age: int(age.Milliseconds()),
 			})
 		}
 	}
+	slices.SortFunc(out, func(a, b messenger.Limit) int { return cmp.Compare(a.Target, b.Target) })
 	return out
 }
 
