--- a/conductor/retry.go
+++ b/conductor/retry.go
@@ -90,10 +90,8 @@
 // blamedPick returns the target that a failed attempt is about: the picked one, unless
 // the refusal names a helper.
 func (x *execution) blamedPick(pick router.Pick) router.Pick {
-	for _, t := range pick.Helpers {
-		if x.blamedTarget != "" && (t.ID == x.blamedTarget || t.Address == x.blamedTarget) {
-			return router.Pick{Target: t}
-		}
+	if x.blamedHelper != nil {
+		return router.Pick{Target: *x.blamedHelper}
 	}
 	return pick
 }
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -42,14 +42,14 @@
 	attempts      int
 	lastChunk     time.Time // when the last chunk arrived
 	gaps          metrics.Histogram
-	gotChunk      bool         // an attempt has produced a chunk
-	lastFailure   *coder.Error // of the last attempt that may have run
-	targetsLost   int          // targets lost while they ran the request
-	refusals      int          // attempts that did not run
-	blamedTarget  string       // of the last attempt, see Attempt.BlamedTarget
-	targetAlive   bool         // of the last attempt, see Attempt.TargetAlive
-	retryReserved atomic.Bool  // the retry after the current attempt is reserved
-	answering     atomic.Bool  // the current attempt has produced a chunk
+	gotChunk      bool              // an attempt has produced a chunk
+	lastFailure   *coder.Error      // of the last attempt that may have run
+	targetsLost   int               // targets lost while they ran the request
+	refusals      int               // attempts that did not run
+	blamedHelper  *messenger.Target // of the last attempt, see Attempt.BlamedHelper
+	targetAlive   bool              // of the last attempt, see Attempt.TargetAlive
+	retryReserved atomic.Bool       // the retry after the current attempt is reserved
+	answering     atomic.Bool       // the current attempt has produced a chunk
 }
 
 // run queues a request, makes attempts at targets and passes the answer on to the
@@ -174,6 +174,16 @@
 	BlamedTarget string // ID or address of the target that a refusal names as its cause
 }
 
+// BlamedHelper returns the helper that a refusal names as its cause, nil if it names none.
+func (a *Attempt) BlamedHelper() *messenger.Target {
+	for i, t := range a.Helpers {
+		if a.BlamedTarget != "" && (t.ID == a.BlamedTarget || t.Address == a.BlamedTarget) {
+			return &a.Helpers[i]
+		}
+	}
+	return nil
+}
+
 // attempt runs the request once, at the picked target.
 func (x *execution) attempt(ctx context.Context, pick router.Pick) error {
 	if !x.r.Answer.Begin() {
@@ -213,7 +223,7 @@
 	if x.r.Answer.LastEventID != nil && x.r.Answer.LastEventID() != "" {
 		a.LastEventID = x.r.Answer.LastEventID()
 	}
-	x.blamedTarget, x.targetAlive = "", false
+	x.blamedHelper, x.targetAlive = nil, false
 	x.answering.Store(false)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -229,7 +239,7 @@
 	}
 	defer release()
 	end, err := x.exchange(ctx, a)
-	x.blamedTarget, x.targetAlive = a.BlamedTarget, a.TargetAlive
+	x.blamedHelper, x.targetAlive = a.BlamedHelper(), a.TargetAlive
 	if err != nil {
 		return err
 	}
