Refuse an order for a target that had the agent's address before

Cause: an agent executed every order that reached it and never compared the order's target with its own. Controllers and operators send to the address that they looked up, and fencing tokens rise across all targets, so an order for a former target passed the fencer of the one that has the address now: it was drained, or its engine loaded another model, and the sender was told that its own target had executed the order.

Change: such an order gets code WrongIncarnation before the fencer sees it, so its token doesn't raise the floor. An order without a target, as tests send it, is executed as before; the placer and the administration API name the target in each. No message changes: agents of earlier builds go on executing these orders, orders of earlier builds name their target. Ruled out: the same for reservations and runs, which name the incarnation.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -209,16 +210,18 @@
 	}
 }
 
+// targetID returns the id of the target: the configured one, or the name of the node.
+func (a *Agent) targetID() string {
+	return cmp.Or(a.cfg.Settings.Target.ID, a.cfg.Settings.Node)
+}
+
 // Target returns the target's current state as the agent announces it.
 func (a *Agent) Target() messenger.Target {
 	s := a.cfg.Settings
 	t := messenger.Target{
-		ID: s.Target.ID, Service: s.Target.Service, Model: s.Target.Model,
+		ID: a.targetID(), Service: s.Target.Service, Model: s.Target.Model,
 		Address: s.Listen, Zone: s.Zone, MayReturn: true,
 	}
-	if t.ID == "" {
-		t.ID = s.Node
-	}
 	if a.cfg.Version != nil {
 		t.Config = a.cfg.Version()
 	}
--- a/agent/keeper_test.go
+++ b/agent/keeper_test.go
@@ -70,6 +70,23 @@
 		Expect(n.agent.Target().Leaving).To(BeTrue())
 	})
 
+	// Guards against an order that reaches the agent of another target, as when its target's
+	// address has been given to a new one since the order's sender looked it up.
+	It("executes no order for another target that had its address before", func() {
+		n := startWithKeeper(e, l, nil)
+		m, _ := n.dial()
+		Eventually(func() uint64 { return n.agent.Target().Fence }).Should(Equal(uint64(5)))
+		for _, verb := range []string{"load", agent.VerbDrain} {
+			err := request(m, messenger.KindOrder, &messenger.Order{Fence: 9, Target: "former", Verb: verb}, &messenger.Ordered{})
+			Expect(err).To(HaveOccurred(), verb)
+			Expect(coder.Of(err).Code).To(Equal(coder.WrongIncarnation), verb)
+		}
+		Expect(e.executed()).To(BeEmpty())
+		Expect(n.agent.Target().Leaving).To(BeFalse())
+		Expect(request(m, messenger.KindOrder, &messenger.Order{Fence: 6, Target: "n1", Verb: "load"}, &messenger.Ordered{})).To(Succeed())
+		Expect(e.executed()).To(Equal([]uint64{6}))
+	})
+
 	It("ends a standby, but not a drain, on activate", func() {
 		n := startWithKeeper(e, l, nil)
 		m, _ := n.dial()
--- a/agent/order.go
+++ b/agent/order.go
@@ -81,12 +81,17 @@
 }
 
 // order executes one order at a time, so that an engine that ignores fencing
-// tokens never receives two concurrently.
+// tokens never receives two concurrently. It refuses an order for another target, to
+// whose former address the sender has sent it: fencing tokens rise across all targets,
+// so the fencer alone would let it pass.
 func (a *Agent) order(ctx context.Context, s *muxer.Stream, msg muxer.Message) bool {
 	var m messenger.Order
 	if err := msg.Decode(&m); err != nil {
 		return a.refuse(s, "", err)
 	}
+	if m.Target != "" && m.Target != a.targetID() {
+		return a.refuse(s, "", coder.Errorf(coder.WrongIncarnation, "order for target %q, this is %q", m.Target, a.targetID()))
+	}
 	select {
 	case a.orderSlot <- struct{}{}:
 		defer func() { <-a.orderSlot }()
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -165,11 +165,7 @@
 // reportSuspect reports a request that may have crashed the target to the leading
 // keeper.
 func (a *Agent) reportSuspect(l reserver.LostAttempt) {
-	target := a.cfg.Settings.Target.ID
-	if target == "" {
-		target = a.cfg.Settings.Node
-	}
-	m := &messenger.Suspect{Fingerprint: l.Fingerprint, Target: target, Incarnation: l.Incarnation}
+	m := &messenger.Suspect{Fingerprint: l.Fingerprint, Target: a.targetID(), Incarnation: l.Incarnation}
 	for range maxSuspectAttempts {
 		ctx, cancel := context.WithTimeout(a.ctx, a.cfg.ReportInterval)
 		err := a.cfg.Call(ctx, messenger.KindSuspect, m, &messenger.Proposed{})
