Recognize a late announcement of a target whose lease has ended

Cause: the sequence number of an announcement was compared only while its target was live. Once the lease had ended, because it ran out or another target announced the address, an announcement that had been sent earlier and arrived late counted as a start: a target that doesn't report its start time was assigned a new incarnation, above that of the target now at the address, which lost its lease until its next announcement; requests were sent to the former one, whose id the target there refuses.

Before, with the new specs 'keep an address that a delayed announcement of their predecessor claims' and 'end for good before an announcement that they sent earlier':

[FAILED] Expected <string>: a to equal <string>: b [FAILED] Expected <[]uint64 | len:1, cap:1>: [1010000] to equal <[]uint64 | len:0, cap:0>: []

Change: an ended lease records the sequence number of its last announcement. Targets whose announcements have no sequence number, such as those of agents, are treated as before; no message changes. Not covered: a late announcement that is above every one received, or that arrives at a keeper which never knew the target. Run: go test of registrar, publisher and platform; all passed.

--- a/registrar/address_test.go
+++ b/registrar/address_test.go
@@ -122,6 +122,32 @@
 		expectID("b")
 	})
 
+	// Guards against an announcement that was received late, as its sequence number shows,
+	// and yet took the address from the target that had started there since.
+	It("keep an address that a delayed announcement of their predecessor claims", func() {
+		announceUndated(0, "a", 9)
+		announceUndated(time.Second, "b", 1)
+		expectID("b")
+		late := targetAt("a", "x:1", 0, 8)
+		late.Incarnation = r.AssignIncarnation(start.Add(2*time.Second), late)
+		err := announce(r, 2*time.Second, late)
+		expectID("b")
+		Expect(coder.Of(err)).To(HaveField("Code", coder.WrongIncarnation))
+	})
+
+	// Guards against a delayed announcement that brings back a target whose lease has ended.
+	It("end for good before an announcement that they sent earlier", func() {
+		announceUndated(0, "a", 9)
+		expireEverySecond(r, 0, 10*time.Second)
+		late := targetAt("a", "x:1", 0, 8)
+		late.Incarnation = r.AssignIncarnation(start.Add(10*time.Second), late)
+		err := announce(r, 10*time.Second, late)
+		expectLive(r)
+		Expect(coder.Of(err)).To(HaveField("Code", coder.WrongIncarnation))
+		announceUndated(11*time.Second, "a", 10)
+		expectID("a")
+	})
+
 	It("stay marked as leaving after they deregistered", func() {
 		announceUndated(0, "a", 1)
 		r.Leave(start, "a", 0)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -45,10 +45,15 @@
 type EndedLease struct {
 	ID          string
 	Incarnation uint64
+	Seq         uint64 // of its last announcement
 	At          time.Time
 	Rev         uint64
 }
 
+// outdates reports whether t was announced before the last announcement of the lease, as
+// its sequence number shows. It may be received after the lease ended.
+func (e EndedLease) outdates(t messenger.Target) bool { return t.Seq > 0 && t.Seq < e.Seq }
+
 // Registrar holds the leases. The zero value is ready for use. It is not safe for
 // concurrent use.
 type Registrar struct {
@@ -64,9 +69,10 @@
 }
 
 // Announce grants or renews a lease. The error carries WrongIncarnation for an
-// incarnation below the highest one received, or if another target has taken over
-// the address, Malformed for a target without id or incarnation, and Overloaded if
-// MaxTargets are live.
+// incarnation below the highest one received, for an announcement that was sent before
+// the last one of an ended lease, or if another target has taken over the address,
+// Malformed for a target without id or incarnation, and Overloaded if MaxTargets are
+// live.
 func (r *Registrar) Announce(now time.Time, a messenger.Announce) (Lease, error) {
 	t := a.Target
 	if t.ID == "" || t.Incarnation == 0 {
@@ -75,6 +81,9 @@
 	if seen := r.highestIncarnation(t.ID); t.Incarnation < seen {
 		return Lease{}, coder.Errorf(coder.WrongIncarnation, "target %q: %d is below %d", t.ID, t.Incarnation, seen)
 	}
+	if e := r.ended[t.ID]; t.Incarnation == e.Incarnation && e.outdates(t) {
+		return Lease{}, coder.Errorf(coder.WrongIncarnation, "target %q: lease ended after announcement %d, this is %d", t.ID, e.Seq, t.Seq)
+	}
 	if err := r.resolveAddress(now, t); err != nil {
 		return Lease{}, err
 	}
@@ -128,9 +137,10 @@
 
 // AssignIncarnation returns the incarnation of a target that doesn't report when it
 // started. Such a target uses a new id for each start, so a live or deregistered id
-// keeps its incarnation. Any other target is assumed to have started now, after the
-// target that holds its address. Of two targets that announce the same address, the
-// one that continues to announce itself therefore keeps it.
+// keeps its incarnation, and so does an ended one whose announcement was received late.
+// Any other target is assumed to have started now, after the target that holds its
+// address. Of two targets that announce the same address, the one that continues to
+// announce itself therefore keeps it.
 func (r *Registrar) AssignIncarnation(now time.Time, t messenger.Target) uint64 {
 	if l := r.live[t.ID]; l != nil {
 		return l.Target.Incarnation
@@ -138,6 +148,9 @@
 	if d, ok := r.deregistered[t.ID]; ok {
 		return d.Incarnation
 	}
+	if e := r.ended[t.ID]; e.outdates(t) {
+		return e.Incarnation
+	}
 	incarnation := max(uint64(now.UnixMilli()), r.ended[t.ID].Incarnation+1)
 	for _, l := range r.live {
 		if l.Target.Address == t.Address {
@@ -189,7 +202,8 @@
 // end removes a live target and records its incarnation.
 func (r *Registrar) end(now time.Time, id string) {
 	r.rev++
-	r.ended[id] = EndedLease{ID: id, Incarnation: r.live[id].Target.Incarnation, At: now, Rev: r.rev}
+	t := r.live[id].Target
+	r.ended[id] = EndedLease{ID: id, Incarnation: t.Incarnation, Seq: t.Seq, At: now, Rev: r.rev}
 	delete(r.live, id)
 }
 
