Believe a keeper's refusal only of the incarnation that was announced

Cause: an agent that a keeper tells of a newer incarnation of its target takes itself for replaced and refuses new work until it is restarted. It didn't compare the announcement that was refused with its present incarnation, which rises whenever its engine restarts. A keeper that knows the new one, from the targets that the leader recorded, refuses the announcement of the former one that is still under way, and the only agent of the target takes itself out.

Before, with the new spec 'keeps serving when a keeper refuses an announcement of its earlier incarnation' (a keeper that holds the first announcement until the registrar has the next incarnation):

[FAILED] Expected <bool>: true to be false

Change: the announcer passes the announced target with the error, and the agent ignores a refusal of an incarnation that is not its present one. An agent that has been replaced is refused again at its next announcement. No message changes. Not shown: the chain on real keepers, which needs one that starts and stalls for about a second while an announcement waits. Run: go test of agent and announcer, the keeper specs of agent with the race detector; passed.

--- a/agent/keeper_test.go
+++ b/agent/keeper_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
 	"bramleyshunt/registrar"
+	"bramleyshunt/setter"
 )
 
 // leases answers announcements like a keeper that records them in a registrar.
@@ -41,6 +43,13 @@
 	_ = s.Send(messenger.KindAnnounced, &messenger.Announced{Fence: 5, Confirmed: l.confirmed.Load()})
 }
 
+// incarnation returns the incarnation of the announced target.
+func (l *leases) incarnation() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.registrar.Live()[0].Target.Incarnation
+}
+
 var _ = Describe("an agent with a keeper", func() {
 	order := func(m *muxer.Muxer, fence uint64, verb string) error {
 		return request(m, messenger.KindOrder, &messenger.Order{Fence: fence, Verb: verb}, &messenger.Ordered{})
@@ -142,6 +151,40 @@
 		Expect(e.executed()).To(Equal([]uint64{7, 8}))
 	})
 
+	// Guards against an agent that takes itself for replaced, for good, because a keeper
+	// refused an announcement that its engine's restart had outdated on the way.
+	It("keeps serving when a keeper refuses an announcement of its earlier incarnation", func() {
+		var announced atomic.Int64
+		arrived, held := make(chan struct{}), make(chan struct{})
+		release := sync.OnceFunc(func() { close(held) })
+		DeferCleanup(release)
+		slow := listen(func(ctx context.Context, s *muxer.Stream) {
+			var m messenger.Announce
+			msg, err := s.Receive(ctx)
+			if err != nil || msg.Decode(&m) != nil {
+				return
+			}
+			if announced.Add(1) == 1 {
+				close(arrived)
+				<-held
+			}
+			l.answer(s, m)
+		})
+		n := startWithKeeper(e, l, func(cfg *agent.Config) {
+			cfg.Settings.Keepers = append(cfg.Settings.Keepers, setter.Keeper{Node: "slow", Address: slow})
+		})
+		Eventually(arrived).Should(BeClosed())
+		Eventually(l.answered.Load).Should(BeNumerically(">", 0))
+		before := l.incarnation()
+		e.restart()
+		Eventually(l.incarnation).Should(Equal(before + 1))
+		release()
+		Eventually(announced.Load).Should(BeNumerically(">", 1))
+		Expect(n.agent.Target().Leaving).To(BeFalse())
+		m, _ := n.dial()
+		expectChunksAndEnd(n.begin(m, "a", "1"), 1, 1)
+	})
+
 	It("leaves once another agent holds the target, and does not free its attempts", func() {
 		old := startWithKeeper(e, l, nil)
 		m, _ := old.dial()
--- a/agent/order.go
+++ b/agent/order.go
@@ -64,13 +64,14 @@
 }
 
 // handleRefusal handles a keeper's refusal of the lease. If the keeper has recorded a
-// newer incarnation of the target, this agent refuses new work permanently.
-func (a *Agent) handleRefusal(err error) {
+// newer incarnation of the target, this agent refuses new work permanently, unless that
+// may be its own: an engine that has restarted since the announcement began one.
+func (a *Agent) handleRefusal(sent messenger.Target, err error) {
 	if c := coder.Of(err).Code; c != coder.WrongIncarnation && c != coder.Fenced {
 		return
 	}
 	_ = a.onControl(func(time.Time) {
-		if a.replaced {
+		if a.replaced || sent.Incarnation != a.reserver.Incarnation {
 			return
 		}
 		a.replaced = true
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -27,7 +27,7 @@
 	Pool        *pooler.Pooler
 	Target      func() messenger.Target
 	OnAnnounced func(sent time.Time, a messenger.Announced) // called for each successful renewal; may be nil
-	OnError     func(err error)                             // called for each failed renewal; may be nil
+	OnError     func(sent messenger.Target, err error)      // called for each failed renewal; may be nil
 	Interval    time.Duration
 	Lease       time.Duration
 	Now         func() time.Time // time.Now if nil
@@ -134,12 +134,12 @@
 func (a *Announcer) renew(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.Lease)
 	defer cancel()
-	sent := a.cfg.Now()
-	answer, err := a.cfg.Call(ctx, addr, &messenger.Announce{Target: a.cfg.Target(), Lease: a.cfg.Lease})
+	sent, target := a.cfg.Now(), a.cfg.Target()
+	answer, err := a.cfg.Call(ctx, addr, &messenger.Announce{Target: target, Lease: a.cfg.Lease})
 	a.record(addr, sent, err)
 	switch {
 	case err != nil && a.cfg.OnError != nil:
-		a.cfg.OnError(err)
+		a.cfg.OnError(target, err)
 	case err == nil && a.cfg.OnAnnounced != nil:
 		a.cfg.OnAnnounced(sent, answer)
 	}
