--- a/muxer/muxer_test.go
+++ b/muxer/muxer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -144,6 +145,28 @@
 		Expect(opened.Load()).To(Equal(int32(1)), "frames that arrived after the end opened the stream again")
 	})
 
+	// Guards against an answer that arrives after its exchange was given up and is taken for
+	// the answer to the next exchange on the same connection.
+	It("drops late answers to exchanges that have ended", func() {
+		m, closer, err := muxer.Dial(context.Background(), startServer(cfg, echo), cfg)
+		Expect(err).NotTo(HaveOccurred())
+		defer closer()
+		call := func(ctx context.Context, attempt string) (string, error) {
+			var out messenger.Cancelled
+			err := m.Call(ctx, messenger.KindCancel, &messenger.Cancel{Attempt: attempt}, &out)
+			return out.Attempt, err
+		}
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		for i := range 500 {
+			if _, err := call(ended, "given up"); err != nil {
+				Expect(err).To(MatchError(context.Canceled))
+			}
+			attempt := fmt.Sprint(i)
+			Expect(call(context.Background(), attempt)).To(Equal(attempt))
+		}
+	})
+
 	It("fails open exchanges with code Silent when the peer stops sending", func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
