Put no version in force that was refused, and don't count its confirmation

Cause: a node that couldn't read a version kept the former one until the next update. That one carries no files, as the keeper has sent them, but the version's number; the node took it for the new version, put the former content in force under its number, reported it to the keeper as in force and believed the quorum's confirmation of it. A node without any configuration put an empty one in force the same way. CONFIGURATION.md promises that such a node goes stale.

Before, with the new spec 'a watcher that can't read a version keeps the former one and goes stale':

[FAILED] Timed out after 20.001s. Expected <coder.Code>: 0 to equal <coder.Code>: 2006

Change: the watcher records the version that its keeper takes for the one here, reads only higher ones, and counts a confirmation only if it speaks of the version in force. It stays with the keeper, which does reach a quorum. No message changes. This concerns fleets of two builds: within one build the keepers refuse what a node can't read.

--- a/watcher/fleet_test.go
+++ b/watcher/fleet_test.go
@@ -154,9 +154,15 @@
 }
 
 func (f *fleet) change(version uint64) {
+	GinkgoHelper()
+	f.changeCrashes(version, 3)
+}
+
+// changeCrashes puts a version in force whose crash limit may differ from 3.
+func (f *fleet) changeCrashes(version uint64, crashes int) {
 	GinkgoHelper()
 	files := []messenger.File{
-		{Name: "a.json", Data: []byte(`{"limits": {"crashes": 3}}`)},
+		{Name: "a.json", Data: fmt.Appendf(nil, `{"limits": {"crashes": %d}}`, crashes)},
 		{Name: "b.json", Data: fmt.Appendf(nil, `{"limits": {"body": %d}}`, version)},
 	}
 	a := f.propose(&applier.Command{Verb: applier.VerbChange, Change: &applier.Change{
--- a/watcher/follow.go
+++ b/watcher/follow.go
@@ -101,15 +101,15 @@
 
 // recordConfirmation records the confirmation by a quorum that u carries and reports whether
 // it confirms the configuration in force. An update with a lower version confirms nothing, as
-// its keeper lags or serves another fleet. Version zero means that there is no configuration
-// yet.
+// its keeper lags or serves another fleet, and one with a higher version confirms that version,
+// which was refused. Version zero means that there is no configuration yet.
 func (f *follower) recordConfirmation(u *messenger.Update) bool {
 	at, ok := f.sentAt[u.Seq]
 	if !ok || u.Version < f.state.version {
 		return false
 	}
 	f.lastConfirmed = f.cfg.Now()
-	if u.Version == 0 {
+	if u.Version == 0 || u.Version > f.state.version {
 		return false
 	}
 	f.setConfirmed(at)
--- a/watcher/state.go
+++ b/watcher/state.go
@@ -24,6 +24,7 @@
 type state struct {
 	read        merger.Reader // merger.Merge if nil
 	version     uint64
+	sentVersion uint64 // that the current keeper takes for version; higher if that one was refused
 	files       map[string][]byte
 	config      *configurer.Configurer
 	targets     map[string]messenger.Target
@@ -34,7 +35,7 @@
 }
 
 // begin prepares for the first update of a new stream.
-func (s *state) begin() { s.firstUpdate, s.leaveKeeper = true, false }
+func (s *state) begin() { s.firstUpdate, s.leaveKeeper, s.sentVersion = true, false, s.version }
 
 // apply applies one update and reports whether the view changed. It returns code Invalid and
 // keeps the current configuration if the new one is invalid.
@@ -44,9 +45,10 @@
 		changed = true
 	}
 	s.firstUpdate = false
-	if u.Version <= s.version {
+	if u.Version <= max(s.version, s.sentVersion) {
 		return changed, nil
 	}
+	s.sentVersion = u.Version
 	files := s.mergeFiles(u)
 	merged, faults := s.reader()(sortedFiles(files))
 	if len(faults) > 0 {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -12,6 +12,8 @@
 
 	"bramleyshunt/applier"
 	"bramleyshunt/coder"
+	"bramleyshunt/decoder"
+	"bramleyshunt/merger"
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
 	"bramleyshunt/setter"
@@ -34,6 +36,13 @@
 	}
 }
 
+func codeOf(err error) coder.Code {
+	if err == nil {
+		return coder.OK
+	}
+	return coder.Of(err).Code
+}
+
 func expectVersion(w *watcher.Watcher, want uint64) {
 	GinkgoHelper()
 	Eventually(versionOf(w)).WithTimeout(eventuallyTimeout).Should(Equal(want))
@@ -65,6 +74,40 @@
 		expectVersion(w, 2)
 	})
 
+	Describe("that can't read a version", func() {
+		var f *fleet
+		var refused chan struct{}
+		var w *watcher.Watcher
+		BeforeEach(func() {
+			f, refused = newFleet(1), make(chan struct{}, 1)
+			w = f.watch("n", func(c *watcher.Config) {
+				c.StaleAfter = 2 * time.Second
+				c.Read = func(files []messenger.File) (*merger.Merger, decoder.Faults) {
+					m, faults := merger.Merge(files)
+					if len(faults) > 0 || m.Config.Limits.Body != 2 {
+						return m, faults
+					}
+					select {
+					case refused <- struct{}{}:
+					default:
+					}
+					return nil, decoder.Faults{{Message: "unknown key"}}
+				}
+			})
+			f.change(1)
+			expectVersion(w, 1)
+			f.changeCrashes(2, 4)
+			Eventually(refused).WithTimeout(eventuallyTimeout).Should(Receive())
+		})
+
+		// Guards against the content of an earlier version under the number of the refused one,
+		// confirmed by later updates that carry no files any more.
+		It("keeps the former one and goes stale", func() {
+			Eventually(func() coder.Code { return codeOf(w.Ready()) }).WithTimeout(eventuallyTimeout).Should(Equal(coder.Stale))
+			Expect(w.View().Version).To(Equal(uint64(1)))
+		})
+	})
+
 	It("has no view after a restart until a quorum confirms one", func() {
 		f := newFleet(1)
 		f.change(1)
