Open a new stream for the version after one that was refused

Cause: a keeper sends the files that changed since the version that it sent last, and takes for granted that the node has put that one in force. A node that had refused it merged the changes into the files of the version before and put the mixture in force under the next number.

Before, with the new spec 'a watcher that can't read a version adopts the next one whole':

[FAILED] Expected <int>: 3 to equal <int>: 4

Change: a version that follows a refused one is not read from the same stream unless it comes whole. The node leaves the keeper and names the version that it holds to the next one, which sends what changed since. This happens once for each version after a refused one. No message changes. Ruled out: streams that begin with a keeper that lags (TestState). Run: go test and go test -race of watcher; passed.

--- a/watcher/state.go
+++ b/watcher/state.go
@@ -38,7 +38,8 @@
 func (s *state) begin() { s.firstUpdate, s.leaveKeeper, s.sentVersion = true, false, s.version }
 
 // apply applies one update and reports whether the view changed. It returns code Invalid and
-// keeps the current configuration if the new one is invalid.
+// keeps the current configuration if the new one is invalid. After an invalid one, the next
+// version is complete only on a new stream, as the keeper sends what changed since.
 func (s *state) apply(u *messenger.Update, now time.Time) (bool, error) {
 	changed := s.applyTargets(u, now)
 	if s.applyBlocked(u) {
@@ -48,6 +49,10 @@
 	if u.Version <= max(s.version, s.sentVersion) {
 		return changed, nil
 	}
+	if s.sentVersion > s.version && !u.Full {
+		s.leaveKeeper = true
+		return changed, nil
+	}
 	s.sentVersion = u.Version
 	files := s.mergeFiles(u)
 	merged, faults := s.reader()(sortedFiles(files))
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -106,6 +106,15 @@
 			Eventually(func() coder.Code { return codeOf(w.Ready()) }).WithTimeout(eventuallyTimeout).Should(Equal(coder.Stale))
 			Expect(w.View().Version).To(Equal(uint64(1)))
 		})
+
+		// Guards against a configuration mixed from two versions: a keeper sends what changed
+		// since the version that it sent last, which this process may have refused.
+		It("adopts the next one whole", func() {
+			f.changeCrashes(3, 4)
+			Eventually(versionOf(w)).WithTimeout(eventuallyTimeout).Should(Equal(uint64(3)))
+			Expect(w.View().Config.Limits.CrashLimit).To(Equal(4))
+			Eventually(w.Ready).WithTimeout(eventuallyTimeout).Should(Succeed())
+		})
 	})
 
 	It("has no view after a restart until a quorum confirms one", func() {
