Don't avoid a target for the failure of its former incarnation

Cause: after an attempt that didn't run, the target's id was barred for the backoff of the failure, a second if it couldn't be reached. The router forgets that with a new incarnation, but an attempt at the former one may fail after the view has the new one, for instance by the timeout of a reservation at an agent that another one has replaced. The new incarnation then got nothing for that time.

Before, with the new TestFailureOfEarlierIncarnationDoesNotBlameTheNext (virtual time):

fault_test.go:160: error <nil> after 1s, want an answer at once; incarnations [1 2]

Change: a failure counts only while the target has the incarnation that was picked, as for loads and rate limits. Left as it is: a request that failed at a target is not sent to a later incarnation of it.

--- a/conductor/control.go
+++ b/conductor/control.go
@@ -379,9 +379,13 @@
 }
 
 // avoidTarget places no requests on a target for the given time, or for one
-// pollInterval if that is longer.
+// pollInterval if that is longer, unless the target has a newer incarnation than the one
+// picked.
 func (c *control) avoidTarget(pick router.Pick, after time.Duration) {
 	c.do(func() {
+		if c.scheduler.Router.Target(pick.Target.ID).Incarnation != pick.Target.Incarnation {
+			return
+		}
 		c.scheduler.Router.Refused(pick.Target.ID, c.cfg.Now().Add(max(after, pollInterval)))
 	})
 }
--- a/conductor/fault_test.go
+++ b/conductor/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,3 +128,45 @@
 		}
 	}
 }
+
+// Guards against a new incarnation of a target that gets no requests because an attempt at
+// the one before it failed late.
+func TestFailureOfEarlierIncarnationDoesNotBlameTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var view atomic.Pointer[watcher.View]
+		view.Store(oneTarget(1))
+		var reached []uint64
+		var cd *Conductor
+		exchange := func(_ context.Context, a *Attempt) error {
+			reached = append(reached, a.Target.Incarnation)
+			if a.Target.Incarnation == 2 {
+				return nil
+			}
+			cd.control.do(func() {
+				view.Store(oneTarget(2))
+				cd.control.refreshView()
+			})
+			return &coder.Error{Code: coder.TargetLost, Run: coder.NotRun}
+		}
+		cd, stop, err := New(Config{Pool: &pooler.Pooler{}, View: view.Load, Exchange: exchange})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer stop()
+		path := configurer.Path{Kind: configurer.KindSafe, MaxAttempts: 1}
+		if _, err := do(t, cd, path); err == nil {
+			t.Fatal("the first request succeeded at a target that is gone")
+		}
+		since := time.Now()
+		if _, err := do(t, cd, path); err != nil || time.Since(since) >= unreachableBackoff {
+			t.Errorf("error %v after %s, want an answer at once; incarnations %v", err, time.Since(since), reached)
+		}
+	})
+}
+
+// oneTarget returns a view of one target of the plain service "s".
+func oneTarget(incarnation uint64) *watcher.View {
+	v := twoTargets()
+	v.Version, v.Targets = incarnation, []messenger.Target{{ID: "t1", Service: "s", Incarnation: incarnation, Slots: 4}}
+	return v
+}
