Raise an assigned incarnation that another keeper refuses

Cause: a target that doesn't report its start is assigned an incarnation by the keeper that hears of it first. Two keepers that are cut off from each other then assign different ones to the same start, and the one with the higher takes what the other relays for reports of an earlier start. It refused them for as long as the target kept to the other keeper: the target's lease ended there, and its leave was not acknowledged for want of a majority.

Before, with the new spec 'is accepted by a keeper that had assigned the target another incarnation' (two publishers that drop each other's relays at first):

[FAILED] Timed out after 5.001s. Expected success, but got an error: 2007 no keeper quorum: 1 of 2 keepers know that target "t" leaves

Change: a keeper whose relay was refused for an incarnation that it had assigned itself raises that incarnation above the present time, so that the target's next announcement is the newer one everywhere. Targets that report their start, and deregistered ones, keep theirs. No message changes; a keeper of an earlier build behaves as before and accepts the raised one. Not covered: clocks of keepers that differ by more than the time between announcements take as many announcements as that makes up.

--- a/publisher/relay_test.go
+++ b/publisher/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -21,6 +22,8 @@
 	members []messenger.Member
 	all     []*publisher.Publisher
 	stops   []func()
+	cut     atomic.Bool  // keepers drop what they receive
+	dropped atomic.Int64 // number of messages dropped
 }
 
 func newRelays(n int) *relays {
@@ -47,7 +50,12 @@
 		go func() {
 			defer close(done)
 			_ = muxer.Serve(ctx, l, muxer.Config{Node: r.members[i].Node}, func(ctx context.Context, s *muxer.Stream) {
-				if msg, err := s.Receive(ctx); err == nil {
+				msg, err := s.Receive(ctx)
+				switch {
+				case err != nil:
+				case r.cut.Load():
+					r.dropped.Add(1)
+				default:
 					p.Handle(ctx, s, msg)
 				}
 			})
@@ -115,4 +123,29 @@
 		err := r.all[0].Announce(context.Background(), announcement(true, 1))
 		Expect(coder.Of(err).Code).To(Equal(coder.NoQuorum))
 	})
+
+	// Guards against a target that can't leave, and disappears from some keepers, because two
+	// of them that were cut off from each other assigned it different incarnations.
+	It("is accepted by a keeper that had assigned the target another incarnation", func() {
+		r := newRelays(2)
+		r.cut.Store(true)
+		seq := uint64(0)
+		next := func(leaving bool) messenger.Announce {
+			seq++
+			a := announcement(leaving, seq)
+			a.Target.Incarnation = 0
+			return a
+		}
+		Expect(r.all[0].Announce(context.Background(), next(false))).To(Succeed())
+		first := r.all[0].Targets
+		Eventually(first).Should(HaveLen(1))
+		Eventually(func() uint64 { return uint64(time.Now().UnixMilli()) }).Should(BeNumerically(">", first()[0].Incarnation))
+		Expect(r.all[1].Announce(context.Background(), next(false))).To(Succeed())
+		Eventually(r.dropped.Load).Should(Equal(int64(2)))
+		r.cut.Store(false)
+		Eventually(func() error { return r.all[0].Announce(context.Background(), next(true)) }, 5*time.Second).Should(Succeed())
+		for i := range r.all {
+			Eventually(r.leaving(i), 5*time.Second).Should(BeTrue())
+		}
+	})
 })
--- a/registrar/address_test.go
+++ b/registrar/address_test.go
@@ -148,6 +148,21 @@
 		expectID("a")
 	})
 
+	It("get a higher incarnation when another registrar refused theirs, unless they deregistered", func() {
+		announceUndated(0, "a", 1)
+		first := r.Live()[0].Target.Incarnation
+		r.Reassign(start, "a", first-1)
+		Expect(r.Live()[0].Target.Incarnation).To(Equal(first))
+		r.Reassign(start, "a", first)
+		Expect(r.Live()[0].Target.Incarnation).To(Equal(first + 1))
+		announceUndated(time.Second, "a", 2)
+		Expect(r.Live()[0].Target.Incarnation).To(Equal(first + 1))
+		r.Leave(start, "a", 0)
+		r.Reassign(start, "a", first+1)
+		announceUndated(2*time.Second, "a", 3)
+		Expect(leavingIDs(r)).To(Equal([]string{"a"}))
+	})
+
 	It("stay marked as leaving after they deregistered", func() {
 		announceUndated(0, "a", 1)
 		r.Leave(start, "a", 0)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -160,6 +160,18 @@
 	return incarnation
 }
 
+// Reassign raises the incarnation that AssignIncarnation gave to a live target, after
+// another registrar refused it for a higher one of the same start.
+func (r *Registrar) Reassign(now time.Time, id string, incarnation uint64) {
+	l := r.live[id]
+	if _, left := r.deregistered[id]; left || l == nil || l.Target.Incarnation != incarnation {
+		return
+	}
+	r.rev++
+	l.Target.Incarnation = max(uint64(now.UnixMilli()), incarnation+1)
+	l.Rev, l.LoadRev = r.rev, r.rev
+}
+
 // Leave marks a target as leaving until the given incarnation ends, or the current one
 // if it is zero. Later announcements of that incarnation do not undo it, unless the target
 // may return.
