--- a/conductor/fault_test.go
+++ b/conductor/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -170,3 +171,32 @@
 	v.Version, v.Targets = incarnation, []messenger.Target{{ID: "t1", Service: "s", Incarnation: incarnation, Slots: 4}}
 	return v
 }
+
+// Guards against a retry that shares a kept connection with an earlier attempt of its request:
+// a second copy of the earlier answer would be taken for its own (REFUSED, TWICE).
+func TestRetryAtSameAddressIsMarkedAsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := twoTargets()
+		for i := range v.Targets {
+			v.Targets[i].Address = "10.0.0.1:80" // the second one has taken the place of the first
+		}
+		var repeated []bool
+		exchange := func(_ context.Context, a *Attempt) error {
+			if repeated = append(repeated, a.Repeated); len(repeated) == 1 {
+				return coder.Errorf(coder.WrongIncarnation, "")
+			}
+			return nil
+		}
+		cd, stop, err := New(Config{Pool: &pooler.Pooler{}, View: func() *watcher.View { return v }, Exchange: exchange})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer stop()
+		if _, err := do(t, cd, configurer.Path{Kind: configurer.KindSafe, MaxAttempts: 2}); err != nil {
+			t.Fatal(err)
+		}
+		if want := []bool{false, true}; !slices.Equal(repeated, want) {
+			t.Errorf("attempts marked as repeated: %v, want %v", repeated, want)
+		}
+	})
+}
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,7 @@
 	ticket        *scheduler.Ticket
 	exclude       []string
 	attempts      int
+	addresses     []string  // of the targets of all attempts
 	lastChunk     time.Time // when the last chunk arrived
 	gaps          metrics.Histogram
 	gotChunk      bool              // an attempt has produced a chunk
@@ -159,6 +161,7 @@
 	ID             string
 	Request        *chainer.Request
 	Target         messenger.Target
+	Repeated       bool               // an earlier attempt of the request was sent to the target's address
 	Helpers        []messenger.Target // each prefills a part of the prompt
 	Remaining      time.Duration      // time until the request's deadline
 	ReservationIDs []string           // IDs of the memory reservations, one per helper; an empty ID means no reservation
@@ -201,7 +204,7 @@
 	defer started(0)
 	a := &Attempt{
 		ID: fmt.Sprintf("%s-%d", x.r.ID, x.attempts), Request: x.r, Target: pick.Target, Helpers: pick.Helpers,
-		Remaining: x.remaining(), LastEventID: x.r.LastEventID,
+		Remaining: x.remaining(), LastEventID: x.r.LastEventID, Repeated: slices.Contains(x.addresses, pick.Target.Address),
 		Emit: func(c messenger.Chunk) error {
 			if !x.gotChunk {
 				x.r.Trace.Wait = x.cd.cfg.Now().Sub(placed)
@@ -219,6 +222,7 @@
 			return ok
 		},
 	}
+	x.addresses = append(x.addresses, pick.Target.Address)
 	a.FirstTimeout, a.IdleTimeout = x.timeouts()
 	if x.r.Answer.LastEventID != nil && x.r.Answer.LastEventID() != "" {
 		a.LastEventID = x.r.Answer.LastEventID()
