--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -51,6 +51,7 @@
 	RetryWindow    time.Duration                                                    // after which spent retries are given back, and in which the budget holds across restarts; zero for neither
 	Allocator      *allocator.Allocator                                             // reserves memory at helpers; required with Exchange
 	Disabled       switcher.Switcher                                                // parts of the policy that are switched off
+	IDPerStart     bool                                                             // targets use a new id at each start
 	SendsChanged   func()                                                           // called when the result of Sends or Limits has changed; may be nil
 	Log            *logrus.Entry
 	Metrics        metrics.Registry
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -65,7 +65,7 @@
 		segments:   map[string]*segment{},
 		scheduler: scheduler.Scheduler{
 			Admitter: admitter.Admitter{Seed: cfg.Seed},
-			Router:   router.Router{Seed: cfg.Seed, Disabled: cfg.Disabled.Router()},
+			Router:   router.Router{Seed: cfg.Seed, Disabled: cfg.Disabled.Router(), IDPerStart: cfg.IDPerStart},
 			Disabled: cfg.Disabled.Scheduler(),
 		},
 	}
@@ -123,6 +123,7 @@
 // views of the same configuration are adopted at most once per viewRefreshInterval.
 func (c *control) refreshView() {
 	v, now := c.cfg.View(), c.cfg.Now()
+	c.logEndedHolds(now)
 	if v == nil || v == c.view {
 		return
 	}
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
 	"bramleyshunt/allocator"
 	"bramleyshunt/chainer"
@@ -75,6 +76,11 @@
 		if err == nil {
 			return nil
 		}
+		if err == errTargetHeld { // nothing was sent
+			x.attempts--
+			x.cd.cfg.Log.WithFields(logrus.Fields{"request": x.r.CallerID, "id": x.r.ID, "target": pick.Target.ID}).Info("placed again: target held")
+			continue
+		}
 		x.traceFailure(coder.Of(err), x.cd.cfg.Now().Sub(since))
 		if c := coder.Of(err); c.Run != coder.NotRun {
 			x.lastFailure = c
@@ -171,6 +177,8 @@
 	Emit           func(messenger.Chunk) error
 	ReportLoad     func(messenger.Load) // receives load reports that came with the answer
 	ReportLimit    func(float64)        // receives the rate limit that the target named in its answer, in requests per second; zero if none
+	ReportLeaving  func()               // called if the target said in its answer that it leaves
+	ReportPause    func(time.Duration)  // receives how long the target wants no requests from this process, as its refusal asked
 	ReserveRetry   func(error) bool     // reports whether a retry at another target is reserved after this failure; if so, the attempt must end
 
 	TargetAlive  bool   // set if the target was lost while it ran the request but still accepts connections
@@ -216,6 +224,9 @@
 		},
 		ReportLoad:  func(l messenger.Load) { x.cd.control.recordLoad(pick, l) },
 		ReportLimit: func(rate float64) { x.cd.control.recordLimit(placed, pick, rate) },
+
+		ReportLeaving: func() { x.cd.control.recordLeaving(x.r.CallerID, pick) },
+		ReportPause:   func(d time.Duration) { x.cd.control.recordPause(x.r.CallerID, pick, d) },
 		ReserveRetry: func(err error) bool {
 			ok := x.cd.control.reserveRetry(x.retryCase(err))
 			x.retryReserved.Store(ok)
@@ -242,6 +253,11 @@
 		return err
 	}
 	defer release()
+	if len(pick.Helpers) > 0 { // reserving their memory has taken time
+		if err := x.cd.control.checkHolds(pick); err != nil {
+			return err
+		}
+	}
 	end, err := x.exchange(ctx, a)
 	x.blamedHelper, x.targetAlive = a.BlamedHelper(), a.TargetAlive
 	if err != nil {
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -155,7 +155,7 @@
 	e, closer, err := entry.New(entry.Config{
 		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
 		View:  r.watcher.View,
-		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, MaxRetryBudget: r.maxRetryBudget, Entries: entryNames, Seed: rand.Uint64(),
+		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, IDPerStart: r.cfg.IDPerStart, MaxRetryBudget: r.maxRetryBudget, Entries: entryNames, Seed: rand.Uint64(),
 		Disabled: r.cfg.Disabled, RetryRatio: r.cfg.RetryRatio, RetryWindow: r.cfg.RetryWindow,
 		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
