--- a/router/limit.go
+++ b/router/limit.go
@@ -144,27 +144,35 @@
 }
 
 // LimitWait returns how long the limits of a service's targets delay a request behind a
-// number of others at this entry: zero if a target has no limit. It returns false if only
-// other entries may send to the targets.
+// number of others at this entry: zero if a target has no limit and doesn't pause. It
+// returns false if only other entries may send to the targets.
 func (r *Router) LimitWait(now time.Time, service string, ahead int) (time.Duration, bool) {
 	x := r.byName[service]
 	if x == nil {
 		return 0, true
 	}
-	rate, first := 0.0, time.Duration(math.MaxInt64)
+	const never = time.Duration(math.MaxInt64)
+	rate, first, pause := 0.0, never, never
 	for _, s := range x.all {
-		if !s.limit.inForce(now) {
+		switch limited := s.limit.inForce(now); {
+		case limited && !s.limit.sender:
+		case now.Before(s.pausedUntil):
+			pause = min(pause, s.pausedUntil.Sub(now))
+		case !limited:
 			return 0, true
-		}
-		if s.limit.sender {
+		default:
 			rate += 1 / s.limit.interval.Seconds()
 			first = min(first, max(0, s.limit.nextAt.Sub(now)))
 		}
 	}
-	if rate == 0 {
+	switch {
+	case rate > 0:
+		return min(pause, first+time.Duration(float64(ahead)/rate*float64(time.Second))), true
+	case pause < never:
+		return pause, true
+	default:
 		return 0, false
 	}
-	return first + time.Duration(float64(ahead)/rate*float64(time.Second)), true
 }
 
 // withoutLimited returns the targets without a limit, or all of them if each has one. A
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 import (
 	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bramleyshunt/messenger"
@@ -72,6 +73,8 @@
 	MaxWait    time.Duration // maximum predicted wait before prefill at an eligible target
 	Disabled   Features      // disabled for ablation benchmarks
 
+	IDPerStart bool // a target uses a new id at each start, so that a hold binds every incarnation of its id
+
 	Examined uint64 // number of targets examined, read by benchmarks
 
 	rnd     *rand.Rand
@@ -81,6 +84,9 @@
 	peers   map[string]peerReport // by node name of the entry
 	self    string                // node name of this entry
 	entries []string              // node names of all live entries
+
+	holds      map[holdKey]*hold
+	endedHolds []Hold // not yet returned by EndedHolds
 }
 
 // Features selects parts of the router that a benchmark disables.
@@ -162,6 +168,13 @@
 	return x != nil && len(x.all) > 0
 }
 
+// HasTargetsBesides reports whether a service has a target that accepts long or short
+// prompts and that is neither leaving nor excluded.
+func (r *Router) HasTargetsBesides(service string, long bool, exclude []string) bool {
+	x := r.byName[service]
+	return x != nil && slices.ContainsFunc(x.accepting(long && !r.Disabled.Lanes), func(s *targetState) bool { return !slices.Contains(exclude, s.target.ID) })
+}
+
 // Target returns the last known description of a target, or the zero value if the
 // target is unknown.
 func (r *Router) Target(id string) messenger.Target {
--- a/router/state.go
+++ b/router/state.go
@@ -36,6 +36,7 @@
 	ownMemory    int         // tokens of memory for requests that this entry sent since the report
 	reportedAt   time.Time   // when the target last reported its load
 	refusedUntil time.Time   // no requests are sent before this time
+	pausedUntil  time.Time   // end of the pause that the target asked for; refusedUntil is no earlier
 	counts       slotCounts
 	limit        rateLimit
 }
@@ -64,8 +65,11 @@
 			s = &targetState{target: t, otherTokens: t.Load.ByClass, reportedAt: now}
 		}
 		s.update(now, t)
+		if h := r.holds[r.holdKey(t)]; h != nil {
+			s.hold(h)
+		}
 		byID[t.ID] = s
-		if !t.Leaving {
+		if !s.target.Leaving {
 			x := byName[t.Service]
 			if x == nil {
 				x = &serviceIndex{}
@@ -75,13 +79,11 @@
 		}
 	}
 	for _, x := range byName {
-		x.capacities = [2]Capacity{capacityOf(x.short), capacityOf(x.long)}
-		if x.bySlots = !slices.ContainsFunc(x.all, func(s *targetState) bool { return s.slots() == 0 }); x.bySlots {
-			x.ranked = rankTargets(x.all)
-		}
+		x.complete()
 	}
 	r.byID, r.byName = byID, byName
 	r.sumPeers(now)
+	r.expireHolds(now)
 }
 
 // capacityOf adds up the reported rates of a set of targets.
@@ -144,6 +146,22 @@
 	s.ownMemory = 0
 }
 
+// complete derives the remaining fields once all targets have been added.
+func (x *serviceIndex) complete() {
+	x.capacities = [2]Capacity{capacityOf(x.short), capacityOf(x.long)}
+	if x.bySlots = !slices.ContainsFunc(x.all, func(s *targetState) bool { return s.slots() == 0 }); x.bySlots {
+		x.ranked = rankTargets(x.all)
+	}
+}
+
+// accepting returns the targets that accept long or short prompts.
+func (x *serviceIndex) accepting(long bool) []*targetState {
+	if long && !x.bySlots {
+		return x.long
+	}
+	return x.all
+}
+
 func (x *serviceIndex) add(s *targetState) {
 	x.all = append(x.all, s)
 	lane := s.target.Lane
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -113,6 +113,9 @@
 	if t.Prefill == 0 && s.ExceedsTarget(t) {
 		return coder.Errorf(coder.PromptTooLong, "about %d tokens, engine memory for %d", t.Prompt+t.Output, total.MaxMemory)
 	}
+	if err := s.checkPauses(now, t); err != nil {
+		return err
+	}
 	if err := s.checkLimits(now, t, s.queued(k)); err != nil {
 		return err
 	}
@@ -137,6 +140,22 @@
 	return e
 }
 
+// checkPauses returns an error if all targets that may still accept the ticket pause. Its
+// retry delay is neither bounded nor jittered, as no target accepts a request earlier.
+func (s *Scheduler) checkPauses(now time.Time, t *Ticket) error {
+	long, exclude := s.Router.IsLong(t.Prompt), t.Exclude
+	if !s.Router.HasTargetsBesides(t.Service, long, exclude) {
+		exclude = nil // the caller's next request may try every target again
+	}
+	wait, ok := s.Router.PromptPauseWait(now, t.Service, long, exclude)
+	if !ok {
+		return nil
+	}
+	e := coder.Errorf(coder.Overloaded, "every target accepts no requests for %s", wait.Round(time.Millisecond))
+	e.Retry = wait
+	return e
+}
+
 // queued returns the number of tickets in a queue.
 func (s *Scheduler) queued(k queueKey) int {
 	if q := s.queues[k]; q != nil {
@@ -242,7 +261,7 @@
 // Tickets with a predicted prefill time may pass each other: their wait ends by time, and
 // a heavy one may wait for seconds.
 func (s *Scheduler) Dispatch(now time.Time) []Placement {
-	var out []Placement
+	out := s.refusePaused(now)
 	for _, k := range s.keys {
 		placed := s.dispatchQueue(now, k)
 		s.recordDrain(now, k, placed)
@@ -251,6 +270,25 @@
 	return out
 }
 
+// refusePaused ends the wait of all tickets whose targets pause, wherever in their queues
+// they are.
+func (s *Scheduler) refusePaused(now time.Time) []Placement {
+	if !s.Router.HasPauses(now) {
+		return nil
+	}
+	var out []Placement
+	for _, t := range s.waiting {
+		if err := s.checkPauses(now, t); err != nil {
+			out = append(out, Placement{Ticket: t, Err: err})
+		}
+	}
+	slices.SortFunc(out, func(a, b Placement) int { return cmp.Compare(a.Ticket.ID, b.Ticket.ID) })
+	for _, p := range out {
+		s.Abandon(p.Ticket)
+	}
+	return out
+}
+
 // dispatchQueue places tickets of one queue until the first of them fits no target.
 func (s *Scheduler) dispatchQueue(now time.Time, k queueKey) []Placement {
 	var out []Placement
@@ -312,7 +350,7 @@
 	if err := s.checkLimits(now, t, 0); err != nil {
 		return Placement{Ticket: t, Err: err}, true
 	}
-	if s.capacity(t).Targets > len(t.Exclude) {
+	if s.Router.HasTargetsBesides(t.Service, s.Router.IsLong(t.Prompt), t.Exclude) {
 		return Placement{}, false
 	}
 	return Placement{Ticket: t, Err: s.noTarget(t)}, true
