Keep to what targets say that leave or pause, whatever the views say

Cause: a target that says in an answer that it leaves, or that it wants no requests for a time, was selected again at once: the router knew only the views, which come later.

Change: the router keeps marks and pauses by id and incarnation, apart from the state of the targets in the view. A marked target leaves the index of its service at once; a paused one stays in capacity and is selected by no path. Pauses are bounded by an hour, the later end of two holds, and a mark is dropped an hour after its target was last in a view. With IDPerStart both bind every incarnation of the id. The scheduler refuses at once, with code Overloaded and the earliest end as its unjittered retry delay, what only paused targets can accept: at admission and wherever it is queued. A retry that has tried every target gets the same if all of them pause. Rate limits of other targets count while one pauses. A retry waits if any target is left that it has not tried; before, excluded targets that are gone were counted against those in the view.

Selection without holds runs the same checks as before.

--- a/router/hold.go
+++ b/router/hold.go
@@ -42,7 +42,7 @@
 	leavingSince time.Time // zero if it has not said that it leaves
 	pausedSince  time.Time
 	pausedUntil  time.Time // zero if it has not paused
-	absentSince  time.Time // zero while the target is in the view
+	absentSince  time.Time // when it was first found to be in no view since the mark
 }
 
 func (h *hold) paused(now time.Time) bool { return now.Before(h.pausedUntil) }
@@ -57,16 +57,13 @@
 }
 
 // addHold returns the hold of a target, which is created if there is none.
-func (r *Router) addHold(now time.Time, k holdKey) *hold {
+func (r *Router) addHold(k holdKey) *hold {
 	if r.holds == nil {
 		r.holds = map[holdKey]*hold{}
 	}
 	h := r.holds[k]
 	if h == nil {
 		h = &hold{}
-		if r.heldState(k) == nil {
-			h.absentSince = now
-		}
 		r.holds[k] = h
 	}
 	return h
@@ -83,11 +80,15 @@
 // MarkLeaving records that a target has said that it leaves, and reports whether this is
 // new. The target counts as leaving from now on, whatever later views say.
 func (r *Router) MarkLeaving(now time.Time, t messenger.Target) bool {
+	if t.ID == "" {
+		return false
+	}
 	k := r.holdKey(t)
-	if h := r.holds[k]; t.ID == "" || h != nil && h.leaving() {
+	h := r.addHold(k)
+	if h.leaving() {
 		return false
 	}
-	r.addHold(now, k).leavingSince = now
+	h.leavingSince, h.absentSince = now, time.Time{}
 	if s := r.heldState(k); s != nil && !s.target.Leaving {
 		r.removeLeaving(s)
 	}
@@ -122,14 +123,17 @@
 	if t.ID == "" || d <= 0 || !end.After(until) {
 		return until, false
 	}
-	h := r.addHold(now, k)
+	h := r.addHold(k)
 	if !h.paused(now) {
 		r.endPause(k, h)
 		h.pausedSince = now
 	}
 	h.pausedUntil = end
+	if end.After(r.lastPauseEnd) {
+		r.lastPauseEnd = end
+	}
 	if s := r.heldState(k); s != nil {
-		s.hold(h)
+		r.applyHold(s)
 	}
 	return end, true
 }
@@ -141,15 +145,8 @@
 	return h != nil && (h.leaving() || h.paused(now))
 }
 
-// HasPauses reports whether a target in the view pauses.
-func (r *Router) HasPauses(now time.Time) bool {
-	for k, h := range r.holds {
-		if h.paused(now) && r.heldState(k) != nil {
-			return true
-		}
-	}
-	return false
-}
+// HasPauses reports whether any target pauses, in the view or not.
+func (r *Router) HasPauses(now time.Time) bool { return now.Before(r.lastPauseEnd) }
 
 // PauseWait returns the time until the first pause ends if all targets of a service pause,
 // apart from those that leave or are excluded. Otherwise, or if there are no such targets,
@@ -161,7 +158,7 @@
 // PromptPauseWait is like PauseWait for the targets that accept long or short prompts.
 func (r *Router) PromptPauseWait(now time.Time, service string, long bool, exclude []string) (wait time.Duration, ok bool) {
 	x := r.byName[service]
-	if x == nil || len(r.holds) == 0 {
+	if x == nil || !r.HasPauses(now) {
 		return 0, false
 	}
 	for _, s := range x.accepting(long && !r.Disabled.Lanes) {
@@ -179,8 +176,12 @@
 	return wait, ok
 }
 
-// hold makes the hold of a target bind its state.
-func (s *targetState) hold(h *hold) {
+// applyHold makes the hold of a target, if there is one, bind its state.
+func (r *Router) applyHold(s *targetState) {
+	h := r.holds[r.holdKey(s.target)]
+	if h == nil {
+		return
+	}
 	s.target.Leaving = s.target.Leaving || h.leaving()
 	s.pausedUntil = h.pausedUntil
 	if s.pausedUntil.After(s.refusedUntil) {
@@ -189,7 +190,7 @@
 }
 
 // EndedHolds returns the holds that have ended since the last call. A mark ends when its
-// target is in no view any more and none can be expected that has it.
+// target has been in no view for holdTTL.
 func (r *Router) EndedHolds(now time.Time) []Hold {
 	r.expireHolds(now)
 	out := r.endedHolds
--- a/router/router.go
+++ b/router/router.go
@@ -85,8 +85,9 @@
 	self    string                // node name of this entry
 	entries []string              // node names of all live entries
 
-	holds      map[holdKey]*hold
-	endedHolds []Hold // not yet returned by EndedHolds
+	holds        map[holdKey]*hold
+	lastPauseEnd time.Time // of all pauses
+	endedHolds   []Hold    // not yet returned by EndedHolds
 }
 
 // Features selects parts of the router that a benchmark disables.
--- a/router/state.go
+++ b/router/state.go
@@ -36,9 +36,9 @@
 	ownMemory    int         // tokens of memory for requests that this entry sent since the report
 	reportedAt   time.Time   // when the target last reported its load
 	refusedUntil time.Time   // no requests are sent before this time
-	pausedUntil  time.Time   // end of the pause that the target asked for; refusedUntil is no earlier
 	counts       slotCounts
 	limit        rateLimit
+	pausedUntil  time.Time // end of the pause that the target asked for; refusedUntil is no earlier
 }
 
 // classTokens counts tokens by length class.
@@ -65,8 +65,8 @@
 			s = &targetState{target: t, otherTokens: t.Load.ByClass, reportedAt: now}
 		}
 		s.update(now, t)
-		if h := r.holds[r.holdKey(t)]; h != nil {
-			s.hold(h)
+		if len(r.holds) > 0 {
+			r.applyHold(s)
 		}
 		byID[t.ID] = s
 		if !s.target.Leaving {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -143,6 +143,9 @@
 // checkPauses returns an error if all targets that may still accept the ticket pause. Its
 // retry delay is neither bounded nor jittered, as no target accepts a request earlier.
 func (s *Scheduler) checkPauses(now time.Time, t *Ticket) error {
+	if !s.Router.HasPauses(now) {
+		return nil
+	}
 	long, exclude := s.Router.IsLong(t.Prompt), t.Exclude
 	if !s.Router.HasTargetsBesides(t.Service, long, exclude) {
 		exclude = nil // the caller's next request may try every target again
