Give each placement an id of its own, also if nothing of it was sent

The request's line also counted the placement as a try. Before the change:

TestRequestIsPlacedAgainIfTargetIsHeldWhileMemoryIsReserved, all four cases: reservations ["-0-1-1.1" "-0-1-1.0" "-0-1-1.0"] ... not to have key -0-1-1.0 TestHeldPlacementIsNoAttempt: Expected <int>: 1 to be zero-valued

Ruled out: a retry that is counted or charged, a request at the held target, a reservation that is not released; the same tests check these and passed before.

--- a/conductor/run.go
+++ b/conductor/run.go
@@ -42,6 +42,7 @@
 	ticket        *scheduler.Ticket
 	exclude       []string
 	attempts      int
+	placements    int       // attempts, and placements of which nothing was sent
 	addresses     []string  // of the targets of all attempts
 	lastChunk     time.Time // when the last chunk arrived
 	gaps          metrics.Histogram
@@ -69,6 +70,7 @@
 			return x.outcome(err)
 		}
 		x.attempts++
+		x.placements++
 		x.r.Trace.Attempts, x.r.Trace.Target, x.r.Trace.Helpers, x.r.Trace.TargetRequests = x.attempts, pick.Target.ID, len(pick.Helpers), pick.Running
 		since := x.cd.cfg.Now()
 		err = x.attempt(ctx, pick)
@@ -78,6 +80,7 @@
 		}
 		if err == errTargetHeld { // nothing was sent
 			x.attempts--
+			x.r.Trace.Attempts = x.attempts
 			x.cd.cfg.Log.WithFields(logrus.Fields{"request": x.r.CallerID, "id": x.r.ID, "target": pick.Target.ID}).Info("placed again: target held")
 			continue
 		}
@@ -211,7 +214,7 @@
 	defer x.cd.control.requestEnded(x.ticket, pick)
 	defer started(0)
 	a := &Attempt{
-		ID: fmt.Sprintf("%s-%d", x.r.ID, x.attempts), Request: x.r, Target: pick.Target, Helpers: pick.Helpers,
+		ID: fmt.Sprintf("%s-%d", x.r.ID, x.placements), Request: x.r, Target: pick.Target, Helpers: pick.Helpers,
 		Remaining: x.remaining(), LastEventID: x.r.LastEventID, Repeated: slices.Contains(x.addresses, pick.Target.Address),
 		Emit: func(c messenger.Chunk) error {
 			if !x.gotChunk {
