Make no retry while all other targets pause

Cause: after a refusal, the retry waited for its delay and was charged to the budget before the scheduler found that every other target pauses. Its Retry-After then was the end of the pauses of the targets that it had not tried, though one that it had tried pauses for a shorter time. An attempt at a silent target was given up for such a retry. Before the change:

TestNoRetryWhileAllOtherTargetsPause after a refusal with a shorter pause: Retry, want (t1 2 s, t2 3 s) after a refusal without a pause: Retry, want after a failure: code 2003, want 3003, the target's own answer TestNoRetryIsReservedWhileAllOtherTargetsPause: Expected true to be false

Ruled out: new and queued requests; they were refused at once with the earliest end before.

--- /dev/null
+++ b/conductor/heldretry_test.go
@@ -0,0 +1,67 @@
+package conductor
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/coder"
+)
+
+// Guards against a retry that waits, or costs budget, although no target is left that does
+// not pause, and against a Retry-After later than the end of the first pause.
+func TestNoRetryWhileAllOtherTargetsPause(t *testing.T) {
+	for name, c := range map[string]struct {
+		refuse func(a *Attempt) error
+		expect func(b *holdBed, err error)
+	}{
+		"after a refusal with a shorter pause": {
+			refuse: func(a *Attempt) error {
+				a.ReportPause(2 * time.Second)
+				return coder.Errorf(coder.Busy, "")
+			},
+			expect: func(b *holdBed, err error) { b.expectRefused(err, 2*time.Second) },
+		},
+		"after a refusal without a pause": {
+			refuse: func(*Attempt) error { return coder.Errorf(coder.Busy, "") },
+			expect: func(b *holdBed, err error) { b.expectRefused(err, 3*time.Second) },
+		},
+		"after a failure": {
+			refuse: func(*Attempt) error { return coder.Errorf(coder.EngineFailed, "own answer") },
+			expect: func(b *holdBed, err error) {
+				b.Expect(coder.Of(err)).To(And(HaveField("Code", coder.EngineFailed), HaveField("Text", "own answer")))
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHolds(t, Config{}, twoTargets(), func(b *holdBed) {
+				b.expectUsed("t1", "t2")
+				b.pause(b.target(1), 3*time.Second)
+				b.answer = func(_ context.Context, a *Attempt) error { return c.refuse(a) }
+				since := time.Now()
+				err := b.send()
+				c.expect(b, err)
+				b.Expect(time.Since(since)).To(BeZero())
+				b.Expect(b.targetsReached()).To(Equal([]string{"t1"}))
+				b.Expect(b.counter("retries")).To(BeZero())
+			})
+		})
+	}
+}
+
+// Guards against an attempt that is given up for a retry that no target accepts.
+func TestNoRetryIsReservedWhileAllOtherTargetsPause(t *testing.T) {
+	withHolds(t, Config{}, twoTargets(), func(b *holdBed) {
+		b.expectUsed("t1", "t2")
+		b.pause(b.target(1), 3*time.Second)
+		b.answer = func(_ context.Context, a *Attempt) error {
+			b.Expect(a.ReserveRetry(coder.Errorf(coder.Silent, ""))).To(BeFalse())
+			<-time.After(3 * time.Second)
+			b.Expect(a.ReserveRetry(coder.Errorf(coder.Silent, ""))).To(BeTrue())
+			return nil
+		}
+		b.Expect(b.send()).To(Succeed())
+	})
+}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -54,6 +55,14 @@
 	}
 }
 
+// checkPauses returns the error to refuse a request with if all targets pause to which it
+// could be sent after an attempt at the picked one.
+func (x *execution) checkPauses(pick router.Pick) (err error) {
+	c, t := x.cd.control, newTicket(x.r, append(slices.Clone(x.exclude), pick.Target.ID))
+	c.do(func() { err = c.scheduler.CheckPauses(c.cfg.Now(), t) })
+	return err
+}
+
 // checkHolds returns errTargetHeld if a target of a pick takes no requests any more.
 func (c *control) checkHolds(pick router.Pick) (err error) {
 	c.do(func() {
--- a/conductor/retry.go
+++ b/conductor/retry.go
@@ -43,6 +43,12 @@
 	if isRefusal(c.Code) && c.Run == coder.NotRun && x.r.PathConfig == nil {
 		return nil
 	}
+	if held := x.checkPauses(x.blamedPick(pick)); held != nil {
+		if c.Run == coder.NotRun {
+			return held
+		}
+		return err
+	}
 	k := x.retryCase(err)
 	k.AnswerStarted, k.Reserved = !x.r.Answer.Begin(), x.retryReserved.Swap(false)
 	delay, unused, err := x.cd.control.nextRetry(k)
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -231,7 +231,7 @@
 		ReportLeaving: func() { x.cd.control.recordLeaving(x.r.CallerID, pick) },
 		ReportPause:   func(d time.Duration) { x.cd.control.recordPause(x.r.CallerID, pick, d) },
 		ReserveRetry: func(err error) bool {
-			ok := x.cd.control.reserveRetry(x.retryCase(err))
+			ok := x.checkPauses(pick) == nil && x.cd.control.reserveRetry(x.retryCase(err))
 			x.retryReserved.Store(ok)
 			return ok
 		},
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -113,7 +113,7 @@
 	if t.Prefill == 0 && s.ExceedsTarget(t) {
 		return coder.Errorf(coder.PromptTooLong, "about %d tokens, engine memory for %d", t.Prompt+t.Output, total.MaxMemory)
 	}
-	if err := s.checkPauses(now, t); err != nil {
+	if err := s.CheckPauses(now, t); err != nil {
 		return err
 	}
 	if err := s.checkLimits(now, t, s.queued(k)); err != nil {
@@ -140,17 +140,20 @@
 	return e
 }
 
-// checkPauses returns an error if all targets that may still accept the ticket pause. Its
+// CheckPauses returns an error if all targets that may still accept the ticket pause. Its
 // retry delay is neither bounded nor jittered, as no target accepts a request earlier.
-func (s *Scheduler) checkPauses(now time.Time, t *Ticket) error {
+func (s *Scheduler) CheckPauses(now time.Time, t *Ticket) error {
 	long, exclude := s.Router.IsLong(t.Prompt), t.Exclude
 	if !s.Router.HasTargetsBesides(t.Service, long, exclude) {
-		exclude = nil // the caller's next request may try every target again
+		exclude = nil
 	}
 	wait, ok := s.Router.PromptPauseWait(now, t.Service, long, exclude)
 	if !ok {
 		return nil
 	}
+	if all, ok := s.Router.PromptPauseWait(now, t.Service, long, nil); ok {
+		wait = all // the caller's next request may try the excluded targets again
+	}
 	e := coder.Errorf(coder.Overloaded, "every target accepts no requests for %s", wait.Round(time.Millisecond))
 	e.Retry = wait
 	return e
@@ -278,7 +281,7 @@
 	}
 	var out []Placement
 	for _, t := range s.waiting {
-		if err := s.checkPauses(now, t); err != nil {
+		if err := s.CheckPauses(now, t); err != nil {
 			out = append(out, Placement{Ticket: t, Err: err})
 		}
 	}
