Log as the age of a hold how long it has held

Cause: an end is found with the next request, and the age was counted up to then. Before the change TestHoldsAreLoggedAndCounted, one request a minute after a pause of 3 s: age 60000, want 3000.

--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -50,7 +50,7 @@
 func (c *control) logEndedHolds(now time.Time) {
 	for _, h := range c.scheduler.Router.EndedHolds(now) {
 		c.cfg.Log.WithFields(logrus.Fields{
-			"target": h.Target, "leaving": h.Leaving, "until": h.Until, "age": now.Sub(h.Since).Milliseconds(),
+			"target": h.Target, "leaving": h.Leaving, "until": h.Until, "age": h.Until.Sub(h.Since).Milliseconds(),
 		}).Info("hold on target ended")
 	}
 }
