--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -49,11 +50,19 @@
 func (c *control) logEndedHolds(now time.Time) {
 	for _, h := range c.scheduler.Router.EndedHolds(now) {
 		c.cfg.Log.WithFields(logrus.Fields{
-			"target": h.Target, "leaving": h.Leaving, "until": h.Until, "age": now.Sub(h.Since).Milliseconds(),
+			"target": h.Target, "leaving": h.Leaving, "until": h.Until, "age": h.Until.Sub(h.Since).Milliseconds(),
 		}).Info("hold on target ended")
 	}
 }
 
+// checkPauses returns the error to refuse a request with if all targets pause to which it
+// could be sent after an attempt at the picked one.
+func (x *execution) checkPauses(pick router.Pick) (err error) {
+	c, t := x.cd.control, newTicket(x.r, append(slices.Clone(x.exclude), pick.Target.ID))
+	c.do(func() { err = c.scheduler.CheckPauses(c.cfg.Now(), t) })
+	return err
+}
+
 // checkHolds returns errTargetHeld if a target of a pick takes no requests any more.
 func (c *control) checkHolds(pick router.Pick) (err error) {
 	c.do(func() {
