Count no held target as left for a suspect request

Cause: a suspect request, which lost a target before, avoids targets that run another suspect one, unless no target would be left. Targets that leave or pause counted as left, as the view still has them, so the request was refused. TestHeldTargetsAreNotLeftForSuspectRequests failed before.

--- a/conductor/control.go
+++ b/conductor/control.go
@@ -237,8 +237,9 @@
 			all = append(all, target)
 		}
 	}
+	now := c.cfg.Now()
 	for _, t := range c.view.ByService[service] {
-		if !slices.Contains(all, t.ID) {
+		if !slices.Contains(all, t.ID) && !c.scheduler.Router.Held(now, t) {
 			return all
 		}
 	}
