Play targets that leave or ask for pauses in the simulated fleet

A Fleet now plays them, seeded, and counts requests that reach a leaving target too late, those beyond two in a pause and those turned away. Holds switches what entries do: the product's way, nothing, or a report to the other entries as well.

--- a/bencher/fleet.go
+++ b/bencher/fleet.go
@@ -16,6 +16,8 @@
 	Seed      uint64
 	Disabled  switcher.Switcher // parts of the policy that are switched off
 	RestartAt time.Duration     // when all entries are killed; never if zero
+	Faults    Faults
+	Holds     Holds
 
 	loop
 	rnd        *rand.Rand
@@ -24,6 +26,9 @@
 	calls      []*call   // including those that continue calls cut off by a restart
 	upAt       time.Time // when the entries have restarted
 	unfinished int       // number of calls without an outcome
+
+	faultRnd    *rand.Rand
+	faultCounts FaultCounts
 }
 
 // call is one request of a caller and its outcome.
@@ -69,6 +74,7 @@
 	for i := range f.Site.Targets {
 		f.nodes = append(f.nodes, newNode(f, i))
 	}
+	f.scheduleFaults()
 	for i := range f.Site.Entries {
 		f.entries = append(f.entries, newFleetEntry(f, i))
 	}
@@ -84,7 +90,8 @@
 		f.runNext()
 	}
 	calls := slices.DeleteFunc(f.calls, func(c *call) bool { return c.cut })
-	return &FleetResult{Site: f.Site, calls: calls, runs: [][]*call{calls}}
+	f.countEmptied()
+	return &FleetResult{Site: f.Site, Faults: f.faultCounts, calls: calls, runs: [][]*call{calls}}
 }
 
 // arrive sends a new call to a random entry. While the entries are down, the caller tries
--- a/bencher/fleetentry.go
+++ b/bencher/fleetentry.go
@@ -32,6 +32,7 @@
 	changed   bool          // requests in flight have changed since that message
 	rotation  int           // next target of RoundRobin
 	inFlight  map[*node]int // own calls, used by LeastOutstanding
+	holds     []sharedHold  // reported to the other entries
 }
 
 func newFleetEntry(f *Fleet, i int) *fleetEntry {
@@ -54,8 +55,11 @@
 func (f *Fleet) targets() []messenger.Target {
 	var out []messenger.Target
 	for _, n := range f.nodes {
+		if n.viewGone {
+			continue
+		}
 		t := messenger.Target{
-			ID: n.id, Service: "s", Model: "m", Incarnation: 1, Slots: f.Site.Engine.Slots,
+			ID: n.id, Service: "s", Model: "m", Incarnation: 1, Slots: f.Site.Engine.Slots, Leaving: n.viewLeaving,
 			Load: predictor.Predictor{Engine: f.Site.Engine}.Load(),
 		}
 		if f.Kind == Former {
@@ -170,10 +174,15 @@
 	}
 	e.throttled, e.changed = true, false
 	sends := e.scheduler.Router.Sends()
+	var holds []sharedHold
+	if e.f.Holds == SharedMarks || e.f.Holds == Shared {
+		holds = e.sharedHolds(sends)
+	}
 	e.f.send(func() {
 		for _, peer := range e.f.entries {
 			if peer != e {
 				peer.scheduler.Router.RecordPeer(e.f.now, e.name, sends)
+				peer.recordSharedHolds(holds)
 			}
 		}
 	})
@@ -194,15 +203,17 @@
 
 // sendBaseline sends a call unsplit and immediately, as a simple load balancer does.
 func (e *fleetEntry) sendBaseline(c *call, attempt int) {
-	n := e.f.nodes[e.rotation%len(e.f.nodes)]
+	listed := e.f.listed()
+	n := listed[e.rotation%len(listed)]
 	e.rotation++
 	if e.f.Kind == LeastOutstanding {
-		n = slices.MinFunc(e.f.nodes, func(a, b *node) int { return e.inFlight[a] - e.inFlight[b] })
+		n = slices.MinFunc(listed, func(a, b *node) int { return e.inFlight[a] - e.inFlight[b] })
 	}
 	e.inFlight[n]++
 	c.node = n
 	e.f.send(func() {
-		ok := n.submit(c, 1, 0, func(k passer.Kind) {
+		_, turnedAway := n.receive(e, false)
+		ok := !turnedAway && n.submit(c, 1, 0, func(k passer.Kind) {
 			e.f.send(func() {
 				e.f.recordEvent(c)
 				if k == passer.Ended {
--- a/bencher/fleetresult.go
+++ b/bencher/fleetresult.go
@@ -9,15 +9,17 @@
 
 // FleetResult holds the calls of one or several runs of a Fleet.
 type FleetResult struct {
-	Site  Site
-	calls []*call
-	runs  [][]*call // calls by run
+	Site   Site
+	Faults FaultCounts
+	calls  []*call
+	runs   [][]*call // calls by run
 }
 
 // Add appends the calls of another result.
 func (r *FleetResult) Add(o *FleetResult) {
 	r.calls = append(r.calls, o.calls...)
 	r.runs = append(r.runs, o.runs...)
+	r.Faults.add(o.Faults)
 }
 
 // Worth returns the earned fraction of the total worth of all calls. An answer that is
@@ -26,6 +28,17 @@
 	return r.worth(func(*call) bool { return true })
 }
 
+// Served returns the fraction of the calls whose answer is complete, in time or late.
+func (r *FleetResult) Served() float64 {
+	n := 0
+	for _, c := range r.calls {
+		if c.complete {
+			n++
+		}
+	}
+	return float64(n) / float64(max(1, len(r.calls)))
+}
+
 // WorthOf returns the earned fraction for one kind of request, an index in Site.Traffic.
 func (r *FleetResult) WorthOf(kind int) float64 {
 	return r.worth(func(c *call) bool { return c.kind == kind })
--- a/bencher/node.go
+++ b/bencher/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"bramleyshunt/passer"
 )
@@ -13,12 +14,14 @@
 	engine   passer.Passer
 	busy     bool                         // a pass is under way
 	handlers map[string]func(passer.Kind) // by call ID
+	faultState
 }
 
 func newNode(f *Fleet, i int) *node {
 	return &node{
 		f: f, id: fmt.Sprint("t", i), handlers: map[string]func(passer.Kind){},
-		engine: passer.Passer{Engine: f.Site.Engine, Queue: f.Site.Queue},
+		engine:     passer.Passer{Engine: f.Site.Engine, Queue: f.Site.Queue},
+		faultState: faultState{markedAt: map[*fleetEntry]time.Time{}, pauses: map[*fleetEntry][]*pauseWindow{}},
 	}
 }
 
--- a/bencher/placement.go
+++ b/bencher/placement.go
@@ -19,6 +19,7 @@
 	placed          time.Time
 	prefillRecorded bool // the scheduler has been notified of the end of prefill
 	ended           bool // the scheduler has been notified of the end
+	answered        bool // the header of the answer has been sent
 }
 
 // node returns the engine of an announced target.
@@ -26,6 +27,8 @@
 	return f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return n.id == t.ID })]
 }
 
+func (p *placement) node() *node { return p.entry.f.node(p.pick.Target) }
+
 // reserveHelperMemory reserves memory at the helpers, then submits the call. The call is
 // refused if a helper has too little memory.
 func (p *placement) reserveHelperMemory() {
@@ -57,6 +60,10 @@
 func (p *placement) submit() {
 	f := p.entry.f
 	n := f.node(p.pick.Target)
+	if p.turnedAway() {
+		p.freeHelperMemory(len(p.pick.HelperMemory))
+		return
+	}
 	helperMemory := 0
 	for _, s := range p.pick.HelperMemory {
 		helperMemory += s
@@ -74,13 +81,34 @@
 	}
 }
 
+// turnedAway reports whether a target turns the call away, and has the entry handle that.
+func (p *placement) turnedAway() bool {
+	f := p.entry.f
+	for i, t := range append([]messenger.Target{p.pick.Target}, p.pick.Helpers...) {
+		n := f.node(t)
+		if a, refused := n.receive(p.entry, i > 0); refused {
+			f.send(func() {
+				p.entry.hear(n, a)
+				p.refusedBy(t.ID)
+			})
+			return true
+		}
+	}
+	return false
+}
+
 // handle processes an outcome of the target.
 func (p *placement) handle(k passer.Kind) {
 	f := p.entry.f
 	if k == passer.Ended {
 		p.freeHelperMemory(len(p.pick.HelperMemory))
 	}
+	mark := !p.answered && p.node().leaving()
+	p.answered = true
 	f.send(func() {
+		if mark {
+			p.entry.hear(p.node(), answer{leaving: true})
+		}
 		f.recordEvent(p.call)
 		p.recordPrefill(f.now.Sub(p.placed))
 		if k == passer.Ended {
@@ -114,20 +142,23 @@
 
 // handleRefusal handles a refusal at the entry. The call has not run: it is requeued with
 // the target excluded, or refused after maxAttempts.
-func (p *placement) handleRefusal() {
+func (p *placement) handleRefusal() { p.refusedBy(p.pick.Target.ID) }
+
+// refusedBy is like handleRefusal for a refusal of the target or of a helper.
+func (p *placement) refusedBy(id string) {
 	f := p.entry.f
 	p.end()
 	p.call.node = nil
 	if p.call.done {
 		return
 	}
-	p.entry.scheduler.Router.Refused(p.pick.Target.ID, f.now.Add(tickInterval))
+	p.entry.scheduler.Router.Refused(id, f.now.Add(tickInterval))
 	if len(p.ticket.Exclude)+1 >= maxAttempts {
 		f.refuse(p.call, p.entry.scheduler.RetryAfter(f.now, p.ticket))
 		return
 	}
 	t := *p.ticket
 	t.ID += "+"
-	t.Exclude = append(slices.Clone(t.Exclude), p.pick.Target.ID)
+	t.Exclude = append(slices.Clone(t.Exclude), id)
 	p.entry.enqueue(p.call, &t)
 }
