--- a/bencher/fault.go
+++ b/bencher/fault.go
@@ -1,7 +1,10 @@
 package bencher
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -23,6 +26,25 @@
 	Shared                   // shared
 )
 
+// HoldsNames returns the names of all values of Holds.
+func HoldsNames() []string {
+	var out []string
+	for h := range Shared + 1 {
+		out = append(out, h.String())
+	}
+	return out
+}
+
+// ParseHolds returns the value of Holds with the given name, or an error that lists the
+// known names.
+func ParseHolds(name string) (Holds, error) {
+	i := slices.Index(HoldsNames(), name)
+	if i < 0 {
+		return 0, fmt.Errorf("no holds %q; there are %s", name, strings.Join(HoldsNames(), ", "))
+	}
+	return Holds(i), nil
+}
+
 // Faults are the faults of targets that a Fleet plays. The zero value has none.
 type Faults struct {
 	Leaving int // number of targets that leave, each at a random time
@@ -69,6 +91,17 @@
 	HoldBytes     int           // what holds added to it
 }
 
+// FaultHeader returns the header of the table that FaultCounts.Row fills.
+func FaultHeader() string {
+	return "| policy | late to leaving | over a pause | turned away | to leaving | emptied after s | holds, part of messages % |\n|" + strings.Repeat("---|", 7)
+}
+
+// Row returns a row of a Markdown table.
+func (n *FaultCounts) Row(name string) string {
+	return fmt.Sprintf("| %s | %d | %d | %d | %d | %.2f | %.1f |", name, n.LateToLeaving, n.OverPause, n.TurnedAway, n.ToLeaving,
+		n.Emptied.Seconds()/float64(max(1, n.Left)), 100*float64(n.HoldBytes)/float64(max(1, n.ShareBytes)))
+}
+
 func (n *FaultCounts) add(o FaultCounts) {
 	n.LateToLeaving += o.LateToLeaving
 	n.OverPause += o.OverPause
