--- a/bencher/fault.go
+++ b/bencher/fault.go
@@ -73,17 +73,20 @@
 
 	// Bounds of the platform: requests that a target receives from an entry that has passed on
 	// its mark, and the number of requests in a pause.
-	maxAfterMark  = 2 * time.Second
-	pauseLeeway   = 500 * time.Millisecond
-	maxInPause    = 2
-	holdShareTime = 30 * time.Second // for which an entry reports a mark at most, while the view calls the target in use
+	maxAfterMark = 2 * time.Second
+	pauseLeeway  = 500 * time.Millisecond
+	maxInPause   = 2
+
+	// An entry reports a mark to the others while the view calls the target in use, but no
+	// longer than markShareTime.
+	markShareTime = 30 * time.Second
 )
 
 // FaultCounts are the figures of the faults of one or several runs.
 type FaultCounts struct {
 	LateToLeaving int           // requests that reached a target from an entry later than maxAfterMark after its mark
 	OverPause     int           // requests beyond maxInPause that reached a target during a pause
-	TurnedAway    int           // requests that a target refused as it left or paused
+	TurnedAway    int           // requests, or parts for others, that a target refused as it left or paused
 	ToLeaving     int           // requests that reached a target after it had begun to leave
 	Emptied       time.Duration // sum over the targets that left, from then to the last request
 	Left          int           // number of targets that left
@@ -152,13 +155,13 @@
 	}
 	for _, i := range order[leaving:min(leaving+f.Faults.Pausing, len(order))] {
 		n := f.nodes[i]
-		n.pausingFrom = start.Add(f.drawDuration(0, max(1, f.Site.Length-pausingLength)))
+		n.pausingFrom = start.Add(f.drawDuration(0, f.Site.Length-pausingLength))
 		n.pausingUntil = n.pausingFrom.Add(pausingLength)
 	}
 }
 
 func (f *Fleet) drawDuration(lowest, highest time.Duration) time.Duration {
-	return lowest + time.Duration(f.faultRnd.Int64N(int64(highest-lowest)))
+	return lowest + time.Duration(f.faultRnd.Int64N(int64(max(1, highest-lowest))))
 }
 
 func (f *Fleet) scheduleLeaving(n *node, at, viewLag time.Duration) {
@@ -268,7 +271,7 @@
 // ends returns when the hold need not be reported any more.
 func (h sharedHold) ends() time.Time {
 	if h.answer.leaving {
-		return h.at.Add(holdShareTime)
+		return h.at.Add(markShareTime)
 	}
 	return h.at.Add(h.answer.pause)
 }
--- a/bencher/fault_test.go
+++ b/bencher/fault_test.go
@@ -72,6 +72,19 @@
 	}
 }
 
+// TestAllTargetsLeave guards against runs that never end once a service has no target.
+func TestAllTargetsLeave(t *testing.T) {
+	s := phasedSite()
+	for _, k := range []bencher.Kind{bencher.Ours, bencher.RoundRobin, bencher.LeastOutstanding, bencher.Former} {
+		t.Run(k.String(), func(t *testing.T) {
+			n := (&bencher.Fleet{Site: s, Kind: k, Seed: 1, Faults: bencher.Faults{Leaving: s.Targets}}).Run().Faults
+			if n.Left != s.Targets {
+				t.Errorf("%d targets left, want %d", n.Left, s.Targets)
+			}
+		})
+	}
+}
+
 // TestFaultsRepeat checks that runs with the same seeds are identical.
 func TestFaultsRepeat(t *testing.T) {
 	first, again := runFaults(bencher.Fleet{}), runFaults(bencher.Fleet{})
--- a/bencher/fleetentry.go
+++ b/bencher/fleetentry.go
@@ -204,6 +204,10 @@
 // sendBaseline sends a call unsplit and immediately, as a simple load balancer does.
 func (e *fleetEntry) sendBaseline(c *call, attempt int) {
 	listed := e.f.listed()
+	if len(listed) == 0 {
+		e.f.refuse(c, time.Second)
+		return
+	}
 	n := listed[e.rotation%len(listed)]
 	e.rotation++
 	if e.f.Kind == LeastOutstanding {
