Tell callers to come back soon if a target that does not pause was tried

What callers would see: the end of other targets' pauses as Retry-After, up to an hour, after a refusal by a target that may take their next request at once.

Change: the exact end of the first pause is sent only if all targets of the service pause; else the delay of any refusal, or that end if it is earlier.

--- a/router/hold.go
+++ b/router/hold.go
@@ -14,8 +14,8 @@
 // the view, and bind each target that has the id and incarnation of the one that answered.
 
 const (
-	// maxPause bounds the time for which a target can hold back requests with one answer.
-	maxPause = time.Hour
+	// MaxPause bounds the time for which a target can hold back requests with one answer.
+	MaxPause = time.Hour
 	// holdTTL is how long the mark of a target is kept that is in no view. Late views may
 	// still call the target in use.
 	holdTTL = time.Hour
@@ -119,7 +119,7 @@
 	if h := r.holds[k]; h != nil && h.paused(now) {
 		until = h.pausedUntil
 	}
-	end := now.Add(min(d, maxPause))
+	end := now.Add(min(d, MaxPause))
 	if t.ID == "" || d <= 0 || !end.After(until) {
 		return until, false
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -140,8 +140,10 @@
 	return e
 }
 
-// CheckPauses returns an error if all targets that may still accept the ticket pause. Its
-// retry delay is neither bounded nor jittered, as no target accepts a request earlier.
+// CheckPauses returns an error if all targets that may still accept the ticket pause. If
+// those that it excludes pause too, the retry delay is neither bounded nor jittered, as no
+// target accepts a request earlier. Otherwise they may accept the caller's next request,
+// which need not wait for the first pause to end.
 func (s *Scheduler) CheckPauses(now time.Time, t *Ticket) error {
 	if !s.Router.HasPauses(now) {
 		return nil
@@ -154,11 +156,10 @@
 	if !ok {
 		return nil
 	}
-	if all, ok := s.Router.PromptPauseWait(now, t.Service, long, nil); ok {
-		wait = all // the caller's next request may try the excluded targets again
+	e := coder.Errorf(coder.Overloaded, "no target to be tried accepts requests for %s", wait.Round(time.Millisecond))
+	if e.Retry, ok = s.Router.PromptPauseWait(now, t.Service, long, nil); !ok {
+		e.Retry = min(wait, s.Admitter.RetryAfter(0))
 	}
-	e := coder.Errorf(coder.Overloaded, "every target accepts no requests for %s", wait.Round(time.Millisecond))
-	e.Retry = wait
 	return e
 }
 
