--- a/conductor/control.go
+++ b/conductor/control.go
@@ -221,31 +221,6 @@
 	return seconds(r.PathConfig.Gap, 0)
 }
 
-// clearSuspect removes the entry that enqueue makes for a suspect request.
-func (c *control) clearSuspect(id string) { c.do(func() { delete(c.suspects, id) }) }
-
-// excludeSuspectTargets adds to the excluded targets those that run a suspect request,
-// so that one suspect cannot take down the others with its target. It returns exclude
-// unchanged if no target of the service would be left.
-func (c *control) excludeSuspectTargets(service string, exclude []string) []string {
-	if c.view == nil {
-		return exclude
-	}
-	all := slices.Clone(exclude)
-	for _, target := range c.suspects {
-		if target != "" && !slices.Contains(all, target) {
-			all = append(all, target)
-		}
-	}
-	now := c.cfg.Now()
-	for _, t := range c.view.ByService[service] {
-		if !slices.Contains(all, t.ID) && !c.scheduler.Router.Held(now, t) {
-			return all
-		}
-	}
-	return exclude
-}
-
 // enqueue adds a ticket to its queue; the placement is sent on the returned channel. A
 // suspect request, which lost a target before, is not placed on a target that runs
 // another suspect, until clearSuspect.
--- a/conductor/heldretry_test.go
+++ b/conductor/heldretry_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
 )
 
 // Guards against a retry that waits, or costs budget, although no target is left that does
@@ -68,3 +69,20 @@
 		b.Expect(b.send()).To(Succeed())
 	})
 }
+
+// Guards against a refusal of a suspect request while a target is left that runs another one:
+// the targets that hold back requests don't count as left.
+func TestHeldTargetsAreNotLeftForSuspectRequests(t *testing.T) {
+	v := twoTargets()
+	v.ByService = map[string][]messenger.Target{"s": v.Targets}
+	withHolds(t, Config{}, v, func(b *holdBed) {
+		c := b.cd.control
+		c.do(func() {
+			c.refreshView()
+			c.suspects["other"] = "t1"
+			b.Expect(c.excludeSuspectTargets("s", nil)).To(Equal([]string{"t1"}))
+			c.scheduler.Router.Pause(c.cfg.Now(), v.Targets[1], time.Second)
+			b.Expect(c.excludeSuspectTargets("s", nil)).To(BeEmpty())
+		})
+	})
+}
--- a/conductor/holds_test.go
+++ b/conductor/holds_test.go
@@ -388,20 +388,3 @@
 		Chunk: func(messenger.Chunk) error { return nil }, End: func(messenger.End) error { return nil },
 	}
 }
-
-// Guards against a refusal of a suspect request while a target is left that runs another one:
-// the targets that hold back requests don't count as left.
-func TestHeldTargetsAreNotLeftForSuspectRequests(t *testing.T) {
-	v := twoTargets()
-	v.ByService = map[string][]messenger.Target{"s": v.Targets}
-	withHolds(t, Config{}, v, func(b *holdBed) {
-		c := b.cd.control
-		c.do(func() {
-			c.refreshView()
-			c.suspects["other"] = "t1"
-			b.Expect(c.excludeSuspectTargets("s", nil)).To(Equal([]string{"t1"}))
-			c.scheduler.Router.Pause(c.cfg.Now(), v.Targets[1], time.Second)
-			b.Expect(c.excludeSuspectTargets("s", nil)).To(BeEmpty())
-		})
-	})
-}
