Keep an attempt whose target is silent until another target answers

Callers saw streams end in the middle, with neither the rest nor an error, although their target was sound: it had sent nothing for a second. Cause: the idle timer cancelled the attempt as soon as the retry budget allowed a retry, before a target for that retry was known. If none took the stream (no target or no room, a long prompt refused because its prefill would delay others, a refusal, a lost connection, a configuration not confirmed), the rest of the answer was gone and the connection was aborted; before the first event the caller got 502 or another failure instead of the answer on its way. The class: work that is ended before it is known that something takes it over.

A silent target now only starts a second attempt beside the first. Whichever produces the next chunk goes on with the answer, and only then the other one is cancelled. If the second one finds no target, is refused or fails, the first goes on. The budget is charged when the second one has a target, so a search that finds none costs nothing.

Two tests name the replaced function: TestNoRetryIsReservedWhileAllOtherTargetsPause is TestNoHedgeWhileAllOtherTargetsPause and checks what reaches targets instead of a return value; 'charges a reserved retry once' checks the same charges through Check and Unused, as no retry is reserved for later any more.

--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -78,6 +78,7 @@
 type Answer struct {
 	SetWriteDeadline func(time.Time) // bounds writes to a caller that does not read
 	Begin            func() bool
+	Resumable        func() bool   // whether Begin would return true; nil if no attempt may run beside another one
 	LastEventID      func() string // ID of the last complete event written; nil if no other attempt can resume after it
 	Chunk            func(messenger.Chunk) error
 	End              func(messenger.End) error
--- /dev/null
+++ b/conductor/attempt.go
@@ -0,0 +1,312 @@
+package conductor
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"bramleyshunt/allocator"
+	"bramleyshunt/chainer"
+	"bramleyshunt/dispatcher"
+	"bramleyshunt/messenger"
+	"bramleyshunt/predictor"
+	"bramleyshunt/router"
+	"bramleyshunt/scheduler"
+	"bramleyshunt/switcher"
+)
+
+const (
+	// minTimeout is half of the shortest time without data after which callers of the
+	// users' platform (see package platform) abandon a stream. The other half is left to
+	// another target.
+	minTimeout = time.Second
+	// firstTimeoutObjectives and idleTimeoutGaps are multiples of the time-to-first-token
+	// objective and of the allowed inter-token gap of a path. They stay below what the
+	// same callers tolerate: four times the objective before the first event, and eight
+	// times the gap between two events.
+	firstTimeoutObjectives = 3
+	idleTimeoutGaps        = 4
+)
+
+// Attempt is one run of a request at a target.
+type Attempt struct {
+	ID             string
+	Request        *chainer.Request
+	Target         messenger.Target
+	Repeated       bool               // an earlier attempt of the request was sent to the target's address
+	Helpers        []messenger.Target // each prefills a part of the prompt
+	Remaining      time.Duration      // time until the request's deadline
+	ReservationIDs []string           // IDs of the memory reservations, one per helper; an empty ID means no reservation
+	FirstTimeout   time.Duration      // wait for the first chunk of the answer after which the target counts as silent; zero for no bound
+	IdleTimeout    time.Duration      // wait between two chunks of the answer likewise; zero for no bound
+	LastEventID    string             // last event of the stream that the caller has received; empty to start with the first
+	Emit           func(messenger.Chunk) error
+	ReportLoad     func(messenger.Load) // receives load reports that came with the answer
+	ReportLimit    func(float64)        // receives the rate limit that the target named in its answer, in requests per second; zero if none
+	ReportLeaving  func()               // called if the target said in its answer that it leaves
+	ReportPause    func(time.Duration)  // receives how long the target wants no requests from this process, as its refusal asked
+	ReportSilence  func()               // called repeatedly while the target is silent; the attempt goes on
+
+	TargetAlive  bool   // set if the target was lost while it ran the request but still accepts connections
+	BlamedTarget string // ID or address of the target that a refusal names as its cause
+}
+
+// BlamedHelper returns the helper that a refusal names as its cause, nil if it names none.
+func (a *Attempt) BlamedHelper() *messenger.Target {
+	for i, t := range a.Helpers {
+		if a.BlamedTarget != "" && (t.ID == a.BlamedTarget || t.Address == a.BlamedTarget) {
+			return &a.Helpers[i]
+		}
+	}
+	return nil
+}
+
+// attempt is one attempt of an execution, from its place in the queue to its end.
+type attempt struct {
+	x            *execution
+	request      context.Context // of the request
+	ctx          context.Context // of the attempt
+	cancel       context.CancelCauseFunc
+	exclude      []string // targets that must not be picked
+	ticket       *scheduler.Ticket
+	pick         router.Pick
+	placed       bool      // pick is set
+	since        time.Time // when the target was picked
+	answering    atomic.Bool
+	superseded   bool              // another attempt goes on with the answer; guarded by execution.mu
+	hedgeRefused bool              // it was logged why there is no hedge; guarded by execution.mu
+	blamedHelper *messenger.Target // see Attempt.BlamedHelper
+	targetAlive  bool              // see Attempt.TargetAlive
+	done         chan error        // receives the result of a hedge; nil for other attempts
+}
+
+func (x *execution) newAttempt(ctx context.Context, exclude []string) *attempt {
+	a := &attempt{x: x, request: ctx, exclude: exclude}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	return a
+}
+
+// run waits for a target and runs the request there.
+func (a *attempt) run() error {
+	defer a.cancel(nil)
+	if err := a.place(); err != nil {
+		return err
+	}
+	defer a.x.cd.control.requestEnded(a.ticket, a.pick)
+	if a.done != nil {
+		if err := a.x.reserveHedge(a); err != nil {
+			return err
+		}
+	}
+	a.placed = true
+	return a.send()
+}
+
+// place waits for a target until the request can no longer finish by its deadline.
+func (a *attempt) place() error {
+	x := a.x
+	x.mu.Lock()
+	suspect := x.targetsLost > 0
+	x.mu.Unlock()
+	a.ticket = newTicket(x.r, a.exclude)
+	need := x.cd.control.serviceTime(a.ticket)
+	bound, stop := context.WithTimeoutCause(a.ctx, x.remaining()-need, errNotPlaced)
+	defer stop()
+	since := x.cd.cfg.Now()
+	placed := x.cd.control.enqueue(a.ticket, suspect)
+	defer func() {
+		x.mu.Lock()
+		x.r.Trace.Queued += x.cd.cfg.Now().Sub(since)
+		x.mu.Unlock()
+	}()
+	select {
+	case p := <-placed:
+		a.pick, a.since = p.Pick, x.cd.cfg.Now()
+		return p.Err
+	case <-bound.Done():
+		x.cd.control.abandon(a.ticket, placed)
+		return x.placementError(bound, a.ticket)
+	}
+}
+
+// send runs the request at the picked target.
+func (a *attempt) send() error {
+	x, pick, prefilling := a.x, a.pick, true
+	started := func(after time.Duration) {
+		if prefilling {
+			prefilling = false
+			x.cd.control.prefillEnded(a.ticket, pick, after)
+		}
+	}
+	defer started(0)
+	out := a.describe()
+	out.Emit = func(c messenger.Chunk) error { return a.emit(c, started) }
+	release, err := x.reserveHelpers(a.ctx, out, pick.HelperMemory, func() bool {
+		if a.answering.Load() {
+			return false
+		}
+		a.cancel(errNotStarted)
+		return true
+	})
+	if err != nil {
+		return err
+	}
+	defer release()
+	if len(pick.Helpers) > 0 { // reserving their memory has taken time
+		if err := x.cd.control.checkHolds(pick); err != nil {
+			return err
+		}
+	}
+	end, err := x.exchange(a.ctx, out)
+	a.blamedHelper, a.targetAlive = out.BlamedHelper(), out.TargetAlive
+	if err != nil {
+		return err
+	}
+	return a.end(end)
+}
+
+// describe counts the attempt and describes it to the exchange.
+func (a *attempt) describe() *Attempt {
+	x, pick := a.x, a.pick
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.attempts++
+	x.placements++
+	t := &x.r.Trace
+	t.Attempts, t.Target, t.Helpers, t.TargetRequests = x.attempts, pick.Target.ID, len(pick.Helpers), pick.Running
+	t.Prefill = a.ticket.Prefill / time.Duration(1+len(pick.Helpers))
+	out := &Attempt{
+		ID: fmt.Sprintf("%s-%d", x.r.ID, x.placements), Request: x.r, Target: pick.Target, Helpers: pick.Helpers,
+		Remaining: x.remaining(), LastEventID: x.r.LastEventID, Repeated: slices.Contains(x.addresses, pick.Target.Address),
+		ReportLoad:    func(l messenger.Load) { x.cd.control.recordLoad(pick, l) },
+		ReportLimit:   func(rate float64) { x.cd.control.recordLimit(a.since, pick, rate) },
+		ReportLeaving: func() { x.cd.control.recordLeaving(x.r.CallerID, pick) },
+		ReportPause:   func(d time.Duration) { x.cd.control.recordPause(x.r.CallerID, pick, d) },
+		ReportSilence: a.reportSilence,
+	}
+	x.addresses = append(x.addresses, pick.Target.Address)
+	out.FirstTimeout, out.IdleTimeout = x.timeouts()
+	if x.r.Answer.LastEventID != nil && x.r.Answer.LastEventID() != "" {
+		out.LastEventID = x.r.Answer.LastEventID()
+	}
+	return out
+}
+
+// emit passes a chunk on to the caller. started is called with the time since the target was
+// picked.
+func (a *attempt) emit(c messenger.Chunk, started func(time.Duration)) error {
+	x := a.x
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if err := x.take(a, c.Status); err != nil {
+		return err
+	}
+	if !x.gotChunk {
+		x.r.Trace.Wait = x.cd.cfg.Now().Sub(a.since)
+	}
+	a.answering.Store(true)
+	started(x.cd.cfg.Now().Sub(a.since))
+	x.observeChunk()
+	err := x.r.Answer.Chunk(c)
+	if err == nil {
+		x.keep(a)
+	}
+	return err
+}
+
+// end ends the answer.
+func (a *attempt) end(m messenger.End) error {
+	x := a.x
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if err := x.take(a, 0); err != nil {
+		return err
+	}
+	x.cd.meter.slowdown(x.r, x.cd.cfg.Now().Sub(x.r.Arrived), x.unloadedDuration(a.pick, m.Usage))
+	err := x.r.Answer.End(m)
+	if err == nil {
+		x.keep(a)
+	}
+	return err
+}
+
+// blamedPick returns the target that a failed attempt is about: the picked one, unless
+// the refusal names a helper.
+func (a *attempt) blamedPick() router.Pick {
+	if a.blamedHelper != nil {
+		return router.Pick{Target: *a.blamedHelper}
+	}
+	return a.pick
+}
+
+// timeouts returns how long a target may send nothing before its answer and within it,
+// zero for no bound. A connection can stall permanently without being reset. Only
+// streams that another target can resume are bounded.
+func (x *execution) timeouts() (first, idle time.Duration) {
+	path := x.r.PathConfig
+	if path == nil || !path.Resume || x.cd.cfg.Disabled.Off(switcher.GiveUpSilent) {
+		return 0, 0
+	}
+	prefill := predictor.Predictor{Engine: x.r.Spec.Engine}.Prefill(x.r.Prompt, 1)
+	return max(minTimeout, firstTimeoutObjectives*seconds(path.Objective, 0)) + prefill, max(minTimeout, idleTimeoutGaps*seconds(path.Gap, 0))
+}
+
+// reserveHelpers reserves memory at the helpers and returns a function that releases
+// it. giveUp is called if the target has not started the request within the time for
+// which the helpers may keep unused memory reserved.
+func (x *execution) reserveHelpers(ctx context.Context, a *Attempt, memory []int, giveUp func() bool) (func(), error) {
+	var reservations []allocator.Reservation
+	a.ReservationIDs = make([]string, len(a.Helpers))
+	for i, n := range memory {
+		if n > 0 {
+			a.ReservationIDs[i] = fmt.Sprintf("%s.%d", a.ID, i)
+			reservations = append(reservations, allocator.Reservation{ID: a.ReservationIDs[i], Target: a.Helpers[i], Tokens: n})
+		}
+	}
+	if len(reservations) == 0 {
+		return func() {}, nil
+	}
+	return x.cd.cfg.Allocator.ReserveAll(ctx, reservations, giveUp)
+}
+
+// exchange runs an attempt through Config.Exchange if that is set, else through the
+// target's agent.
+func (x *execution) exchange(ctx context.Context, a *Attempt) (messenger.End, error) {
+	if x.cd.cfg.Exchange != nil {
+		return messenger.End{Attempt: a.ID}, x.cd.cfg.Exchange(ctx, a)
+	}
+	return x.cd.dispatch.Do(ctx, x.job(a))
+}
+
+func (x *execution) job(a *Attempt) dispatcher.Job {
+	return dispatcher.Job{
+		Address: a.Target.Address,
+		Reserve: messenger.Reserve{
+			Attempt: a.ID, Incarnation: a.Target.Incarnation, Account: x.r.Account,
+			Prompt: x.r.Prompt, Output: x.r.Output, Priority: priority(x.r),
+			Remaining: a.Remaining, Fingerprint: x.r.Fingerprint, Key: x.r.Key, Batch: x.r.Batch,
+		},
+		Run: messenger.Run{
+			Attempt: a.ID, Incarnation: a.Target.Incarnation, Remaining: a.Remaining,
+			Method: x.r.Method, Path: x.r.Path, Headers: x.r.Headers, Body: x.r.Body,
+		},
+		BeforeRun: func(ctx context.Context) error { return x.claim(ctx, a.Target.ID) },
+		OnLoad:    a.ReportLoad,
+		OnChunk:   a.Emit,
+	}
+}
+
+// priority ranks short prompts before long ones of the same configured priority.
+func priority(r *chainer.Request) int {
+	return r.Priority*messenger.Classes + messenger.Classes - 1 - int(r.Class)
+}
+
+// claim records with the keepers that a non-idempotent request starts to run.
+func (x *execution) claim(ctx context.Context, target string) error {
+	if !x.r.NonIdempotent {
+		return nil
+	}
+	return x.cd.claims.Run(ctx, claimOf(x.r), target)
+}
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -331,8 +331,18 @@
 	return delay, unused, err
 }
 
-// reserveRetry reports whether another attempt may follow a failed one, and reserves
-// its retry.
+// checkRetry returns an error if reserveRetry would refuse.
+func (c *control) checkRetry(k retrier.Failure) (err error) {
+	c.do(func() {
+		now := c.cfg.Now()
+		c.updateRetryBudget(now)
+		err = c.retrier.Check(now, k)
+	})
+	return err
+}
+
+// reserveRetry reports whether an attempt may start before another one has failed, and
+// charges it to the retry budget.
 func (c *control) reserveRetry(k retrier.Failure) (ok bool) {
 	c.do(func() {
 		now := c.cfg.Now()
--- a/conductor/fault_test.go
+++ b/conductor/fault_test.go
@@ -52,7 +52,7 @@
 	defer end()
 	r.Config, r.Service, r.PathConfig = cd.cfg.View().Config, "s", &path
 	r.Answer = chainer.Answer{
-		SetWriteDeadline: func(time.Time) {}, Begin: func() bool { return true },
+		SetWriteDeadline: func(time.Time) {}, Begin: func() bool { return true }, Resumable: func() bool { return true },
 		Chunk: func(messenger.Chunk) error { return nil }, End: func(messenger.End) error { return nil },
 	}
 	return r, cd.Do(ctx, r)
--- /dev/null
+++ b/conductor/hedge.go
@@ -0,0 +1,154 @@
+package conductor
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/retrier"
+)
+
+var (
+	errSilent = coder.Errorf(coder.Silent, "")
+	// errSuperseded ends an attempt in whose place another one produces the answer.
+	errSuperseded = coder.Errorf(coder.Silent, "another target goes on with the answer")
+)
+
+// reportSilence starts a hedge at another target while the target of the current attempt is
+// silent. The one of the two that produces the next chunk goes on with the answer, and only
+// then the other one is cancelled.
+func (a *attempt) reportSilence() {
+	x := a.x
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.current != a || x.hedge != nil || a.superseded {
+		return
+	}
+	log := x.cd.cfg.Log.WithFields(logrus.Fields{
+		"request": x.r.CallerID, "id": x.r.ID, "target": a.pick.Target.ID, "tries": x.attempts, "answering": a.answering.Load(),
+	})
+	if err := x.checkHedge(a); err != nil {
+		if !a.hedgeRefused {
+			a.hedgeRefused = true
+			log.WithError(err).Info("target silent, waiting for it")
+		}
+		return
+	}
+	log.Info("target silent, trying another one beside it")
+	h := x.newAttempt(a.request, append(slices.Clone(x.exclude), a.pick.Target.ID))
+	h.done = make(chan error, 1)
+	x.hedge = h
+	x.wg.Go(func() {
+		err := h.run()
+		x.hedgeEnded(h, err)
+		h.done <- err
+	})
+}
+
+// checkHedge returns an error if no other target may be tried beside the current attempt.
+func (x *execution) checkHedge(a *attempt) error {
+	if err := x.checkPauses(a.pick); err != nil {
+		return err
+	}
+	return x.cd.control.checkRetry(x.hedgeCase())
+}
+
+// hedgeCase describes a silent target to the retrier.
+func (x *execution) hedgeCase() retrier.Failure {
+	k := x.retryCase(errSilent)
+	k.AnswerStarted = x.r.Answer.Resumable == nil || !x.r.Answer.Resumable()
+	return k
+}
+
+// reserveHedge charges a hedge that has been placed to the retry budget.
+func (x *execution) reserveHedge(h *attempt) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if h.superseded {
+		return errSuperseded
+	}
+	if !x.cd.control.reserveRetry(x.hedgeCase()) {
+		return &coder.Error{Code: coder.RetryBudget, Run: coder.NotRun, Cause: errSilent}
+	}
+	x.cd.meter.count("retries")
+	return nil
+}
+
+// hedgeEnded records the failure of a hedge that has neither taken over the answer nor become
+// the current attempt. The current attempt may start another one then.
+func (x *execution) hedgeEnded(h *attempt, err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.hedge != h || x.owner == h || err == nil {
+		return
+	}
+	x.hedge = nil
+	log := x.cd.cfg.Log.WithError(err).WithFields(logrus.Fields{"request": x.r.CallerID, "id": x.r.ID})
+	if !h.placed {
+		log.Info("no other target for the request of a silent one")
+		return
+	}
+	log.WithField("target", h.pick.Target.ID).Info("other target failed, waiting for the silent one")
+	_ = x.recordFailureLocked(h, err) // the current attempt decides on the outcome
+	x.exclude = append(x.exclude, h.blamedPick().Target.ID)
+}
+
+// promoteHedge makes the hedge, if there is one, the current attempt in place of one that has
+// failed.
+func (x *execution) promoteHedge(a *attempt, err error) *attempt {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	h := x.hedge
+	if h == nil || coder.Of(err).Code == coder.Quarantined {
+		return nil
+	}
+	if a.placed {
+		x.exclude = append(x.exclude, a.blamedPick().Target.ID)
+		x.cd.cfg.Log.WithError(err).WithFields(logrus.Fields{
+			"request": x.r.CallerID, "id": x.r.ID, "target": a.pick.Target.ID, "taken": x.owner == h,
+		}).Info("attempt ended, another one goes on")
+	}
+	x.current, x.hedge = h, nil
+	return h
+}
+
+func (x *execution) excludeTarget(a *attempt) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.exclude = append(x.exclude, a.blamedPick().Target.ID)
+}
+
+// take makes an attempt the owner of the answer. It fails if another attempt has superseded
+// it, or if it is a hedge whose target did not accept the request.
+func (x *execution) take(a *attempt, status int) error {
+	switch {
+	case a.superseded:
+		return errSuperseded
+	case x.owner == a:
+		return nil
+	case x.hedge == a && status >= http.StatusBadRequest:
+		return &coder.Error{Code: coder.EngineFailed, Run: coder.Ran, Text: "other target refused to go on"}
+	case !x.r.Answer.Begin():
+		return coder.Errorf(coder.Internal, "an earlier attempt has already sent part of its answer")
+	}
+	x.owner = a
+	if x.hedge == a {
+		x.supersede(x.current)
+	}
+	return nil
+}
+
+// keep ends the hedge of an attempt that has produced a part of the answer.
+func (x *execution) keep(a *attempt) {
+	if x.hedge != nil && x.hedge != a {
+		x.supersede(x.hedge)
+		x.hedge = nil
+	}
+}
+
+func (x *execution) supersede(a *attempt) {
+	a.superseded = true
+	a.cancel(errSuperseded)
+}
--- a/conductor/heldretry_test.go
+++ b/conductor/heldretry_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -55,18 +57,26 @@
 	}
 }
 
-// Guards against an attempt that is given up for a retry that no target accepts.
-func TestNoRetryIsReservedWhileAllOtherTargetsPause(t *testing.T) {
+// Guards against an attempt beside a silent target while all other targets pause.
+func TestNoHedgeWhileAllOtherTargetsPause(t *testing.T) {
 	withHolds(t, Config{}, twoTargets(), func(b *holdBed) {
 		b.expectUsed("t1", "t2")
 		b.pause(b.target(1), 3*time.Second)
 		b.answer = func(_ context.Context, a *Attempt) error {
-			b.Expect(a.ReserveRetry(coder.Errorf(coder.Silent, ""))).To(BeFalse())
+			if a.Target.ID == "t2" {
+				return a.Emit(messenger.Chunk{Status: http.StatusOK})
+			}
+			a.ReportSilence()
+			synctest.Wait()
+			b.Expect(b.targetsReached()).To(Equal([]string{"t1"}))
 			<-time.After(3 * time.Second)
-			b.Expect(a.ReserveRetry(coder.Errorf(coder.Silent, ""))).To(BeTrue())
-			return nil
+			a.ReportSilence()
+			synctest.Wait()
+			b.Expect(b.targetsReached()).To(Equal([]string{"t2"}))
+			return coder.Errorf(coder.Silent, "")
 		}
 		b.Expect(b.send()).To(Succeed())
+		b.Expect(b.counter("retries")).To(BeEquivalentTo(1))
 	})
 }
 
--- a/conductor/retry.go
+++ b/conductor/retry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"time"
 
@@ -23,51 +22,45 @@
 const unreachableBackoff = time.Second
 
 // prepareRetry waits before the next attempt, or returns the error to report to the
-// caller.
-func (x *execution) prepareRetry(ctx context.Context, pick router.Pick, err error) error {
+// caller. No attempt runs meanwhile.
+func (x *execution) prepareRetry(ctx context.Context, a *attempt, err error) error {
 	c := coder.Of(err)
-	x.cd.meter.count(fmt.Sprintf("attempt.%d", c.Code))
-	if err := x.recordTargetLoss(pick, c); err != nil {
-		return err
-	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || c.Code == coder.Quarantined {
 		return err
 	}
 	if c.Code == coder.Stale { // this process may not send, to whatever target
 		return withRetryAfter(c, notReadyRetryAfter)
 	}
-	if c.Run == coder.NotRun && c.Code != coder.Voided {
-		x.refusals++
-		x.cd.control.avoidTarget(x.blamedPick(pick), targetBackoff(c))
-	}
 	if isRefusal(c.Code) && c.Run == coder.NotRun && x.r.PathConfig == nil {
 		return nil
 	}
-	if held := x.checkPauses(x.blamedPick(pick)); held != nil {
+	pick := a.pick
+	if held := x.checkPauses(a.blamedPick()); held != nil {
 		if c.Run == coder.NotRun {
 			return held
 		}
 		return err
 	}
 	k := x.retryCase(err)
-	k.AnswerStarted, k.Reserved = !x.r.Answer.Begin(), x.retryReserved.Swap(false)
+	k.AnswerStarted = !x.r.Answer.Begin()
 	delay, unused, err := x.cd.control.nextRetry(k)
 	if err != nil {
 		x.logNoRetry(pick, coder.Of(err), unused)
 		return err
 	}
-	x.exclude = append(x.exclude, x.blamedPick(pick).Target.ID)
+	x.excludeTarget(a)
 	x.cd.meter.count("retries")
-	x.logRetry(pick, c, delay, unused)
+	x.logRetry(a, c, delay, unused)
 	if sleeper.Sleep(ctx, delay) != nil {
-		return x.placementError(ctx)
+		return x.placementError(ctx, a.ticket)
 	}
 	return nil
 }
 
-func (x *execution) logRetry(pick router.Pick, c *coder.Error, delay time.Duration, unused float64) {
+func (x *execution) logRetry(a *attempt, c *coder.Error, delay time.Duration, unused float64) {
+	pick := a.pick
 	x.cd.cfg.Log.WithError(c).WithFields(logrus.Fields{
-		"request": x.r.CallerID, "id": x.r.ID, "target": pick.Target.ID, "blamed": x.blamedPick(pick).Target.ID, "code": int(c.Code),
+		"request": x.r.CallerID, "id": x.r.ID, "target": pick.Target.ID, "blamed": a.blamedPick().Target.ID, "code": int(c.Code),
 		"run": c.Run.Header(), "tries": x.attempts, "helpers": len(pick.Helpers), "busy": pick.Running, "delay": delay.Milliseconds(),
 		"service": x.r.Service, "budget": unused,
 	}).Info("attempt failed, trying again")
@@ -93,15 +86,6 @@
 	}
 }
 
-// blamedPick returns the target that a failed attempt is about: the picked one, unless
-// the refusal names a helper.
-func (x *execution) blamedPick(pick router.Pick) router.Pick {
-	if x.blamedHelper != nil {
-		return router.Pick{Target: *x.blamedHelper}
-	}
-	return pick
-}
-
 // maxAttempts returns how many targets the request's path allows the request to be
 // sent to, zero for no bound. Refusals are not counted, as the request did not run.
 func (x *execution) maxAttempts() int {
@@ -115,11 +99,11 @@
 // returns an error once the request has lost as many targets as put it in quarantine:
 // the decision of the keepers may arrive too late to keep the request from the next
 // target.
-func (x *execution) recordTargetLoss(pick router.Pick, c *coder.Error) error {
-	if c.Code != coder.TargetLost || c.Run == coder.NotRun || x.targetAlive {
+func (x *execution) recordTargetLoss(a *attempt, c *coder.Error) error {
+	if c.Code != coder.TargetLost || c.Run == coder.NotRun || a.targetAlive {
 		return nil
 	}
-	x.cd.reportSuspect(x.r, pick.Target.ID, pick.Target.Incarnation)
+	x.cd.reportSuspect(x.r, a.pick.Target.ID, a.pick.Target.Incarnation)
 	x.targetsLost++
 	if x.targetsLost < maxCrashes(x.r.Config.Limits) {
 		return nil
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -29,7 +29,6 @@
 	Err           error
 	NonIdempotent bool          // an attempt that may have run must not be repeated
 	AnswerStarted bool          // the caller has received part of the answer
-	Reserved      bool          // Reserve has already charged the retry to the budget
 	Attempts      int           // attempts made so far
 	Remaining     time.Duration // time until the deadline
 	MaxAttempts   int           // capped at maxAttempts, which also applies if not positive
@@ -100,26 +99,25 @@
 	return b
 }
 
-// Retry charges a retry to the budget, unless it was reserved, and returns the delay
-// before the next attempt. If the request must not be retried it returns the error to
-// report to the caller: that of the attempt, or coder.RetryBudget if only the budget
-// prevents the retry.
+// Retry charges a retry to the budget and returns the delay before the next attempt. If
+// the request must not be retried it returns the error to report to the caller: that of
+// the attempt, or coder.RetryBudget if only the budget prevents the retry.
 func (r *Retrier) Retry(now time.Time, f Failure) (time.Duration, error) {
 	delay := r.delay(f.Attempts)
 	if err := r.check(now, f, delay); err != nil {
 		return 0, err
 	}
-	if !f.Reserved {
-		r.budget(f.Service).charge(now, 1)
-	}
+	r.budget(f.Service).charge(now, 1)
 	return delay, nil
 }
 
-// Reserve reports whether Retry would return a delay. If so it charges the retry to
-// the budget at once, and the caller sets Reserved in the failure that it passes to
-// Retry.
+// Check returns nil if Reserve would succeed, else the error that Retry would return.
+func (r *Retrier) Check(now time.Time, f Failure) error { return r.check(now, f, 0) }
+
+// Reserve charges an attempt that starts before another one has failed. It reports whether
+// that attempt may start.
 func (r *Retrier) Reserve(now time.Time, f Failure) bool {
-	if r.check(now, f, r.delay(f.Attempts)) != nil {
+	if r.Check(now, f) != nil {
 		return false
 	}
 	r.budget(f.Service).charge(now, 1)
@@ -131,7 +129,7 @@
 	if !retryable(e, f) || f.Attempts >= attemptLimit(f) || delay >= f.Remaining {
 		return f.Err
 	}
-	if !f.Reserved && r.Unused(now, f.Service) < 1 {
+	if r.Unused(now, f.Service) < 1 {
 		return &coder.Error{Code: coder.RetryBudget, Run: e.Run, Retry: max(e.Retry, time.Second), Cause: f.Err}
 	}
 	return nil
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -50,18 +50,21 @@
 		Expect(retry(&r, retrier.Failure{Service: "a", Err: lost})).NotTo(Succeed())
 	})
 
-	It("charges a reserved retry once", func() {
+	It("charges a reserved attempt once", func() {
 		var r retrier.Retrier
 		r.SetMaxBudget(now, 2)
 		f := retrier.Failure{Service: "a", Err: lost, Remaining: time.Minute}
+		Expect(r.Check(now, f)).To(Succeed())
+		Expect(r.Unused(now, "a")).To(Equal(2.0))
 		Expect(r.Reserve(now, f)).To(BeTrue())
+		Expect(r.Unused(now, "a")).To(Equal(1.0))
 		Expect(r.Reserve(now, f)).To(BeTrue())
 		Expect(r.Reserve(now, f)).To(BeFalse())
+		Expect(coder.Of(r.Check(now, f)).Code).To(Equal(coder.RetryBudget))
 		Expect(retry(&r, f)).NotTo(Succeed())
-		f.Reserved = true
-		Expect(retry(&r, f)).To(Succeed())
-		f.Service, f.NonIdempotent, f.Reserved = "b", true, false
+		f.Service, f.NonIdempotent = "b", true
 		Expect(r.Reserve(now, f)).To(BeFalse())
+		Expect(r.Check(now, f)).To(MatchError(lost))
 	})
 
 	It("has a full budget again one window after its start and after each retry", func() {
