--- a/conductor/hedge_test.go
+++ b/conductor/hedge_test.go
@@ -185,6 +185,42 @@
 	}
 }
 
+// Guards against a stream that is broken off, or a retry that is charged, because its target is
+// silent while the configuration is not confirmed and no other attempt may be sent.
+func TestSilentTargetIsKeptWhileConfigurationIsUnconfirmed(t *testing.T) {
+	var mu sync.Mutex
+	var stale error
+	set := func(err error) {
+		mu.Lock()
+		defer mu.Unlock()
+		stale = err
+	}
+	ready := func() error {
+		mu.Lock()
+		defer mu.Unlock()
+		return stale
+	}
+	withHolds(t, Config{Ready: ready}, twoTargets(), func(b *holdBed) {
+		b.expectUsed("t1", "t2")
+		b.answer = func(_ context.Context, a *Attempt) error {
+			if a.Target.ID == "t2" {
+				return coder.Errorf(coder.EngineFailed, "")
+			}
+			set(coder.Errorf(coder.Stale, ""))
+			a.ReportSilence()
+			synctest.Wait()
+			b.Expect(b.targetsReached()).To(Equal([]string{"t1"}))
+			b.Expect(b.counter("retries")).To(BeZero())
+			set(nil)
+			a.ReportSilence()
+			synctest.Wait()
+			b.Expect(b.targetsReached()).To(Equal([]string{"t2"}))
+			return a.Emit(messenger.Chunk{Status: http.StatusOK})
+		}
+		b.Expect(b.send()).To(Succeed())
+	})
+}
+
 // replaceLateRefusals replaces refusals after the first step, which no target sends.
 func replaceLateRefusals(script []hedgeStep) {
 	for i := range script {
