Probe a target that ended a stream within an event before counting it as crashed

Cause: the end was found broken only after the exchange had succeeded, so the probe that tells a lost connection from a crash was not made. The exchange now checks the end itself, and the probe follows as for any connection that was lost.

--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -81,6 +81,7 @@
 	Resumable        func() bool   // whether Begin would return true; nil if no attempt may run beside another one
 	LastEventID      func() string // ID of the last complete event written; nil if no other attempt can resume after it
 	Chunk            func(messenger.Chunk) error
+	CheckEnd         func() error // fails if the chunks so far are no whole answer; nil if that can't be known
 	End              func(messenger.End) error
 	Encode           func(messenger.End) []byte // the whole answer in the form that Replay accepts; nil if too large
 	Replay           func([]byte) error         // writes an answer that Encode has returned
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -43,6 +43,7 @@
 	IdleTimeout    time.Duration      // wait between two chunks of the answer likewise; zero for no bound
 	LastEventID    string             // last event of the stream that the caller has received; empty to start with the first
 	Emit           func(messenger.Chunk) error
+	CheckEnd       func() error // fails if the target must not end its answer here; called before the exchange succeeds
 	ReportLoad     func(messenger.Load) // receives load reports that came with the answer
 	ReportLimit    func(float64)        // receives the rate limit that the target named in its answer, in requests per second; zero if none
 	ReportLeaving  func()               // called if the target said in its answer that it leaves
@@ -184,7 +185,7 @@
 		ReportLimit:   func(rate float64) { x.cd.control.recordLimit(a.since, pick, rate) },
 		ReportLeaving: func() { x.cd.control.recordLeaving(x.r.CallerID, pick) },
 		ReportPause:   func(d time.Duration) { x.cd.control.recordPause(x.r.CallerID, pick, d) },
-		ReportSilence: a.reportSilence,
+		ReportSilence: a.reportSilence, CheckEnd: a.checkEnd,
 	}
 	x.addresses = append(x.addresses, pick.Target.Address)
 	out.FirstTimeout, out.IdleTimeout = x.timeouts()
@@ -216,6 +217,19 @@
 	return err
 }
 
+func (a *attempt) checkEnd() error {
+	x := a.x
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if err := x.take(a, 0); err != nil {
+		return err
+	}
+	if x.r.Answer.CheckEnd == nil {
+		return nil
+	}
+	return x.r.Answer.CheckEnd()
+}
+
 // end ends the answer.
 func (a *attempt) end(m messenger.End) error {
 	x := a.x
