Show that hedges pass the limit of lost targets

While the target of the current attempt is silent, each hedge that is lost is followed by another one: the code Quarantined that hedgeEnded gets is dropped, and prepareRetry knows only the error of the current attempt. Seen: a request reached 6 of 6 targets, 5 of which were lost, where a limit of 2 ends it. Before hedges, the second loss ended the request.

--- a/conductor/hedge_test.go
+++ b/conductor/hedge_test.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -38,7 +39,8 @@
 // reached; the last script serves all others.
 type hedgeBed struct {
 	*holdBed
-	scripts [][]hedgeStep
+	scripts     [][]hedgeStep
+	maxAttempts int // 3 if zero
 
 	mu      sync.Mutex
 	reached int
@@ -131,7 +133,7 @@
 	}
 	always := func() bool { return true }
 	r.Config, r.Service = b.cd.cfg.View().Config, "s"
-	r.PathConfig = &configurer.Path{Kind: configurer.KindStream, Resume: true, MaxAttempts: 3, Timeout: 20}
+	r.PathConfig = &configurer.Path{Kind: configurer.KindStream, Resume: true, MaxAttempts: cmp.Or(b.maxAttempts, 3), Timeout: 20}
 	r.Answer = chainer.Answer{
 		SetWriteDeadline: func(time.Time) {}, Begin: always, Resumable: always, LastEventID: last,
 		Chunk: func(c messenger.Chunk) error {
