Start no hedge for a request that has lost too many targets

Callers' requests that crash targets reached up to maxAttempts of them while the first target was silent (BUDGET). Cause: the limit of lost targets was checked only as an attempt's own loss was recorded, and the result of that check was dropped for hedges. It is now checked before each hedge and each retry. The current attempt goes on, as it may still end well.

--- a/conductor/hedge.go
+++ b/conductor/hedge.go
@@ -49,6 +49,9 @@
 
 // checkHedge returns an error if no other target may be tried beside the current attempt.
 func (x *execution) checkHedge(a *attempt) error {
+	if err := x.checkTargetLosses(errSilent); err != nil {
+		return err
+	}
 	if err := x.checkPauses(a.pick); err != nil {
 		return err
 	}
--- a/conductor/hedgelimits_test.go
+++ b/conductor/hedgelimits_test.go
@@ -24,9 +24,9 @@
 // quarantine, because each is tried beside one that is silent (BUDGET).
 func TestNoHedgeForRequestThatLostTooManyTargets(t *testing.T) {
 	for name, silent := range map[string][]hedgeStep{
-		"the silent target goes on":  {stepSilence, stepSilence, stepSilence, stepEvent},
-		"the silent target refuses":  {stepSilence, stepSilence, stepSilence, stepRefused},
-		"the silent target is lost":  {stepSilence, stepSilence, stepSilence, stepLost},
+		"the silent target goes on": {stepSilence, stepSilence, stepSilence, stepEvent},
+		"the silent target refuses": {stepSilence, stepSilence, stepSilence, stepRefused},
+		"the silent target is lost": {stepSilence, stepSilence, stepSilence, stepLost},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withHolds(t, Config{}, manyTargets(6), func(hold *holdBed) {
--- a/conductor/retry.go
+++ b/conductor/retry.go
@@ -28,6 +28,9 @@
 	if ctx.Err() != nil || c.Code == coder.Quarantined {
 		return err
 	}
+	if err := x.checkTargetLosses(c); err != nil { // of hedges
+		return err
+	}
 	if c.Code == coder.Stale { // this process may not send, to whatever target
 		return withRetryAfter(c, notReadyRetryAfter)
 	}
@@ -105,10 +108,16 @@
 	}
 	x.cd.reportSuspect(x.r, a.pick.Target.ID, a.pick.Target.Incarnation)
 	x.targetsLost++
+	return x.checkTargetLosses(c)
+}
+
+// checkTargetLosses returns an error with code Quarantined and the given cause if the request
+// has lost too many targets to be sent to another one.
+func (x *execution) checkTargetLosses(cause error) error {
 	if x.targetsLost < maxCrashes(x.r.Config.Limits) {
 		return nil
 	}
-	return &coder.Error{Code: coder.Quarantined, Cause: c}
+	return &coder.Error{Code: coder.Quarantined, Cause: cause}
 }
 
 func maxCrashes(l configurer.Limits) int {
