Show that two queued attempts of a request end the control goroutine

keep cancels a hedge and forgets it, while its ticket stays queued until its goroutine runs. If the current attempt is lost and retried before that, two tickets with the request's id are in the queue: the scheduler then places the second one twice (nil pointer), and abandon removes the channel of the other one (the control goroutine sends on a nil channel). Either one stops all placements of the process. The delay of a retry, 5 ms or more, makes this rare; a process that is frozen or throttled at that moment may meet it.

--- a/conductor/holds_test.go
+++ b/conductor/holds_test.go
@@ -32,6 +32,7 @@
 	counters metrics.Registry
 	view     atomic.Pointer[watcher.View]
 	answer   func(ctx context.Context, a *Attempt) error // nil for a success
+	slots    chan struct{}                               // see takeSlots
 
 	mu      sync.Mutex
 	reached []string // target ids of all attempts
