Give each attempt a ticket id of its own

Two attempts of a request may be in the queue at once, as a hedge that has lost is removed only when its goroutine runs. Tickets had the id of their request, by which the queue, the placements and the targets of suspect requests are kept. Now neither can take the other's place. The target of a suspect request is forgotten as its attempt ends or leaves the queue, so an attempt that ends no longer clears the entry of a hedge that goes on.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -66,6 +66,7 @@
 // attempt is one attempt of an execution, from its place in the queue to its end.
 type attempt struct {
 	x            *execution
+	id           string          // of the ticket
 	request      context.Context // of the request
 	ctx          context.Context // of the attempt
 	cancel       context.CancelCauseFunc
@@ -83,7 +84,8 @@
 }
 
 func (x *execution) newAttempt(ctx context.Context, exclude []string) *attempt {
-	a := &attempt{x: x, request: ctx, exclude: exclude}
+	x.created++
+	a := &attempt{x: x, id: fmt.Sprintf("%s/%d", x.r.ID, x.created), request: ctx, exclude: exclude}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	return a
 }
@@ -111,6 +113,7 @@
 	suspect := x.targetsLost > 0
 	x.mu.Unlock()
 	a.ticket = newTicket(x.r, a.exclude)
+	a.ticket.ID = a.id // an earlier attempt that has been cancelled may still be queued
 	need := x.cd.control.serviceTime(a.ticket)
 	bound, stop := context.WithTimeoutCause(a.ctx, x.remaining()-need, errNotPlaced)
 	defer stop()
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -43,7 +43,7 @@
 	retrier       retrier.Retrier
 	scheduler     scheduler.Scheduler
 	placements    map[string]chan scheduler.Placement // by ticket ID, until placed
-	suspects      map[string]string                   // target by request ID, of requests that lost another target; empty until placed
+	suspects      map[string]string                   // target by ticket ID, of requests that lost another target; empty until placed
 
 	ganger   ganger.Ganger
 	gangs    map[string]*gang            // by request ID
@@ -223,7 +223,7 @@
 
 // enqueue adds a ticket to its queue; the placement is sent on the returned channel. A
 // suspect request, which lost a target before, is not placed on a target that runs
-// another suspect, until clearSuspect.
+// another suspect, until requestEnded or abandon.
 func (c *control) enqueue(t *scheduler.Ticket, suspect bool) chan scheduler.Placement {
 	placed := make(chan scheduler.Placement, 1)
 	c.do(func() {
@@ -244,6 +244,7 @@
 func (c *control) abandon(t *scheduler.Ticket, placed chan scheduler.Placement) {
 	c.do(func() {
 		delete(c.placements, t.ID)
+		delete(c.suspects, t.ID)
 		if c.scheduler.Abandon(t) {
 			return
 		}
@@ -286,6 +287,9 @@
 		if _, ok := c.suspects[p.Ticket.ID]; ok {
 			c.suspects[p.Ticket.ID] = p.Pick.Target.ID
 		}
+		if p.Err != nil {
+			delete(c.suspects, p.Ticket.ID)
+		}
 		c.notifySendsChanged()
 		c.placements[p.Ticket.ID] <- p
 		delete(c.placements, p.Ticket.ID)
@@ -295,6 +299,7 @@
 // requestEnded stops counting a request at its target.
 func (c *control) requestEnded(t *scheduler.Ticket, pick router.Pick) {
 	c.do(func() {
+		delete(c.suspects, t.ID)
 		c.scheduler.Ended(t, pick)
 		c.notifySendsChanged()
 		c.deliverPlacements()
--- a/conductor/hedge_test.go
+++ b/conductor/hedge_test.go
@@ -157,6 +157,7 @@
 		b.Expect(b.running).To(BeZero())
 		b.Expect(b.most).To(BeNumerically("<=", 2))
 		b.Expect(b.cd.Sends()).To(BeEmpty())
+		b.cd.control.do(func() { b.Expect(b.cd.control.suspects).To(BeEmpty()) })
 	})
 }
 
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -30,6 +30,7 @@
 	owner       *attempt  // produced the last chunk
 	exclude     []string  // targets of attempts that failed
 	addresses   []string  // of the targets of all attempts
+	created     int       // attempts, whether placed or not
 	attempts    int       // that were sent
 	placements  int       // attempts, and placements of which nothing was sent
 	lastChunk   time.Time // when the last chunk arrived
@@ -48,7 +49,6 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	x := &execution{cd: cd, r: r}
-	defer x.clearSuspect()
 	defer x.wg.Wait() // the answer must not be written to after this function has returned
 	defer cancel()
 	for {
@@ -77,7 +77,6 @@
 	x.mu.Unlock()
 	err := a.run()
 	for err != nil {
-		x.clearSuspect()
 		err = x.recordFailure(a, err)
 		h := x.promoteHedge(a, err)
 		if h == nil {
@@ -199,11 +198,3 @@
 	}
 	return router.TokenTime(u.Prompt-u.Cached, pick.PrefillRate) + router.TokenTime(u.Output, pick.DecodeRate)
 }
-
-func (x *execution) clearSuspect() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.targetsLost > 0 {
-		x.cd.control.clearSuspect(x.r.ID)
-	}
-}
--- a/conductor/suspect.go
+++ b/conductor/suspect.go
@@ -2,9 +2,6 @@
 
 import "slices"
 
-// clearSuspect removes the entry that enqueue makes for a suspect request.
-func (c *control) clearSuspect(id string) { c.do(func() { delete(c.suspects, id) }) }
-
 // excludeSuspectTargets adds to the excluded targets those that run a suspect request,
 // so that one suspect cannot take down the others with its target. It returns exclude
 // unchanged if no target of the service would be left.
