Let a hedge take over only with a whole event of its stream

Callers saw streams cut off, or got 502 or 204, although the first target went on a moment later: the other one had sent no more than a head or a part of an event. Its chunks are now held until they hold a whole event, and only a 200 can take over. If the silent target is lost meanwhile, what is held is passed on with the next chunk.

TestHedgeInvariants draws parts of events, too.

--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -78,8 +78,9 @@
 type Answer struct {
 	SetWriteDeadline func(time.Time) // bounds writes to a caller that does not read
 	Begin            func() bool
-	Resumable        func() bool   // whether Begin would return true; nil if no attempt may run beside another one
-	LastEventID      func() string // ID of the last complete event written; nil if no other attempt can resume after it
+	Resumable        func() bool       // whether Begin would return true; nil if no attempt may run beside another one
+	HasEvent         func([]byte) bool // whether data from the start of an attempt holds a whole event; nil if any data can be passed on
+	LastEventID      func() string     // ID of the last complete event written; nil if no other attempt can resume after it
 	Chunk            func(messenger.Chunk) error
 	End              func(messenger.End) error
 	Encode           func(messenger.End) []byte // the whole answer in the form that Replay accepts; nil if too large
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -9,6 +9,7 @@
 
 	"bramleyshunt/allocator"
 	"bramleyshunt/chainer"
+	"bramleyshunt/coder"
 	"bramleyshunt/dispatcher"
 	"bramleyshunt/messenger"
 	"bramleyshunt/predictor"
@@ -80,6 +81,7 @@
 	hedgeRefused bool              // it was logged why there is no hedge; guarded by execution.mu
 	blamedHelper *messenger.Target // see Attempt.BlamedHelper
 	targetAlive  bool              // see Attempt.TargetAlive
+	held         messenger.Chunk   // of a hedge, until it has produced a whole event; guarded by execution.mu
 	done         chan error        // receives the result of a hedge; nil for other attempts
 }
 
@@ -197,22 +199,29 @@
 	return out
 }
 
-// emit passes a chunk on to the caller. started is called with the time since the target was
+// emit passes a chunk on to the caller, or holds it if another attempt may be needed still. started is called with the time since the target was
 // picked.
 func (a *attempt) emit(c messenger.Chunk, started func(time.Duration)) error {
 	x := a.x
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if err := x.take(a, c.Status); err != nil {
+	c, ok, err := x.holdChunk(a, c)
+	if err != nil {
+		return err
+	}
+	a.answering.Store(true)
+	started(x.cd.cfg.Now().Sub(a.since))
+	if !ok {
+		return nil
+	}
+	if err := x.take(a); err != nil {
 		return err
 	}
 	if !x.gotChunk {
 		x.r.Trace.Wait = x.cd.cfg.Now().Sub(a.since)
 	}
-	a.answering.Store(true)
-	started(x.cd.cfg.Now().Sub(a.since))
 	x.observeChunk()
-	err := x.r.Answer.Chunk(c)
+	err = x.r.Answer.Chunk(c)
 	if err == nil {
 		x.keep(a)
 	}
@@ -224,7 +233,13 @@
 	x := a.x
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if err := x.take(a, 0); err != nil {
+	if x.hedge == a && len(a.held.Data) > 0 {
+		return coder.Errorf(coder.TargetLost, "the other target ended its answer within an event")
+	}
+	if err := x.take(a); err != nil {
+		return err
+	}
+	if err := x.passHeld(a); err != nil {
 		return err
 	}
 	x.cd.meter.slowdown(x.r, x.cd.cfg.Now().Sub(x.r.Arrived), x.unloadedDuration(a.pick, m.Usage))
--- a/conductor/hedge.go
+++ b/conductor/hedge.go
@@ -7,7 +7,9 @@
 	"github.com/sirupsen/logrus"
 
 	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
 	"bramleyshunt/retrier"
+	"bramleyshunt/splitter"
 )
 
 var (
@@ -123,16 +125,56 @@
 	x.exclude = append(x.exclude, a.blamedPick().Target.ID)
 }
 
+// holdChunk holds the chunks of a hedge until they hold a whole event, so that the current
+// attempt is not cancelled for a target that does not go on with the answer. It returns the
+// chunk to be passed on now, and false if there is none.
+func (x *execution) holdChunk(a *attempt, c messenger.Chunk) (messenger.Chunk, bool, error) {
+	if a.superseded {
+		return c, false, errSuperseded
+	}
+	if x.owner == a {
+		return c, true, nil
+	}
+	if c.Status == 0 {
+		c.Status, c.Headers = a.held.Status, a.held.Headers
+	}
+	c.Data = append(a.held.Data, c.Data...)
+	a.held = messenger.Chunk{}
+	if x.hedge != a {
+		return c, true, nil
+	}
+	if c.Status != http.StatusOK {
+		return c, false, &coder.Error{Code: coder.EngineFailed, Run: coder.Ran, Text: "other target did not go on with the answer"}
+	}
+	if x.r.Answer.HasEvent == nil || x.r.Answer.HasEvent(c.Data) {
+		return c, true, nil
+	}
+	if len(c.Data) > splitter.MaxEventSize {
+		return c, false, coder.Errorf(coder.EngineFailed, "event without an end")
+	}
+	a.held = c
+	return c, false, nil
+}
+
+// passHeld passes on what is held of an attempt that has ended: a head, or the start of an
+// event.
+func (x *execution) passHeld(a *attempt) error {
+	if a.held.Status == 0 {
+		return nil
+	}
+	c := a.held
+	a.held = messenger.Chunk{}
+	return x.r.Answer.Chunk(c)
+}
+
 // take makes an attempt the owner of the answer. It fails if another attempt has superseded
-// it, or if it is a hedge whose target did not accept the request.
-func (x *execution) take(a *attempt, status int) error {
+// it.
+func (x *execution) take(a *attempt) error {
 	switch {
 	case a.superseded:
 		return errSuperseded
 	case x.owner == a:
 		return nil
-	case x.hedge == a && status >= http.StatusBadRequest:
-		return &coder.Error{Code: coder.EngineFailed, Run: coder.Ran, Text: "other target refused to go on"}
 	case !x.r.Answer.Begin():
 		return coder.Errorf(coder.Internal, "an earlier attempt has already sent part of its answer")
 	}
--- a/conductor/hedge_test.go
+++ b/conductor/hedge_test.go
@@ -20,14 +20,17 @@
 	"bramleyshunt/messenger"
 )
 
-// hedgeEvents is the number of events of a stream.
-const hedgeEvents = 4
+const (
+	hedgeEvents = 4   // of a stream
+	hedgePart   = "~" // of an event
+)
 
 // hedgeStep is one step of a target that serves a stream.
 type hedgeStep int
 
 const (
 	stepEvent   hedgeStep = iota // the next event
+	stepPart                     // a part of an event, after which the event follows
 	stepPause                    // shorter than a silence
 	stepSilence                  // reported, and shorter than callers wait
 	stepLost                     // the connection
@@ -90,6 +93,8 @@
 		c := messenger.Chunk{Status: http.StatusOK, Data: []byte(fmt.Sprint(*next))}
 		*next++
 		return a.Emit(c)
+	case stepPart:
+		return a.Emit(messenger.Chunk{Status: http.StatusOK, Data: []byte(hedgePart)})
 	case stepPause:
 		return b.wait(ctx, 300*time.Millisecond)
 	case stepSilence, stepHang:
@@ -137,10 +142,13 @@
 	r.Answer = chainer.Answer{
 		SetWriteDeadline: func(time.Time) {}, Begin: always, Resumable: always, LastEventID: last,
 		Chunk: func(c messenger.Chunk) error {
-			got = append(got, string(c.Data))
+			if event := strings.Trim(string(c.Data), hedgePart); event != "" {
+				got = append(got, event)
+			}
 			return nil
 		},
-		End: func(messenger.End) error { return nil },
+		HasEvent: func(p []byte) bool { return strings.Trim(string(p), hedgePart) != "" },
+		End:      func(messenger.End) error { return nil },
 	}
 	err = b.cd.Do(ctx, r)
 	return strings.Join(got, " "), err
@@ -175,6 +183,9 @@
 		"the other target refuses":                    {[][]hedgeStep{{stepEvent, stepSilence, stepEvent, stepPause}, {stepRefused}}, 2, 0},
 		"the other target is lost":                    {[][]hedgeStep{{stepEvent, stepSilence, stepEvent, stepPause}, {stepLost}}, 2, 0},
 		"the silent target is lost":                   {[][]hedgeStep{{stepEvent, stepSilence, stepLost}, {stepPause, stepPause, stepPause, stepPause}}, 2, 0},
+		"the other target breaks off within an event": {[][]hedgeStep{{stepEvent, stepSilence, stepEvent, stepPause}, {stepPart, stepPause, stepLost}}, 2, 0},
+		"the silent target goes on before an event":   {[][]hedgeStep{{stepEvent, stepSilence}, {stepPart, stepHang}}, 2, 1},
+		"the silent target is lost before an event":   {[][]hedgeStep{{stepEvent, stepSilence, stepLost}, {stepPart, stepPause, stepPause, stepPause, stepPause}}, 2, 0},
 		"the other target falls silent and goes on":   {[][]hedgeStep{{stepEvent, stepHang}, {stepEvent, stepSilence, stepEvent}}, 2, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -201,7 +212,7 @@
 // stay counted, however two targets overlap.
 func TestHedgeInvariants(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		step := rapid.SampledFrom([]hedgeStep{stepEvent, stepPause, stepSilence, stepLost, stepRefused, stepHang})
+		step := rapid.SampledFrom([]hedgeStep{stepEvent, stepPart, stepPause, stepSilence, stepLost, stepRefused, stepHang})
 		scripts := rapid.SliceOfN(rapid.SliceOfN(step, 0, 6), 1, 4).Draw(rt, "scripts")
 		for _, s := range scripts {
 			replaceLateRefusals(s)
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -39,6 +39,9 @@
 // Reset discards the incomplete event, for a stream that another target resumes.
 func (s *Splitter) Reset() { s.pending = nil }
 
+// HasEvent reports whether p, the start of a stream or of the rest of one, holds a complete event.
+func HasEvent(p []byte) bool { return eventEnd(p) > 0 }
+
 // eventEnd returns the length of the complete events at the start of p.
 func eventEnd(p []byte) int {
 	end := 0
