Don't send a hedge that has lost before it was described

Its description raced with the retry of the attempt that had won, and counted towards the request's attempts.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -146,7 +146,10 @@
 		}
 	}
 	defer started(0)
-	out := a.describe()
+	out, err := a.describe()
+	if err != nil {
+		return err
+	}
 	out.Emit = func(c messenger.Chunk) error { return a.emit(c, started) }
 	release, err := x.reserveHelpers(a.ctx, out, pick.HelperMemory, func() bool {
 		if a.answering.Load() {
@@ -172,11 +175,15 @@
 	return a.end(end)
 }
 
-// describe counts the attempt and describes it to the exchange.
-func (a *attempt) describe() *Attempt {
+// describe counts the attempt and describes it to the exchange. It fails if another attempt
+// has superseded it.
+func (a *attempt) describe() (*Attempt, error) {
 	x, pick := a.x, a.pick
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if a.superseded {
+		return nil, errSuperseded
+	}
 	x.attempts++
 	x.placements++
 	t := &x.r.Trace
@@ -196,7 +203,7 @@
 	if x.r.Answer.LastEventID != nil && x.r.Answer.LastEventID() != "" {
 		out.LastEventID = x.r.Answer.LastEventID()
 	}
-	return out
+	return out, nil
 }
 
 // emit passes a chunk on to the caller, or holds it if another attempt may be needed still. started is called with the time since the target was
--- a/conductor/hedgerace_test.go
+++ b/conductor/hedgerace_test.go
@@ -30,9 +30,12 @@
 		b.Expect(x.reserveHedge(lost)).To(Succeed())
 		b.Expect(won.emit(messenger.Chunk{}, func(time.Duration) {})).To(Succeed())
 		var wg conc.WaitGroup
-		wg.Go(func() { lost.describe() })
+		var described error
+		wg.Go(func() { _, described = lost.describe() })
 		err := &coder.Error{Code: coder.TargetLost, Run: coder.Unknown}
 		b.Expect(x.prepareRetry(context.Background(), won, err)).To(Succeed())
 		wg.Wait()
+		b.Expect(described).To(Equal(errSuperseded))
+		b.Expect(x.attempts).To(BeZero())
 	})
 }
