Show that a hedge that has taken over is dropped with its request's last allowed target loss

If the attempt in whose place a hedge goes on with the answer turns out to have lost its target, and that is the last loss allowed, run ends with Quarantined and cancels the hedge: the caller's answer is cut off, even if it was whole. Needs a target lost before, and the loss found within the probe of at most 100 ms.

--- a/conductor/hedgelimits_test.go
+++ b/conductor/hedgelimits_test.go
@@ -1,11 +1,13 @@
 package conductor
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
+	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
 	"bramleyshunt/watcher"
 )
@@ -38,3 +40,22 @@
 		})
 	}
 }
+
+// Guards against an answer that is cut off although a hedge goes on with it: the attempt in
+// whose place it does so has lost the last target that the request may lose.
+func TestHedgeThatHasTakenOverIsKeptAfterTargetLoss(t *testing.T) {
+	withHolds(t, Config{}, manyTargets(4), func(hold *holdBed) {
+		scripts := [][]hedgeStep{{stepPause, stepLost}, {stepEvent, stepHang}, {stepPause, stepEvent, stepPause}}
+		b := &hedgeBed{holdBed: hold, maxAttempts: 6, scripts: scripts}
+		hold.answer = func(ctx context.Context, a *Attempt) error {
+			err := b.serve(ctx, a)
+			if coder.Of(err) != nil && coder.Of(err).Code == coder.Cancelled {
+				return &coder.Error{Code: coder.TargetLost, Run: coder.Unknown} // found just before the cancellation
+			}
+			return err
+		}
+		got, err := b.stream()
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(got).To(Equal("1 2 3 4"))
+	})
+}
