--- a/conductor/hedge.go
+++ b/conductor/hedge.go
@@ -106,7 +106,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	h := x.hedge
-	if h == nil || coder.Of(err).Code == coder.Quarantined {
+	if h == nil || x.owner != h && coder.Of(err).Code == coder.Quarantined {
 		return nil
 	}
 	if a.placed {
