--- a/conductor/hedge_test.go
+++ b/conductor/hedge_test.go
@@ -18,6 +18,7 @@
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
 	"bramleyshunt/messenger"
+	"bramleyshunt/watcher"
 )
 
 const (
@@ -50,6 +51,7 @@
 	running int
 	most    int // attempts that ran at the same time
 	stopped int // attempts that were cancelled
+	refused int
 }
 
 // serve is the exchange of an attempt. Each target sends the events that follow the last one
@@ -108,6 +110,9 @@
 	case stepLost:
 		return &coder.Error{Code: coder.TargetLost, Run: coder.Unknown}
 	default:
+		b.mu.Lock()
+		b.refused++
+		b.mu.Unlock()
 		return &coder.Error{Code: coder.Busy, Run: coder.NotRun}
 	}
 }
@@ -155,8 +160,8 @@
 }
 
 // play plays one stream and returns what its caller got.
-func playHedge(t *testing.T, scripts [][]hedgeStep, check func(b *hedgeBed, got string, err error)) {
-	withHolds(t, Config{}, twoTargets(), func(hold *holdBed) {
+func playHedge(t *testing.T, v *watcher.View, scripts [][]hedgeStep, check func(b *hedgeBed, got string, err error)) {
+	withHolds(t, Config{}, v, func(hold *holdBed) {
 		b := &hedgeBed{holdBed: hold, scripts: scripts}
 		hold.answer = b.serve
 		got, err := b.stream()
@@ -189,7 +194,7 @@
 		"the other target falls silent and goes on":   {[][]hedgeStep{{stepEvent, stepHang}, {stepEvent, stepSilence, stepEvent}}, 2, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			playHedge(t, c.scripts, func(b *hedgeBed, got string, err error) {
+			playHedge(t, twoTargets(), c.scripts, func(b *hedgeBed, got string, err error) {
 				b.Expect(err).NotTo(HaveOccurred())
 				b.Expect(got).To(Equal("1 2 3 4"))
 				b.Expect(b.reached).To(Equal(c.reached))
@@ -208,8 +213,8 @@
 	}
 }
 
-// Guards against events that are lost, repeated or out of order, and attempts that go on or
-// stay counted, however two targets overlap.
+// Guards against events that are lost, repeated or out of order, attempts that go on or stay
+// counted, and attempts beyond the limit or not charged to the retry budget, however two targets overlap.
 func TestHedgeInvariants(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		step := rapid.SampledFrom([]hedgeStep{stepEvent, stepPart, stepPause, stepSilence, stepLost, stepRefused, stepHang})
@@ -217,10 +222,16 @@
 		for _, s := range scripts {
 			replaceLateRefusals(s)
 		}
-		playHedge(t, scripts, func(_ *hedgeBed, got string, err error) {
+		playHedge(t, manyTargets(rapid.IntRange(1, 6).Draw(rt, "targets")), scripts, func(b *hedgeBed, got string, err error) {
 			if !strings.HasPrefix("1 2 3 4", got) || err == nil && got != "1 2 3 4" {
 				rt.Fatalf("caller got %q, error %v", got, err)
 			}
+			if ran := b.reached - b.refused; ran > 3 {
+				rt.Fatalf("%d targets ran the request, want at most 3", ran)
+			}
+			if charged := int(b.counter("retries")); charged < b.reached-1 {
+				rt.Fatalf("%d retries charged, %d targets reached", charged, b.reached)
+			}
 		})
 	})
 }
