Show that the trace of a request takes a hedge's target and queue time for its own

Seen: the field target names the target of the last attempt sent, though another one answered, and queued counts the 1.6 s in which a hedge waited while the answer went on.

--- a/conductor/hedge_test.go
+++ b/conductor/hedge_test.go
@@ -44,7 +44,8 @@
 type hedgeBed struct {
 	*holdBed
 	scripts     [][]hedgeStep
-	maxAttempts int // 3 if zero
+	maxAttempts int                    // 3 if zero
+	began       func(*chainer.Request) // called with the request before it is sent; may be nil
 
 	mu      sync.Mutex
 	reached int
@@ -155,6 +156,9 @@
 		HasEvent: func(p []byte) bool { return strings.Trim(string(p), hedgePart) != "" },
 		End:      func(messenger.End) error { return nil },
 	}
+	if b.began != nil {
+		b.began(r)
+	}
 	err = b.cd.Do(ctx, r)
 	return strings.Join(got, " "), err
 }
