Keep the target and queue time of a hedge out of the trace until it takes over

Lines of requests named a target that had refused them, and counted time in which the answer went on as time in the queue.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -75,8 +75,10 @@
 	ticket       *scheduler.Ticket
 	pick         router.Pick
 	placed       bool      // pick is set
+	promoted     time.Time // when a hedge became the current attempt; guarded by execution.mu
 	since        time.Time // when the target was picked
 	answering    atomic.Bool
+	sent         bool              // it was described to the exchange; guarded by execution.mu
 	superseded   bool              // another attempt goes on with the answer; guarded by execution.mu
 	hedgeRefused bool              // it was logged why there is no hedge; guarded by execution.mu
 	blamedHelper *messenger.Target // see Attempt.BlamedHelper
@@ -123,7 +125,9 @@
 	placed := x.cd.control.enqueue(a.ticket, suspect)
 	defer func() {
 		x.mu.Lock()
-		x.r.Trace.Queued += x.cd.cfg.Now().Sub(since)
+		if x.current == a {
+			x.r.Trace.Queued += min(x.cd.cfg.Now().Sub(since), x.cd.cfg.Now().Sub(a.promoted))
+		}
 		x.mu.Unlock()
 	}()
 	select {
@@ -186,9 +190,11 @@
 	}
 	x.attempts++
 	x.placements++
-	t := &x.r.Trace
-	t.Attempts, t.Target, t.Helpers, t.TargetRequests = x.attempts, pick.Target.ID, len(pick.Helpers), pick.Running
-	t.Prefill = a.ticket.Prefill / time.Duration(1+len(pick.Helpers))
+	x.r.Trace.Attempts = x.attempts
+	a.sent = true
+	if x.current == a {
+		x.traceTarget(a)
+	}
 	out := &Attempt{
 		ID: fmt.Sprintf("%s-%d", x.r.ID, x.placements), Request: x.r, Target: pick.Target, Helpers: pick.Helpers,
 		Remaining: x.remaining(), LastEventID: x.r.LastEventID, Repeated: slices.Contains(x.addresses, pick.Target.Address),
@@ -206,6 +212,13 @@
 	return out, nil
 }
 
+// traceTarget records the target of an attempt in the trace.
+func (x *execution) traceTarget(a *attempt) {
+	t := &x.r.Trace
+	t.Target, t.Helpers, t.TargetRequests = a.pick.Target.ID, len(a.pick.Helpers), a.pick.Running
+	t.Prefill = a.ticket.Prefill / time.Duration(1+len(a.pick.Helpers))
+}
+
 // emit passes a chunk on to the caller, or holds it if another attempt may be needed still. started is called with the time since the target was
 // picked.
 func (a *attempt) emit(c messenger.Chunk, started func(time.Duration)) error {
--- a/conductor/hedge.go
+++ b/conductor/hedge.go
@@ -115,7 +115,10 @@
 			"request": x.r.CallerID, "id": x.r.ID, "target": a.pick.Target.ID, "taken": x.owner == h,
 		}).Info("attempt ended, another one goes on")
 	}
-	x.current, x.hedge = h, nil
+	x.current, x.hedge, h.promoted = h, nil, x.cd.cfg.Now()
+	if h.sent {
+		x.traceTarget(h)
+	}
 	return h
 }
 
@@ -179,6 +182,7 @@
 		return coder.Errorf(coder.Internal, "an earlier attempt has already sent part of its answer")
 	}
 	x.owner = a
+	x.traceTarget(a)
 	if x.hedge == a {
 		x.supersede(x.current)
 	}
--- a/conductor/hedgerace_test.go
+++ b/conductor/hedgerace_test.go
@@ -25,7 +25,7 @@
 		x := &execution{cd: b.cd, r: r}
 		won, lost := x.newAttempt(context.Background(), nil), x.newAttempt(context.Background(), nil)
 		won.pick = router.Pick{Target: b.target(0)}
-		lost.ticket = newTicket(r, nil)
+		won.ticket, lost.ticket = newTicket(r, nil), newTicket(r, nil)
 		x.current, x.hedge = won, lost
 		b.Expect(x.reserveHedge(lost)).To(Succeed())
 		b.Expect(won.emit(messenger.Chunk{}, func(time.Duration) {})).To(Succeed())
