Start no hedges while the configuration can't be confirmed

Streams were cut off whose target was silent, and then lost, about when the entry could not confirm its configuration. No hedge starts in that time; one that is overtaken by it counts as no attempt and excludes no target.

--- a/conductor/hedge.go
+++ b/conductor/hedge.go
@@ -54,6 +54,9 @@
 	if err := x.checkTargetLosses(errSilent); err != nil {
 		return err
 	}
+	if err := x.cd.cfg.Ready(); err != nil {
+		return err
+	}
 	if err := x.checkPauses(a.pick); err != nil {
 		return err
 	}
@@ -96,7 +99,11 @@
 		return
 	}
 	log.WithField("target", h.pick.Target.ID).Info("other target failed, waiting for the silent one")
-	_ = x.recordFailureLocked(h, err) // the current attempt decides on the outcome
+	_ = x.recordFailureLocked(h, err)      // the current attempt decides on the outcome
+	if coder.Of(err).Code == coder.Stale { // nothing was sent, whatever the target
+		x.attempts--
+		return
+	}
 	x.exclude = append(x.exclude, h.blamedPick().Target.ID)
 }
 
