Show that a hedge goes on after a failed write to the caller

The failed write ends the current attempt, and the hedge is promoted in its place. With the HTTP server of package net/http a failed write also cancels the request, which hides this.

--- a/conductor/hedge_test.go
+++ b/conductor/hedge_test.go
@@ -45,6 +45,7 @@
 	*holdBed
 	scripts     [][]hedgeStep
 	maxAttempts int                    // 3 if zero
+	gone        string                 // event whose write fails, as the caller has gone; empty for none
 	began       func(*chainer.Request) // called with the request before it is sent; may be nil
 
 	mu      sync.Mutex
@@ -148,6 +149,9 @@
 	r.Answer = chainer.Answer{
 		SetWriteDeadline: func(time.Time) {}, Begin: always, Resumable: always, LastEventID: last,
 		Chunk: func(c messenger.Chunk) error {
+			if b.gone != "" && string(c.Data) == b.gone {
+				return coder.Errorf(coder.Cancelled, "the caller has gone")
+			}
 			if event := strings.Trim(string(c.Data), hedgePart); event != "" {
 				got = append(got, event)
 			}
--- a/conductor/hedgeends_test.go
+++ b/conductor/hedgeends_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"bramleyshunt/allocator"
+	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
 	"bramleyshunt/messenger"
 )
@@ -103,3 +104,17 @@
 	r.Prompt, r.Output, r.HasTokenCounts = 1500, 10, true
 	return b.cd.Do(ctx, r)
 }
+
+// Guards against an attempt that goes on, or is sent, after a write to the caller has failed
+// (GONE).
+func TestHedgeEndsWithFailedWrite(t *testing.T) {
+	withHolds(t, Config{}, twoTargets(), func(hold *holdBed) {
+		b := &hedgeBed{holdBed: hold, gone: "2", scripts: [][]hedgeStep{{stepEvent, stepSilence, stepEvent}, {stepHang}}}
+		hold.answer = b.serve
+		since := time.Now()
+		_, err := b.stream()
+		b.Expect(coder.Of(err)).To(HaveField("Code", coder.Cancelled))
+		b.Expect(time.Since(since)).To(BeNumerically("<", 2*time.Second))
+		b.Expect(b.reached).To(Equal(2))
+	})
+}
