--- a/conductor/hedge.go
+++ b/conductor/hedge.go
@@ -113,7 +113,12 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	h := x.hedge
-	if h == nil || x.owner != h && coder.Of(err).Code == coder.Quarantined {
+	if h == nil {
+		return nil
+	}
+	if x.owner != h && endsRequest(coder.Of(err).Code) {
+		x.supersede(h)
+		x.hedge = nil
 		return nil
 	}
 	if a.placed {
@@ -129,6 +134,10 @@
 	return h
 }
 
+// endsRequest reports whether an attempt that fails with a code ends its request, whatever
+// other attempt runs.
+func endsRequest(c coder.Code) bool { return c == coder.Quarantined || c == coder.Cancelled }
+
 func (x *execution) excludeTarget(a *attempt) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
