--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -9,6 +9,7 @@
 
 	"bramleyshunt/allocator"
 	"bramleyshunt/chainer"
+	"bramleyshunt/coder"
 	"bramleyshunt/dispatcher"
 	"bramleyshunt/messenger"
 	"bramleyshunt/predictor"
@@ -67,6 +68,7 @@
 // attempt is one attempt of an execution, from its place in the queue to its end.
 type attempt struct {
 	x            *execution
+	id           string          // of the ticket
 	request      context.Context // of the request
 	ctx          context.Context // of the attempt
 	cancel       context.CancelCauseFunc
@@ -74,17 +76,21 @@
 	ticket       *scheduler.Ticket
 	pick         router.Pick
 	placed       bool      // pick is set
+	promoted     time.Time // when a hedge became the current attempt; guarded by execution.mu
 	since        time.Time // when the target was picked
 	answering    atomic.Bool
+	sent         bool              // it was described to the exchange; guarded by execution.mu
 	superseded   bool              // another attempt goes on with the answer; guarded by execution.mu
 	hedgeRefused bool              // it was logged why there is no hedge; guarded by execution.mu
 	blamedHelper *messenger.Target // see Attempt.BlamedHelper
 	targetAlive  bool              // see Attempt.TargetAlive
+	held         messenger.Chunk   // of a hedge, until it has produced a whole event; guarded by execution.mu
 	done         chan error        // receives the result of a hedge; nil for other attempts
 }
 
 func (x *execution) newAttempt(ctx context.Context, exclude []string) *attempt {
-	a := &attempt{x: x, request: ctx, exclude: exclude}
+	x.created++
+	a := &attempt{x: x, id: fmt.Sprintf("%s/%d", x.r.ID, x.created), request: ctx, exclude: exclude}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	return a
 }
@@ -112,6 +118,7 @@
 	suspect := x.targetsLost > 0
 	x.mu.Unlock()
 	a.ticket = newTicket(x.r, a.exclude)
+	a.ticket.ID = a.id // an earlier attempt that has been cancelled may still be queued
 	need := x.cd.control.serviceTime(a.ticket)
 	bound, stop := context.WithTimeoutCause(a.ctx, x.remaining()-need, errNotPlaced)
 	defer stop()
@@ -119,7 +126,9 @@
 	placed := x.cd.control.enqueue(a.ticket, suspect)
 	defer func() {
 		x.mu.Lock()
-		x.r.Trace.Queued += x.cd.cfg.Now().Sub(since)
+		if x.current == a {
+			x.r.Trace.Queued += min(x.cd.cfg.Now().Sub(since), x.cd.cfg.Now().Sub(a.promoted))
+		}
 		x.mu.Unlock()
 	}()
 	select {
@@ -142,7 +151,10 @@
 		}
 	}
 	defer started(0)
-	out := a.describe()
+	out, err := a.describe()
+	if err != nil {
+		return err
+	}
 	out.Emit = func(c messenger.Chunk) error { return a.emit(c, started) }
 	release, err := x.reserveHelpers(a.ctx, out, pick.HelperMemory, func() bool {
 		if a.answering.Load() {
@@ -168,16 +180,22 @@
 	return a.end(end)
 }
 
-// describe counts the attempt and describes it to the exchange.
-func (a *attempt) describe() *Attempt {
+// describe counts the attempt and describes it to the exchange. It fails if another attempt
+// has superseded it.
+func (a *attempt) describe() (*Attempt, error) {
 	x, pick := a.x, a.pick
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if a.superseded {
+		return nil, errSuperseded
+	}
 	x.attempts++
 	x.placements++
-	t := &x.r.Trace
-	t.Attempts, t.Target, t.Helpers, t.TargetRequests = x.attempts, pick.Target.ID, len(pick.Helpers), pick.Running
-	t.Prefill = a.ticket.Prefill / time.Duration(1+len(pick.Helpers))
+	x.r.Trace.Attempts = x.attempts
+	a.sent = true
+	if x.current == a {
+		x.traceTarget(a)
+	}
 	out := &Attempt{
 		ID: fmt.Sprintf("%s-%d", x.r.ID, x.placements), Request: x.r, Target: pick.Target, Helpers: pick.Helpers,
 		Remaining: x.remaining(), LastEventID: x.r.LastEventID, Repeated: slices.Contains(x.addresses, pick.Target.Address),
@@ -192,42 +210,60 @@
 	if x.r.Answer.LastEventID != nil && x.r.Answer.LastEventID() != "" {
 		out.LastEventID = x.r.Answer.LastEventID()
 	}
-	return out
+	return out, nil
+}
+
+// traceTarget records the target of an attempt in the trace.
+func (x *execution) traceTarget(a *attempt) {
+	t := &x.r.Trace
+	t.Target, t.Helpers, t.TargetRequests = a.pick.Target.ID, len(a.pick.Helpers), a.pick.Running
+	t.Prefill = a.ticket.Prefill / time.Duration(1+len(a.pick.Helpers))
 }
 
-// emit passes a chunk on to the caller. started is called with the time since the target was
-// picked.
+// emit passes a chunk on to the caller, or holds it while another attempt may still be needed.
+// started is called with the time since the target was picked.
 func (a *attempt) emit(c messenger.Chunk, started func(time.Duration)) error {
 	x := a.x
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if err := x.take(a, c.Status); err != nil {
+	c, ok, err := x.holdChunk(a, c)
+	if err != nil {
+		return err
+	}
+	a.answering.Store(true)
+	started(x.cd.cfg.Now().Sub(a.since))
+	if !ok {
+		return nil
+	}
+	if err := x.take(a); err != nil {
 		return err
 	}
 	if !x.gotChunk {
 		x.r.Trace.Wait = x.cd.cfg.Now().Sub(a.since)
 	}
-	a.answering.Store(true)
-	started(x.cd.cfg.Now().Sub(a.since))
 	x.observeChunk()
-	err := x.r.Answer.Chunk(c)
+	err = x.r.Answer.Chunk(c)
 	if err == nil {
 		x.keep(a)
 	}
 	return err
 }
 
+// checkEnd returns an error if the answer must not end with the chunks so far.
 func (a *attempt) checkEnd() error {
 	x := a.x
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if err := x.take(a, 0); err != nil {
-		return err
-	}
-	if x.r.Answer.CheckEnd == nil {
+	switch {
+	case a.superseded:
+		return errSuperseded
+	case len(a.held.Data) > 0:
+		return coder.Errorf(coder.TargetLost, "the stream ended within an event")
+	case x.owner != a || x.r.Answer.CheckEnd == nil:
 		return nil
+	default:
+		return x.r.Answer.CheckEnd()
 	}
-	return x.r.Answer.CheckEnd()
 }
 
 // end ends the answer.
@@ -235,7 +271,13 @@
 	x := a.x
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if err := x.take(a, 0); err != nil {
+	if x.hedge == a && len(a.held.Data) > 0 {
+		return coder.Errorf(coder.TargetLost, "the other target ended its answer within an event")
+	}
+	if err := x.take(a); err != nil {
+		return err
+	}
+	if err := x.passHeld(a); err != nil {
 		return err
 	}
 	x.cd.meter.slowdown(x.r, x.cd.cfg.Now().Sub(x.r.Arrived), x.unloadedDuration(a.pick, m.Usage))
--- a/conductor/hedge.go
+++ b/conductor/hedge.go
@@ -7,7 +7,9 @@
 	"github.com/sirupsen/logrus"
 
 	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
 	"bramleyshunt/retrier"
+	"bramleyshunt/splitter"
 )
 
 var (
@@ -49,6 +51,9 @@
 
 // checkHedge returns an error if no other target may be tried beside the current attempt.
 func (x *execution) checkHedge(a *attempt) error {
+	if err := x.checkTargetLosses(errSilent); err != nil {
+		return err
+	}
 	if err := x.cd.cfg.Ready(); err != nil { // this process may not send
 		return err
 	}
@@ -94,7 +99,11 @@
 		return
 	}
 	log.WithField("target", h.pick.Target.ID).Info("other target failed, waiting for the silent one")
-	_ = x.recordFailureLocked(h, err) // the current attempt decides on the outcome
+	_ = x.recordFailureLocked(h, err)      // the current attempt decides on the outcome
+	if coder.Of(err).Code == coder.Stale { // nothing was sent, whatever the target
+		x.attempts--
+		return
+	}
 	x.exclude = append(x.exclude, h.blamedPick().Target.ID)
 }
 
@@ -104,7 +113,12 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	h := x.hedge
-	if h == nil || coder.Of(err).Code == coder.Quarantined {
+	if h == nil {
+		return nil
+	}
+	if x.owner != h && endsRequest(coder.Of(err).Code) {
+		x.supersede(h)
+		x.hedge = nil
 		return nil
 	}
 	if a.placed {
@@ -113,30 +127,78 @@
 			"request": x.r.CallerID, "id": x.r.ID, "target": a.pick.Target.ID, "taken": x.owner == h,
 		}).Info("attempt ended, another one goes on")
 	}
-	x.current, x.hedge = h, nil
+	x.current, x.hedge, h.promoted = h, nil, x.cd.cfg.Now()
+	if h.sent {
+		x.traceTarget(h)
+	}
 	return h
 }
 
+// endsRequest reports whether an attempt that fails with a code ends its request, whatever
+// other attempt runs.
+func endsRequest(c coder.Code) bool { return c == coder.Quarantined || c == coder.Cancelled }
+
 func (x *execution) excludeTarget(a *attempt) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.exclude = append(x.exclude, a.blamedPick().Target.ID)
 }
 
+// holdChunk holds the chunks of a hedge until they hold a whole event, so that the current
+// attempt is not cancelled for a target that does not go on with the answer. It returns the
+// chunk to be passed on now, and false if there is none.
+func (x *execution) holdChunk(a *attempt, c messenger.Chunk) (messenger.Chunk, bool, error) {
+	if a.superseded {
+		return c, false, errSuperseded
+	}
+	if x.owner == a {
+		return c, true, nil
+	}
+	if c.Status == 0 {
+		c.Status, c.Headers = a.held.Status, a.held.Headers
+	}
+	c.Data = append(a.held.Data, c.Data...)
+	a.held = messenger.Chunk{}
+	if x.hedge != a {
+		return c, true, nil
+	}
+	if c.Status != http.StatusOK {
+		return c, false, &coder.Error{Code: coder.EngineFailed, Run: coder.Ran, Text: "other target did not go on with the answer"}
+	}
+	if x.r.Answer.HasEvent == nil || x.r.Answer.HasEvent(c.Data) {
+		return c, true, nil
+	}
+	if len(c.Data) > splitter.MaxEventSize {
+		return c, false, coder.Errorf(coder.EngineFailed, "event without an end")
+	}
+	a.held = c
+	return c, false, nil
+}
+
+// passHeld passes on what is held of an attempt that has ended: a head, or the start of an
+// event.
+func (x *execution) passHeld(a *attempt) error {
+	if a.held.Status == 0 {
+		return nil
+	}
+	c := a.held
+	a.held = messenger.Chunk{}
+	return x.r.Answer.Chunk(c)
+}
+
 // take makes an attempt the owner of the answer. It fails if another attempt has superseded
-// it, or if it is a hedge whose target did not accept the request.
-func (x *execution) take(a *attempt, status int) error {
+// it.
+func (x *execution) take(a *attempt) error {
 	switch {
 	case a.superseded:
 		return errSuperseded
 	case x.owner == a:
 		return nil
-	case x.hedge == a && status >= http.StatusBadRequest:
-		return &coder.Error{Code: coder.EngineFailed, Run: coder.Ran, Text: "other target refused to go on"}
 	case !x.r.Answer.Begin():
 		return coder.Errorf(coder.Internal, "an earlier attempt has already sent part of its answer")
 	}
 	x.owner = a
+	x.traceTarget(a)
 	if x.hedge == a {
 		x.supersede(x.current)
 	}
--- a/conductor/hedge_test.go
+++ b/conductor/hedge_test.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -17,16 +18,20 @@
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
 	"bramleyshunt/messenger"
+	"bramleyshunt/watcher"
 )
 
-// hedgeEvents is the number of events of a stream.
-const hedgeEvents = 4
+const (
+	hedgeEvents = 4   // of a stream
+	hedgePart   = "~" // of an event
+)
 
 // hedgeStep is one step of a target that serves a stream.
 type hedgeStep int
 
 const (
 	stepEvent   hedgeStep = iota // the next event
+	stepPart                     // a part of an event, after which the event follows
 	stepPause                    // shorter than a silence
 	stepSilence                  // reported, and shorter than callers wait
 	stepLost                     // the connection
@@ -38,13 +43,17 @@
 // reached; the last script serves all others.
 type hedgeBed struct {
 	*holdBed
-	scripts [][]hedgeStep
+	scripts     [][]hedgeStep
+	maxAttempts int                    // 3 if zero
+	gone        string                 // event whose write fails, as the caller has gone; empty for none
+	began       func(*chainer.Request) // called with the request before it is sent; may be nil
 
 	mu      sync.Mutex
 	reached int
 	running int
 	most    int // attempts that ran at the same time
 	stopped int // attempts that were cancelled
+	refused int
 }
 
 // serve is the exchange of an attempt. Each target sends the events that follow the last one
@@ -88,6 +97,8 @@
 		c := messenger.Chunk{Status: http.StatusOK, Data: []byte(fmt.Sprint(*next))}
 		*next++
 		return a.Emit(c)
+	case stepPart:
+		return a.Emit(messenger.Chunk{Status: http.StatusOK, Data: []byte(hedgePart)})
 	case stepPause:
 		return b.wait(ctx, 300*time.Millisecond)
 	case stepSilence, stepHang:
@@ -101,6 +112,9 @@
 	case stepLost:
 		return &coder.Error{Code: coder.TargetLost, Run: coder.Unknown}
 	default:
+		b.mu.Lock()
+		b.refused++
+		b.mu.Unlock()
 		return &coder.Error{Code: coder.Busy, Run: coder.NotRun}
 	}
 }
@@ -131,22 +145,31 @@
 	}
 	always := func() bool { return true }
 	r.Config, r.Service = b.cd.cfg.View().Config, "s"
-	r.PathConfig = &configurer.Path{Kind: configurer.KindStream, Resume: true, MaxAttempts: 3, Timeout: 20}
+	r.PathConfig = &configurer.Path{Kind: configurer.KindStream, Resume: true, MaxAttempts: cmp.Or(b.maxAttempts, 3), Timeout: 20}
 	r.Answer = chainer.Answer{
 		SetWriteDeadline: func(time.Time) {}, Begin: always, Resumable: always, LastEventID: last,
 		Chunk: func(c messenger.Chunk) error {
-			got = append(got, string(c.Data))
+			if b.gone != "" && string(c.Data) == b.gone {
+				return coder.Errorf(coder.Cancelled, "the caller has gone")
+			}
+			if event := strings.Trim(string(c.Data), hedgePart); event != "" {
+				got = append(got, event)
+			}
 			return nil
 		},
-		End: func(messenger.End) error { return nil },
+		HasEvent: func(p []byte) bool { return strings.Trim(string(p), hedgePart) != "" },
+		End:      func(messenger.End) error { return nil },
+	}
+	if b.began != nil {
+		b.began(r)
 	}
 	err = b.cd.Do(ctx, r)
 	return strings.Join(got, " "), err
 }
 
 // play plays one stream and returns what its caller got.
-func playHedge(t *testing.T, scripts [][]hedgeStep, check func(b *hedgeBed, got string, err error)) {
-	withHolds(t, Config{}, twoTargets(), func(hold *holdBed) {
+func playHedge(t *testing.T, v *watcher.View, scripts [][]hedgeStep, check func(b *hedgeBed, got string, err error)) {
+	withHolds(t, Config{}, v, func(hold *holdBed) {
 		b := &hedgeBed{holdBed: hold, scripts: scripts}
 		hold.answer = b.serve
 		got, err := b.stream()
@@ -155,6 +178,7 @@
 		b.Expect(b.running).To(BeZero())
 		b.Expect(b.most).To(BeNumerically("<=", 2))
 		b.Expect(b.cd.Sends()).To(BeEmpty())
+		b.cd.control.do(func() { b.Expect(b.cd.control.suspects).To(BeEmpty()) })
 	})
 }
 
@@ -172,10 +196,13 @@
 		"the other target refuses":                    {[][]hedgeStep{{stepEvent, stepSilence, stepEvent, stepPause}, {stepRefused}}, 2, 0},
 		"the other target is lost":                    {[][]hedgeStep{{stepEvent, stepSilence, stepEvent, stepPause}, {stepLost}}, 2, 0},
 		"the silent target is lost":                   {[][]hedgeStep{{stepEvent, stepSilence, stepLost}, {stepPause, stepPause, stepPause, stepPause}}, 2, 0},
+		"the other target breaks off within an event": {[][]hedgeStep{{stepEvent, stepSilence, stepEvent, stepPause}, {stepPart, stepPause, stepLost}}, 2, 0},
+		"the silent target goes on before an event":   {[][]hedgeStep{{stepEvent, stepSilence}, {stepPart, stepHang}}, 2, 1},
+		"the silent target is lost before an event":   {[][]hedgeStep{{stepEvent, stepSilence, stepLost}, {stepPart, stepPause, stepPause, stepPause, stepPause}}, 2, 0},
 		"the other target falls silent and goes on":   {[][]hedgeStep{{stepEvent, stepHang}, {stepEvent, stepSilence, stepEvent}}, 2, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			playHedge(t, c.scripts, func(b *hedgeBed, got string, err error) {
+			playHedge(t, twoTargets(), c.scripts, func(b *hedgeBed, got string, err error) {
 				b.Expect(err).NotTo(HaveOccurred())
 				b.Expect(got).To(Equal("1 2 3 4"))
 				b.Expect(b.reached).To(Equal(c.reached))
@@ -230,19 +257,25 @@
 	}
 }
 
-// Guards against events that are lost, repeated or out of order, and attempts that go on or
-// stay counted, however two targets overlap.
+// Guards against events that are lost, repeated or out of order, attempts that go on or stay
+// counted, and attempts beyond the limit or not charged to the retry budget, however two targets overlap.
 func TestHedgeInvariants(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		step := rapid.SampledFrom([]hedgeStep{stepEvent, stepPause, stepSilence, stepLost, stepRefused, stepHang})
+		step := rapid.SampledFrom([]hedgeStep{stepEvent, stepPart, stepPause, stepSilence, stepLost, stepRefused, stepHang})
 		scripts := rapid.SliceOfN(rapid.SliceOfN(step, 0, 6), 1, 4).Draw(rt, "scripts")
 		for _, s := range scripts {
 			replaceLateRefusals(s)
 		}
-		playHedge(t, scripts, func(_ *hedgeBed, got string, err error) {
+		playHedge(t, manyTargets(rapid.IntRange(1, 6).Draw(rt, "targets")), scripts, func(b *hedgeBed, got string, err error) {
 			if !strings.HasPrefix("1 2 3 4", got) || err == nil && got != "1 2 3 4" {
 				rt.Fatalf("caller got %q, error %v", got, err)
 			}
+			if ran := b.reached - b.refused; ran > 3 {
+				rt.Fatalf("%d targets ran the request, want at most 3", ran)
+			}
+			if charged := int(b.counter("retries")); charged < b.reached-1 {
+				rt.Fatalf("%d retries charged, %d targets reached", charged, b.reached)
+			}
 		})
 	})
 }
