Start no hedge before the last one has ended

Three attempts of a request could run at a time, as a hedge that has lost is forgotten at its cancellation. TestNoHedgeBeforeTheLastOneHasEnded failed before (3 targets reached) and passes.

--- a/conductor/hedge.go
+++ b/conductor/hedge.go
@@ -25,7 +25,7 @@
 	x := a.x
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.current != a || x.hedge != nil || a.superseded {
+	if x.current != a || x.hedge != nil || a.superseded || x.lost != nil {
 		return
 	}
 	log := x.cd.cfg.Log.WithFields(logrus.Fields{
@@ -89,6 +89,9 @@
 func (x *execution) hedgeEnded(h *attempt, err error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.lost == h {
+		x.lost = nil
+	}
 	if x.hedge != h || x.owner == h || err == nil {
 		return
 	}
@@ -209,7 +212,7 @@
 func (x *execution) keep(a *attempt) {
 	if x.hedge != nil && x.hedge != a {
 		x.supersede(x.hedge)
-		x.hedge = nil
+		x.lost, x.hedge = x.hedge, nil
 	}
 }
 
--- a/conductor/hedgeends_test.go
+++ b/conductor/hedgeends_test.go
@@ -118,3 +118,22 @@
 		b.Expect(b.reached).To(Equal(2))
 	})
 }
+
+// Guards against three attempts of a request at a time: one that has been cancelled may take
+// a while to end.
+func TestNoHedgeBeforeTheLastOneHasEnded(t *testing.T) {
+	withHolds(t, Config{}, manyTargets(4), func(hold *holdBed) {
+		b := &hedgeBed{holdBed: hold, scripts: [][]hedgeStep{{stepEvent, stepSilence, stepEvent, stepSilence}, {stepHang}}}
+		hold.answer = func(ctx context.Context, a *Attempt) error {
+			err := b.serve(ctx, a)
+			if err != nil {
+				<-time.After(10 * time.Second) // still ends after the cancellation
+			}
+			return err
+		}
+		got, err := b.stream()
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(got).To(Equal("1 2 3 4"))
+		b.Expect(b.reached).To(Equal(2))
+	})
+}
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -27,6 +27,7 @@
 	mu          sync.Mutex // guards the fields below, r.Answer and r.Trace
 	current     *attempt
 	hedge       *attempt  // nil if there is none
+	lost        *attempt  // a hedge that has been cancelled and not ended; nil if there is none
 	owner       *attempt  // produced the last chunk
 	exclude     []string  // targets of attempts that failed
 	addresses   []string  // of the targets of all attempts
