Ask whether a target still accepts connections when its stream ends within an event

What callers saw: a stream that two live targets had ended within an event, by closing their connections, failed as a request that crashes its targets, and its repeats got 422 for good.

Cause: an answer that ends within an event was found only by the answer's writer, after the attempt had returned. Only the attempt finds out whether the target still accepts connections, so each such end counted as a crash of the target, and two put the request in quarantine.

Evidence: TestStreamCutByLiveTargetIsNotBlamedForCrash failed before with 422 for a request that both targets would have served; the log had "request quarantined: target lost: the stream ended within an event" and no line "target broke off".

Change: the attempt asks the writer at the end of an answer whether that is whole, so that this end is handled as any other loss of the connection: probed and logged.

--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -80,6 +80,7 @@
 	Begin            func() bool
 	LastEventID      func() string // ID of the last complete event written; nil if no other attempt can resume after it
 	Chunk            func(messenger.Chunk) error
+	CheckEnd         func() error // returns an error with code TargetLost if the chunks so far are no whole answer; nil if that is unknown
 	End              func(messenger.End) error
 	Encode           func(messenger.End) []byte // the whole answer in the form that Replay accepts; nil if too large
 	Replay           func([]byte) error         // writes an answer that Encode has returned
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -178,6 +178,7 @@
 	IdleTimeout    time.Duration      // bounds the wait between two chunks of the answer likewise; zero for no bound
 	LastEventID    string             // last event of the stream that the caller has received; empty to start with the first
 	Emit           func(messenger.Chunk) error
+	CheckEnd       func() error         // returns an error if what was emitted is no whole answer; nil if that is unknown
 	ReportLoad     func(messenger.Load) // receives load reports that came with the answer
 	ReportLimit    func(float64)        // receives the rate limit that the target named in its answer, in requests per second; zero if none
 	ReportLeaving  func()               // called if the target said in its answer that it leaves
@@ -225,6 +226,7 @@
 			x.observeChunk()
 			return x.r.Answer.Chunk(c)
 		},
+		CheckEnd:    x.r.Answer.CheckEnd,
 		ReportLoad:  func(l messenger.Load) { x.cd.control.recordLoad(pick, l) },
 		ReportLimit: func(rate float64) { x.cd.control.recordLimit(placed, pick, rate) },
 
