Refuse requests that still wait at the end of a process's grace period

What callers saw: requests that a stopping process had read and never passed on ended with a closed connection, without an answer or a refusal.

Cause: at the end of the grace period the process closed the connections of callers, and only then cancelled the requests, whose refusals could no longer be written.

The reason of the cancellation is that the node is not ready, in place of cancelled by the caller, so that a request that did not run is refused as such.

--- a/conductor/active.go
+++ b/conductor/active.go
@@ -63,10 +63,12 @@
 	return n
 }
 
-func (cd *Conductor) cancelAll() {
+// Abort cancels the active requests. Those that did not run are refused with code
+// NotReady.
+func (cd *Conductor) Abort() {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
 	for _, a := range cd.active {
-		a.cancel(coder.Errorf(coder.Cancelled, "entry stopped"))
+		a.cancel(coder.Errorf(coder.NotReady, "entry stopped"))
 	}
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -113,7 +113,7 @@
 	cd.handler = cd.chain()
 	return cd, func() {
 		cancel()
-		cd.cancelAll()
+		cd.Abort()
 		cd.wg.Wait()
 		cd.dispatch.Wait()
 		if cfg.Allocator != nil {
