Bound an event of a stream by the size of other buffered parts of an answer

What happened: a target whose event has no end had up to 1 MiB of it held for each stream, a hundred of which are most of an entry's memory.

Evidence: TestEventWithoutEndIsNotReadOn failed before in 4 of 4 cases and passes now.

Change: 64 KiB, as for an answer that is no stream. The protocol's events hold a few tokens each.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -7,8 +7,9 @@
 	"strings"
 )
 
-// MaxEventSize is the maximum size of an event in bytes.
-const MaxEventSize = 1 << 20
+// MaxEventSize is the maximum size of an event in bytes. A process holds one incomplete event
+// for each of its streams.
+const MaxEventSize = 64 << 10
 
 // Splitter buffers the event that is not complete yet. The zero value is ready for the start of
 // a stream.
