--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -82,7 +82,7 @@
 	HasEvent         func([]byte) bool // whether data from the start of an attempt holds a whole event; nil if any data can be passed on
 	LastEventID      func() string     // ID of the last complete event written; nil if no other attempt can resume after it
 	Chunk            func(messenger.Chunk) error
-	CheckEnd         func() error // fails if the chunks so far are no whole answer; nil if that can't be known
+	CheckEnd         func() error // returns an error with code TargetLost if the chunks so far are no whole answer; nil if that is unknown
 	End              func(messenger.End) error
 	Encode           func(messenger.End) []byte // the whole answer in the form that Replay accepts; nil if too large
 	Replay           func([]byte) error         // writes an answer that Encode has returned
