--- a/conductor/hedge.go
+++ b/conductor/hedge.go
@@ -38,7 +38,10 @@
 		}
 		return
 	}
-	log.Info("target silent, trying another one beside it")
+	if !a.hedged {
+		a.hedged = true
+		log.Info("target silent, trying another one beside it")
+	}
 	h := x.newAttempt(a.request, append(slices.Clone(x.exclude), a.pick.Target.ID))
 	h.done = make(chan error, 1)
 	x.hedge = h
@@ -98,7 +101,10 @@
 	x.hedge = nil
 	log := x.cd.cfg.Log.WithError(err).WithFields(logrus.Fields{"request": x.r.CallerID, "id": x.r.ID})
 	if !h.placed {
-		log.Info("no other target for the request of a silent one")
+		if !x.current.hedgeRefused {
+			x.current.hedgeRefused = true
+			log.Info("no other target for the request of a silent one")
+		}
 		return
 	}
 	log.WithField("target", h.pick.Target.ID).Info("other target failed, waiting for the silent one")
