--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -44,7 +44,7 @@
 	IdleTimeout    time.Duration      // wait between two chunks of the answer likewise; zero for no bound
 	LastEventID    string             // last event of the stream that the caller has received; empty to start with the first
 	Emit           func(messenger.Chunk) error
-	CheckEnd       func() error         // fails if the target must not end its answer here; called before the exchange succeeds
+	CheckEnd       func() error         // fails if the target must not end its answer here; called before the exchange succeeds; nil if that is unknown
 	ReportLoad     func(messenger.Load) // receives load reports that came with the answer
 	ReportLimit    func(float64)        // receives the rate limit that the target named in its answer, in requests per second; zero if none
 	ReportLeaving  func()               // called if the target said in its answer that it leaves
