--- a/conductor/run.go
+++ b/conductor/run.go
@@ -184,6 +184,8 @@
 	ReportPause    func(time.Duration)  // receives how long the target wants no requests from this process, as its refusal asked
 	ReserveRetry   func(error) bool     // reports whether a retry at another target is reserved after this failure; if so, the attempt must end
 
+	HeadReceived bool   // set once the target's answer has begun
+	BodyReceived bool   // set once a byte of the answer's body was received
 	TargetAlive  bool   // set if the target was lost while it ran the request but still accepts connections
 	BlamedTarget string // ID or address of the target that a refusal names as its cause
 }
--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -152,6 +153,14 @@
 		return reply{err: err}
 	}
 	index, a, err := p.proposeCommand(ctx, &applier.Command{Verb: applier.VerbSuspect, Suspect: &s})
+	log := p.cfg.Log.WithFields(logrus.Fields{
+		"fingerprint": strconv.FormatUint(s.Fingerprint, 16), "target": s.Target, "incarnation": s.Incarnation, "index": index,
+	})
+	if err != nil {
+		log.WithError(err).Info("lost target not recorded")
+	} else {
+		log.Info("lost target recorded")
+	}
 	return proposedReply(index, a, err)
 }
 
