Play a prompt part that crashes targets in virtual time

bencher.Fleet plays targets that crash by themselves or as they begin to answer a call whose prompt has a certain part, in the middle half of a run. Entries try a lost call at one more target; a crashed target stays in the view until its lease ends, and another one takes its place.

The fleet knows no retry budget and no decision by counts: the refusal goes by the part itself.

--- a/bencher/fault.go
+++ b/bencher/fault.go
@@ -200,6 +200,9 @@
 // helper, has reached the node. It reports whether the node turns it away and what it says
 // then.
 func (n *node) receive(e *fleetEntry, helps bool) (answer, bool) {
+	if n.down {
+		return answer{}, true
+	}
 	now, counts := n.f.now, &n.f.faultCounts
 	if at, ok := n.markedAt[e]; ok && now.Sub(at) > maxAfterMark {
 		counts.LateToLeaving++
--- a/bencher/fleet.go
+++ b/bencher/fleet.go
@@ -17,6 +17,7 @@
 	Disabled  switcher.Switcher // parts of the policy that are switched off
 	RestartAt time.Duration     // when all entries are killed; never if zero
 	Faults    Faults
+	Crashes   Crashes
 	Holds     Holds
 
 	loop
@@ -29,6 +30,7 @@
 
 	faultRnd    *rand.Rand
 	faultCounts FaultCounts
+	crashes     crashes
 }
 
 // call is one request of a caller and its outcome.
@@ -43,7 +45,9 @@
 
 	entry     *fleetEntry
 	node      *node
-	retries   int // of the caller
+	crashing  bool // its prompt has a part that crashes targets
+	losses    int  // targets lost while they ran the call
+	retries   int  // of the caller
 	done      bool
 	cut       bool          // by a restart of the entries; another call continues it
 	complete  bool          // the whole answer was received
@@ -80,6 +84,7 @@
 	}
 	f.calls = f.Site.drawCalls(f.Seed)
 	f.unfinished = len(f.calls)
+	f.scheduleCrashes()
 	for _, c := range f.calls {
 		f.after(c.at, func() { f.arrive(c) })
 	}
@@ -89,9 +94,9 @@
 	for f.unfinished > 0 {
 		f.runNext()
 	}
-	calls := slices.DeleteFunc(f.calls, func(c *call) bool { return c.cut })
+	calls := slices.DeleteFunc(f.calls, func(c *call) bool { return c.cut || c.crashing })
 	f.countEmptied()
-	return &FleetResult{Site: f.Site, Faults: f.faultCounts, calls: calls, runs: [][]*call{calls}}
+	return &FleetResult{Site: f.Site, Faults: f.faultCounts, Crashes: f.crashes.counts, calls: calls, runs: [][]*call{calls}}
 }
 
 // arrive sends a new call to a random entry. While the entries are down, the caller tries
--- a/bencher/fleetentry.go
+++ b/bencher/fleetentry.go
@@ -90,6 +90,10 @@
 		e.sendBaseline(c, 1)
 		return
 	}
+	if c.crashing && e.f.partRefused() {
+		e.f.finish(c)
+		return
+	}
 	t := e.ticket(c)
 	if err := e.scheduler.Admit(e.f.now, t); err != nil {
 		e.f.refuse(c, coder.Of(err).Retry)
@@ -157,6 +161,11 @@
 			continue
 		}
 		placed := &placement{entry: e, call: c, ticket: p.Ticket, pick: p.Pick, placed: e.f.now}
+		if c.crashing && e.f.partRefused() { // since it was queued
+			placed.end()
+			e.f.finish(c)
+			continue
+		}
 		placed.reserveHelperMemory()
 		e.shareSends()
 	}
--- a/bencher/fleetresult.go
+++ b/bencher/fleetresult.go
@@ -9,10 +9,11 @@
 
 // FleetResult holds the calls of one or several runs of a Fleet.
 type FleetResult struct {
-	Site   Site
-	Faults FaultCounts
-	calls  []*call
-	runs   [][]*call // calls by run
+	Site    Site
+	Faults  FaultCounts
+	Crashes CrashCounts
+	calls   []*call   // but those with the part that crashes targets
+	runs    [][]*call // calls by run
 }
 
 // Add appends the calls of another result.
@@ -20,6 +21,7 @@
 	r.calls = append(r.calls, o.calls...)
 	r.runs = append(r.runs, o.runs...)
 	r.Faults.add(o.Faults)
+	r.Crashes.add(o.Crashes)
 }
 
 // Worth returns the earned fraction of the total worth of all calls. An answer that is
--- a/bencher/node.go
+++ b/bencher/node.go
@@ -15,6 +15,7 @@
 	busy     bool                         // a pass is under way
 	handlers map[string]func(passer.Kind) // by call ID
 	faultState
+	crashState
 }
 
 func newNode(f *Fleet, i int) *node {
@@ -22,12 +23,13 @@
 		f: f, id: fmt.Sprint("t", i), handlers: map[string]func(passer.Kind){},
 		engine:     passer.Passer{Engine: f.Site.Engine, Queue: f.Site.Queue},
 		faultState: faultState{markedAt: map[*fleetEntry]time.Time{}, pauses: map[*fleetEntry][]*pauseWindow{}},
+		crashState: crashState{lose: map[string]func(){}},
 	}
 }
 
 // wake starts a pass if the engine has work and no pass is under way.
 func (n *node) wake() {
-	if n.busy {
+	if n.busy || n.down {
 		return
 	}
 	d, ok := n.engine.Begin()
@@ -38,6 +40,9 @@
 	n.f.after(d, func() {
 		n.busy = false
 		for _, o := range n.engine.End() {
+			if n.down { // by an earlier outcome, or before
+				return
+			}
 			if notify := n.handlers[o.ID]; notify != nil {
 				notify(o.Kind)
 			}
@@ -60,8 +65,13 @@
 		return false
 	}
 	n.handlers[c.id] = func(k passer.Kind) {
+		if c.crashing {
+			n.crashBy()
+			return
+		}
 		if k == passer.Ended {
 			delete(n.handlers, c.id)
+			delete(n.lose, c.id)
 		}
 		handle(k)
 	}
--- a/bencher/placement.go
+++ b/bencher/placement.go
@@ -39,7 +39,7 @@
 	}
 	f.send(func() {
 		for i, t := range p.pick.Helpers {
-			if p.pick.HelperMemory[i] > 0 && !f.node(t).engine.ReserveMemory(p.pick.HelperMemory[i]) {
+			if p.pick.HelperMemory[i] > 0 && !f.node(t).reserveMemory(p.pick.HelperMemory[i]) {
 				p.freeHelperMemory(i)
 				f.send(p.handleRefusal)
 				return
@@ -74,6 +74,8 @@
 		f.send(p.handleRefusal)
 		return
 	}
+	p.countPart()
+	n.watchLoss(p)
 	parts := 1 + len(p.pick.Helpers)
 	for _, t := range p.pick.Helpers {
 		h := f.node(t)
@@ -152,11 +154,20 @@
 	if p.call.done {
 		return
 	}
-	p.entry.scheduler.Router.Refused(id, f.now.Add(tickInterval))
+	backoff := tickInterval
+	if f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return n.id == id })].down {
+		backoff = unreachableBackoff
+	}
+	p.entry.scheduler.Router.Refused(id, f.now.Add(backoff))
 	if len(p.ticket.Exclude)+1 >= maxAttempts {
 		f.refuse(p.call, p.entry.scheduler.RetryAfter(f.now, p.ticket))
 		return
 	}
+	p.requeue(id)
+}
+
+// requeue queues the call again, with a target excluded.
+func (p *placement) requeue(id string) {
 	t := *p.ticket
 	t.ID += "+"
 	t.Exclude = append(slices.Clone(t.Exclude), id)
