--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -51,6 +51,8 @@
 	ReportPause    func(time.Duration)  // receives how long the target wants no requests from this process, as its refusal asked
 	ReportSilence  func()               // called repeatedly while the target is silent; the attempt goes on
 
+	HeadReceived bool   // set once the target's answer has begun
+	BodyReceived bool   // set once a byte of the answer's body was received
 	TargetAlive  bool   // set if the target was lost while it ran the request but still accepts connections
 	BlamedTarget string // ID or address of the target that a refusal names as its cause
 }
