--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -31,6 +31,7 @@
 	PromptText     string   // the whole prompt
 	PromptBytes    int      // length of the prompt text, or of the body of a plain call
 	PrefixHashes   []uint64 // hashes of the prompt's prefixes, shortest first
+	Parts          []uint64 // hashes of the parts of the prompt that other requests may share, in order; nil if unknown
 	MaxOutput      int      // max tokens of the answer set by the caller; zero for none
 	HasTokenCounts bool     // Prompt and Output came with the request and are not predicted
 	LastEventID    string   // ID of the last event of a stream that the caller has received
