Find the part of prompts that crashes targets

A part of a prompt may crash each target that begins an answer with it, in requests of which no two are alike, so the fingerprint of a request never recurs and its quarantine does not act.

Parts that share all crashes and requests form a group, of which a request must have all to be held back, and parts whose crashes others explain are not isolated, so a part that is in most prompts is not held back for the company it keeps.

--- a/messenger/keeper.go
+++ b/messenger/keeper.go
@@ -68,6 +68,8 @@
 	Seq uint64 `msgpack:"seq"`
 	// Loads holds the targets of which only the load has changed.
 	Loads []Digest `msgpack:"loads,omitempty"`
+	// Isolated replaces the parts of prompts that are isolated; nil if unchanged.
+	Isolated *Isolated `msgpack:"isolated,omitempty"`
 }
 
 // Digest is the load of one target without its total memory, which Target carries.
@@ -149,6 +151,40 @@
 	Fingerprint uint64 `msgpack:"fingerprint"`
 	Target      string `msgpack:"target"`
 	Incarnation uint64 `msgpack:"incarnation"`
+
+	// Parts holds the hashes of the parts of the prompt that may have ended the
+	// incarnation; empty if the request's answer had gone on.
+	Parts   []uint64 `msgpack:"parts,omitempty"`
+	Node    string   `msgpack:"node,omitempty"`    // entry that reports; set with Service
+	Service string   `msgpack:"service,omitempty"` // set if the prompt has parts
+	// Sound is the time since the sender last had a sound answer of Service; negative for
+	// none. It is set with Service.
+	Sound time.Duration `msgpack:"sound,omitempty"`
+}
+
+// Isolated lists the parts of prompts that crash targets.
+type Isolated struct {
+	Groups    []PartGroup `msgpack:"groups"`    // requests that have all parts of a group are refused
+	Suspected []uint64    `msgpack:"suspected"` // accused of more than one crash; sorted
+}
+
+// PartGroup is a set of parts of which one or more crash targets.
+type PartGroup struct {
+	Parts   []uint64 `msgpack:"parts"` // sorted
+	Crashes int      `msgpack:"crashes"`
+	Until   int64    `msgpack:"until"` // nanoseconds since the Unix epoch
+	// Trial names the entry that sends one more request with these parts, which frees them
+	// if it is answered.
+	Trial string `msgpack:"trial"`
+	// Doubtful reports that the parts may well be sound, as they were answered before their
+	// crashes or others share all of these.
+	Doubtful bool `msgpack:"doubtful"`
+}
+
+// SoundPart reports that an answer to a request with a part went on.
+type SoundPart struct {
+	Part uint64        `msgpack:"part"`
+	Ago  time.Duration `msgpack:"ago"`
 }
 
 // Order instructs an agent to change the state of its target. Orders of a target
