--- a/applier/applier.go
+++ b/applier/applier.go
@@ -1,7 +1,8 @@
 // Package applier is the replicated state machine of the keepers. It holds the
 // configuration in force with the answers to its changes, idempotency claims, fencing
-// tokens, quarantined requests and the targets that keepers knew last. The state is a pure function of the log: time comes
-// only from the commands, and no result depends on the iteration order of a map.
+// tokens, quarantined requests, isolated parts of prompts and the targets that keepers
+// knew last. The state is a pure function of the log: time comes only from the commands,
+// and no result depends on the iteration order of a map.
 package applier
 
 import (
@@ -10,6 +11,7 @@
 
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
+	"bramleyshunt/isolator"
 	"bramleyshunt/merger"
 	"bramleyshunt/messenger"
 )
@@ -26,13 +28,14 @@
 	claims   claims
 	fences   fences
 	suspects suspects
+	parts    isolator.Isolator
 	targets  targets
 
 	subscribers []func()
 }
 
 // Subscribe registers f to be called after each command that changed the
-// configuration or the quarantine and after each Restore. It is called on the goroutine
+// configuration, the quarantine or the isolated parts and after each Restore. It is called on the goroutine
 // of Apply or Restore.
 func (a *Applier) Subscribe(f func()) {
 	a.mu.Lock()
@@ -72,7 +75,10 @@
 	case c.Verb == VerbClaim && c.Claim != nil:
 		return &Answer{Claimed: a.claims.transition(ac, c.Claim)}, false
 	case c.Verb == VerbSuspect && c.Suspect != nil:
-		return &Answer{}, a.suspects.report(ac, c.Suspect)
+		accused := a.accuseParts(ac, c.Suspect)
+		return &Answer{}, a.suspects.report(ac, c.Suspect) || accused
+	case c.Verb == VerbParts && c.Parts != nil:
+		return &Answer{}, a.changeParts(ac, c.Parts)
 	case c.Verb == VerbFence && c.Target != "":
 		a.fences.issue(c.Target, index)
 		return &Answer{Fence: index}, false
--- a/applier/command.go
+++ b/applier/command.go
@@ -23,6 +23,7 @@
 	VerbSuspect
 	VerbFence
 	VerbTargets
+	VerbParts
 )
 
 // Change replaces the whole configuration folder.
@@ -49,6 +50,7 @@
 	Suspect *messenger.Suspect `msgpack:"suspect,omitempty"`
 	Target  string             `msgpack:"target,omitempty"` // of a VerbFence
 	Targets *Targets           `msgpack:"targets,omitempty"`
+	Parts   *PartsChange       `msgpack:"parts,omitempty"`
 }
 
 // Record describes one accepted Change.
--- a/applier/rapid_test.go
+++ b/applier/rapid_test.go
@@ -40,9 +40,13 @@
 }
 
 func drawCommand(t *rapid.T) *applier.Command {
-	switch rapid.IntRange(0, 5).Draw(t, "verb") {
+	switch rapid.IntRange(0, 7).Draw(t, "verb") {
 	case 5:
 		return drawTargets(t)
+	case 6:
+		return drawAccusation(t)
+	case 7:
+		return drawPartsChange(t)
 	case 0, 1:
 		return drawChange(t)
 	case 2:
@@ -56,6 +60,22 @@
 	}
 }
 
+func drawAccusation(t *rapid.T) *applier.Command {
+	return &applier.Command{Verb: applier.VerbSuspect, Suspect: &messenger.Suspect{
+		Fingerprint: rapid.Uint64Range(1, 3).Draw(t, "fingerprint"), Target: "t", Incarnation: rapid.Uint64Range(1, 6).Draw(t, "incarnation"),
+		Parts: rapid.SliceOfN(rapid.Uint64Range(1, 4), 0, 3).Draw(t, "parts"), Service: "s", Node: "e",
+		Sound: time.Duration(rapid.IntRange(-1, 1).Draw(t, "sound")) * time.Second,
+	}}
+}
+
+func drawPartsChange(t *rapid.T) *applier.Command {
+	c := &applier.PartsChange{Seen: rapid.SliceOfN(rapid.Uint64Range(1, 4), 0, 2).Draw(t, "seen")}
+	for _, id := range rapid.SliceOfN(rapid.Uint64Range(1, 4), 0, 2).Draw(t, "sound") {
+		c.Sound = append(c.Sound, messenger.SoundPart{Part: id, Ago: time.Duration(rapid.IntRange(0, 3).Draw(t, "ago")) * time.Second})
+	}
+	return &applier.Command{Verb: applier.VerbParts, Parts: c}
+}
+
 func drawTargets(t *rapid.T) *applier.Command {
 	id := rapid.SampledFrom([]string{"t", "u", "v"})
 	known := messenger.Target{
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"bramleyshunt/coder"
+	"bramleyshunt/isolator"
 	"bramleyshunt/merger"
 	"bramleyshunt/messenger"
 )
@@ -34,6 +35,7 @@
 	Suspects   []suspect        `msgpack:"suspects"`
 
 	Targets []messenger.Target `msgpack:"targets,omitempty"` // remembered
+	Parts   *isolator.State    `msgpack:"parts,omitempty"`
 }
 
 // namedNumber is one key and value of a map.
@@ -82,6 +84,7 @@
 		s.Suspects = append(s.Suspects, *a.suspects.byFingerprint[f])
 	}
 	s.Targets = a.targets.sorted()
+	s.Parts = a.parts.State()
 	return encode(&s)
 }
 
@@ -107,6 +110,7 @@
 	a.fences = fences{issued: numbersByName(s.Fences), floor: s.FenceFloor}
 	a.suspects = s.suspects()
 	a.targets = s.targets()
+	a.parts.Restore(s.Parts)
 	subscribers := a.subscribers
 	a.mu.Unlock()
 	for _, f := range subscribers {
--- a/applier/verb_string.go
+++ b/applier/verb_string.go
@@ -14,11 +14,12 @@
 	_ = x[VerbSuspect-3]
 	_ = x[VerbFence-4]
 	_ = x[VerbTargets-5]
+	_ = x[VerbParts-6]
 }
 
-const _Verb_name = "VerbNoneVerbChangeVerbClaimVerbSuspectVerbFenceVerbTargets"
+const _Verb_name = "VerbNoneVerbChangeVerbClaimVerbSuspectVerbFenceVerbTargetsVerbParts"
 
-var _Verb_index = [...]uint8{0, 8, 18, 27, 38, 47, 58}
+var _Verb_index = [...]uint8{0, 8, 18, 27, 38, 47, 58, 67}
 
 func (i Verb) String() string {
 	idx := int(i) - 0
--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -152,6 +152,10 @@
 		return reply{err: err}
 	}
 	index, a, err := p.proposeCommand(ctx, &applier.Command{Verb: applier.VerbSuspect, Suspect: &s})
+	if err == nil {
+		p.logAccused(&s)
+		p.settleParts()
+	}
 	return proposedReply(index, a, err)
 }
 
@@ -164,7 +168,11 @@
 	if err != nil {
 		return reply{err: err}
 	}
-	return proposedReply(p.proposeCommand(ctx, c))
+	index, a, err := p.proposeCommand(ctx, c)
+	if err == nil && c.Parts != nil {
+		p.logPartsChange(c.Parts)
+	}
+	return proposedReply(index, a, err)
 }
 
 func proposedReply(index uint64, a *applier.Answer, err error) reply {
--- a/publisher/state.go
+++ b/publisher/state.go
@@ -37,6 +37,7 @@
 type state struct {
 	view      *applier.View
 	blocked   []uint64
+	isolated  *messenger.Isolated
 	live      []registrar.Lease
 	ended     []registrar.EndedLease
 	leaseRev  uint64             // revision of the leases
@@ -57,6 +58,7 @@
 	version     uint64
 	leaseRev    uint64
 	blocked     []uint64
+	isolated    *messenger.Isolated
 	round       uint64
 	members     []messenger.Member
 	sentAt      time.Time
@@ -82,7 +84,7 @@
 	if !slices.Equal(c.members, st.members) {
 		u.Keepers, c.members = st.members, st.members
 	}
-	empty := !u.Full && len(u.Keepers) == 0 && len(u.Files)+len(u.Targets)+len(u.Gone)+len(u.Blocked)+len(u.Freed)+len(u.Loads) == 0
+	empty := !u.Full && len(u.Keepers) == 0 && len(u.Files)+len(u.Targets)+len(u.Gone)+len(u.Blocked)+len(u.Freed)+len(u.Loads) == 0 && u.Isolated == nil
 	urgent := now.Sub(c.confirmedAt) > maxConfirmationAge && st.confirmed && c.pending.ready(st.round)
 	if empty && c.started && !urgent && now.Sub(c.sentAt) < maxUpdateInterval {
 		return nil
@@ -192,6 +194,9 @@
 func (c *cursor) addQuarantine(u *messenger.Update, st *state) {
 	u.Blocked = difference(st.blocked, c.blocked)
 	u.Freed = difference(c.blocked, st.blocked)
+	if c.isolated != st.isolated {
+		u.Isolated, c.isolated = st.isolated, st.isolated
+	}
 }
 
 // difference returns the numbers in a that are not in b. Both must be sorted.
--- a/watcher/state.go
+++ b/watcher/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -30,6 +31,7 @@
 	targets     map[string]messenger.Target
 	expiry      map[string]time.Time // when targets that the current keeper has not listed are removed
 	blocked     map[uint64]bool
+	isolated    *messenger.Isolated
 	firstUpdate bool // the next update is the first of its stream
 	leaveKeeper bool // the watcher should change to another keeper
 }
@@ -45,6 +47,9 @@
 	if s.applyBlocked(u) {
 		changed = true
 	}
+	if s.applyIsolated(u) {
+		changed = true
+	}
 	s.firstUpdate = false
 	if u.Version <= max(s.version, s.sentVersion) {
 		return changed, nil
@@ -184,9 +189,19 @@
 	return changed
 }
 
+// applyIsolated adopts the isolated parts of prompts. A keeper of a build that doesn't know
+// them sends none.
+func (s *state) applyIsolated(u *messenger.Update) bool {
+	if u.Isolated == nil && !s.firstUpdate || reflect.DeepEqual(u.Isolated, s.isolated) {
+		return false
+	}
+	s.isolated = u.Isolated
+	return true
+}
+
 // view returns the state as a View, which later updates do not change.
 func (s *state) view() *View {
-	v := &View{Version: s.version, Config: s.config, Blocked: s.blocked, ByService: map[string][]messenger.Target{}}
+	v := &View{Version: s.version, Config: s.config, Blocked: s.blocked, Isolated: s.isolated, ByService: map[string][]messenger.Target{}}
 	v.Targets = slices.SortedFunc(maps.Values(s.targets), func(a, b messenger.Target) int { return strings.Compare(a.ID, b.ID) })
 	for _, t := range v.Targets {
 		v.ByService[t.Service] = append(v.ByService[t.Service], t)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -59,6 +59,10 @@
 	Targets   []messenger.Target // sorted by ID
 	ByService map[string][]messenger.Target
 	Blocked   map[uint64]bool // quarantined fingerprints
+
+	// Isolated lists the parts of prompts that crash targets. It is nil if the keeper
+	// doesn't know of such parts, and the same in successive views unless it changes.
+	Isolated *messenger.Isolated
 }
 
 // Watcher follows one of the keepers at a time and publishes their updates as views.
