Refuse requests with a part of a prompt that crashes targets

What callers saw: requests with one part in their prompts ended one target after the other, and those beside them failed or came late. No two of these requests are alike, so the quarantine by the fingerprint of the whole request never acted, whatever entry they came to.

Entries now report the parts of a request whose target was lost before the answer went on, less those that were answered since it was sent. Requests with isolated parts are refused on arrival, in the queue and right before each send, so also before retries and resumed streams, with code 1014 and without Retry-After. An answer that goes on (two events of one attempt, or the whole of it) is reported where its part is under suspicion, by any entry, and frees it. After an isolation one entry sends one more request with the part, a second one if the part is doubtful, as nothing else could show that it is sound.

What can't be seen from one crash is which of a request's parts is to blame; hence the counts by part, and the comparison of parts that share crashes. Refusing every part of a lost request was ruled out, as sound requests share all others, and so was a limit on retries, as each of these requests ends a target at its first attempt.

--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -50,6 +50,7 @@
 	Output      int // predicted tokens
 	Class       messenger.Class
 	Fingerprint uint64
+	Trial       bool // sent although its parts are isolated, to find out whether they crash targets
 	Gang        bool // exceeds the memory of any single target
 
 	Answer Answer
@@ -79,6 +80,7 @@
 type Answer struct {
 	SetWriteDeadline func(time.Time) // bounds writes to a caller that does not read
 	Begin            func() bool
+	Events           func() int    // complete events of a stream written so far, over all attempts; nil if not known
 	LastEventID      func() string // ID of the last complete event written; nil if no other attempt can resume after it
 	Chunk            func(messenger.Chunk) error
 	End              func(messenger.End) error
--- a/coder/code_string.go
+++ b/coder/code_string.go
@@ -22,6 +22,7 @@
 	_ = x[NotFound-1011]
 	_ = x[Quarantined-1012]
 	_ = x[MethodNotAllowed-1013]
+	_ = x[PartQuarantined-1014]
 	_ = x[RateLimited-2001]
 	_ = x[ConcLimited-2002]
 	_ = x[Overloaded-2003]
@@ -61,7 +62,7 @@
 
 const (
 	_Code_name_0 = "OK"
-	_Code_name_1 = "MalformedTooLargeUnauthenticatedForbiddenUnknownServiceUnknownModelKeyRequiredKeyReusedBadTimeoutPromptTooLongNotFoundQuarantinedMethodNotAllowed"
+	_Code_name_1 = "MalformedTooLargeUnauthenticatedForbiddenUnknownServiceUnknownModelKeyRequiredKeyReusedBadTimeoutPromptTooLongNotFoundQuarantinedMethodNotAllowedPartQuarantined"
 	_Code_name_2 = "RateLimitedConcLimitedOverloadedNoTargetLeavingStaleNoQuorumMemoryFullWrongIncarnationLeaseExpiredBusyNotReadyClaimHeldRetryBudget"
 	_Code_name_3 = "DeadlineExceededTargetLostEngineFailedCancelledOutcomeUnknownVoidedAlreadyRanGangLost"
 	_Code_name_4 = "ConflictInvalidFencedNotLeaderUnconfirmed"
@@ -69,7 +70,7 @@
 )
 
 var (
-	_Code_index_1 = [...]uint8{0, 9, 17, 32, 41, 55, 67, 78, 87, 97, 110, 118, 129, 145}
+	_Code_index_1 = [...]uint8{0, 9, 17, 32, 41, 55, 67, 78, 87, 97, 110, 118, 129, 145, 160}
 	_Code_index_2 = [...]uint8{0, 11, 22, 32, 40, 47, 52, 60, 70, 86, 98, 102, 110, 119, 130}
 	_Code_index_3 = [...]uint8{0, 16, 26, 38, 47, 61, 67, 77, 85}
 	_Code_index_4 = [...]uint8{0, 8, 15, 21, 30, 41}
@@ -80,7 +81,7 @@
 	switch {
 	case i == 0:
 		return _Code_name_0
-	case 1001 <= i && i <= 1013:
+	case 1001 <= i && i <= 1014:
 		i -= 1001
 		return _Code_name_1[_Code_index_1[i]:_Code_index_1[i+1]]
 	case 2001 <= i && i <= 2014:
--- a/coder/coder.go
+++ b/coder/coder.go
@@ -34,6 +34,7 @@
 	NotFound
 	Quarantined
 	MethodNotAllowed
+	PartQuarantined
 )
 
 // Codes 2xxx: the request was rejected before it ran. A retry after Retry-After may
--- a/coder/table.go
+++ b/coder/table.go
@@ -34,6 +34,7 @@
 	PromptTooLong:    {http.StatusRequestEntityTooLarge, "prompt too long", "The prompt exceeds the model's window.", firstRelease},
 	NotFound:         {http.StatusNotFound, "no such path", "The path is not served here.", firstRelease},
 	Quarantined:      {http.StatusUnprocessableEntity, "request quarantined", "Targets that ran this request crashed. It is refused until the quarantine expires.", firstRelease},
+	PartQuarantined:  {http.StatusUnprocessableEntity, "part of the prompt quarantined", "Targets crashed under requests with a part that the prompt has. Such requests are refused until the quarantine of the part expires.", firstRelease},
 	MethodNotAllowed: {http.StatusMethodNotAllowed, "method not allowed", "The path does not take this method.", firstRelease},
 
 	RateLimited:      {http.StatusTooManyRequests, "token rate exceeded", "The client account has used its tokens for now.", firstRelease},
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -66,6 +66,7 @@
 	control      *control
 	meter        *meter
 	claims       claimer.Claimer
+	parts        *partMemory
 	dispatch     dispatcher.Dispatcher
 	cachedTables atomic.Pointer[tables]
 	nextID       atomic.Uint64
@@ -100,6 +101,7 @@
 		cfg:      cfg,
 		meter:    &meter{registry: cfg.Metrics},
 		claims:   claimer.Claimer{Call: cfg.Call},
+		parts:    newPartMemory(),
 		dispatch: dispatcher.Dispatcher{Pool: cfg.Pool, ReserveTimeout: cfg.ReserveTimeout},
 		active:   map[string]*active{},
 		started:  cfg.Now(),
@@ -110,6 +112,7 @@
 	control, stop := newControl(cfg)
 	cd.control = control
 	control.spawn = func(f func(context.Context)) { cd.wg.Go(func() { f(cd.ctx) }) }
+	control.adopt = cd.adoptIsolated
 	cd.handler = cd.chain()
 	return cd, func() {
 		cancel()
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -26,6 +26,7 @@
 const (
 	pollInterval        = 10 * time.Millisecond  // between checks for work when no event arrives
 	viewRefreshInterval = 100 * time.Millisecond // between views that differ only in their targets
+	partsPollInterval   = 250 * time.Millisecond // between checks for isolated parts when no event arrives
 	eventBufferSize     = 1024                   // functions queued for the control goroutine
 )
 
@@ -37,7 +38,9 @@
 	done   chan struct{}
 
 	view          *watcher.View
-	viewRefreshed time.Time // when view was last replaced
+	viewRefreshed time.Time                 // when view was last replaced
+	isolated      *messenger.Isolated       // adopted last
+	adopt         func(*messenger.Isolated) // adopts the isolated parts of a new view
 	estimator     estimator.Estimator
 	limiter       limiter.Limiter
 	retrier       retrier.Retrier
@@ -81,6 +84,8 @@
 func (c *control) run(stop chan struct{}) {
 	defer close(c.done)
 	var due <-chan time.Time // nil while nothing is pending
+	parts := time.NewTicker(partsPollInterval)
+	defer parts.Stop()
 	for {
 		if due == nil && c.needsPolling() {
 			due = time.After(pollInterval)
@@ -90,6 +95,8 @@
 			return
 		case f := <-c.events:
 			f()
+		case <-parts.C:
+			c.adoptParts()
 		case <-due:
 			due = nil
 			c.refreshView()
@@ -124,6 +131,7 @@
 func (c *control) refreshView() {
 	v, now := c.cfg.View(), c.cfg.Now()
 	c.logEndedHolds(now)
+	c.adoptParts()
 	if v == nil || v == c.view {
 		return
 	}
@@ -135,6 +143,14 @@
 	c.scheduler.Router.SetEntries(c.cfg.Settings.Node, c.entries())
 }
 
+// adoptParts adopts the isolated parts of prompts if they have changed.
+func (c *control) adoptParts() {
+	if v := c.cfg.View(); v != nil && v.Isolated != c.isolated {
+		c.isolated = v.Isolated
+		c.adopt(v.Isolated)
+	}
+}
+
 // withDeclaredLoads returns the targets of a view. Targets that report no load get the
 // speed and memory declared by their service.
 func withDeclaredLoads(v *watcher.View) []messenger.Target {
--- a/conductor/filters.go
+++ b/conductor/filters.go
@@ -114,13 +114,17 @@
 	}
 }
 
-// quarantine rejects requests that are blocked for crashing targets.
+// quarantine rejects requests that are blocked for crashing targets, by themselves or by a
+// part of their prompt.
 func (cd *Conductor) quarantine(next chainer.Handler) chainer.Handler {
 	return func(ctx context.Context, r *chainer.Request) error {
 		r.Fingerprint = fingerprint(r)
 		if cd.cfg.View().Blocked[r.Fingerprint] {
 			return coder.Errorf(coder.Quarantined, "")
 		}
+		if err := cd.admitParts(r); err != nil {
+			return err
+		}
 		return next(ctx, r)
 	}
 }
--- a/conductor/heldreserve_test.go
+++ b/conductor/heldreserve_test.go
@@ -143,14 +143,14 @@
 	})
 }
 
-// sendLong sends a request whose prompt is split among targets.
-func (b *holdBed) sendLong() (*chainer.Request, error) {
+// sendLong sends a request whose prompt has the parts and is split among targets.
+func (b *holdBed) sendLong(parts ...uint64) (*chainer.Request, error) {
 	ctx, r, end, err := b.cd.Begin(context.Background())
 	b.Expect(err).NotTo(HaveOccurred())
 	defer end()
 	path := safePath()
 	r.Config, r.Service, r.PathConfig, r.Answer = b.view.Load().Config, "s", &path, ignoredAnswer()
-	r.Prompt, r.Output, r.HasTokenCounts = 1500, 10, true
+	r.Prompt, r.Output, r.HasTokenCounts, r.Parts = 1500, 10, true, parts
 	return r, b.cd.Do(ctx, r)
 }
 
--- a/conductor/retry.go
+++ b/conductor/retry.go
@@ -119,7 +119,7 @@
 	if c.Code != coder.TargetLost || c.Run == coder.NotRun || x.targetAlive {
 		return nil
 	}
-	x.cd.reportSuspect(x.r, pick.Target.ID, pick.Target.Incarnation)
+	x.cd.reportSuspect(x.r, pick.Target.ID, pick.Target.Incarnation, x.accusedParts(pick.Target))
 	x.targetsLost++
 	if x.targetsLost < maxCrashes(x.r.Config.Limits) {
 		return nil
@@ -135,12 +135,15 @@
 }
 
 // reportSuspect notifies the keepers that a request was running when its target was
-// lost.
-func (cd *Conductor) reportSuspect(r *chainer.Request, target string, incarnation uint64) {
+// lost, and of the parts that may be the cause.
+func (cd *Conductor) reportSuspect(r *chainer.Request, target string, incarnation uint64, parts []uint64) {
 	if cd.cfg.Call == nil {
 		return
 	}
 	m := messenger.Suspect{Fingerprint: r.Fingerprint, Target: target, Incarnation: incarnation}
+	if len(r.Parts) > 0 {
+		m.Parts, m.Node, m.Service, m.Sound = parts, cd.cfg.Settings.Node, r.Service, cd.parts.sinceSound(cd.cfg.Now(), r.Service)
+	}
 	cd.meter.count("suspects")
 	cd.retryInBackground(func(ctx context.Context) error {
 		var out messenger.Proposed
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +53,9 @@
 	targetAlive   bool              // of the last attempt, see Attempt.TargetAlive
 	retryReserved atomic.Bool       // the retry after the current attempt is reserved
 	answering     atomic.Bool       // the current attempt has produced a chunk
+	sent          time.Time         // when the last attempt was made
+	status        int               // HTTP status of the last attempt's answer, zero if none
+	goneOn        bool              // the answer of an attempt went on after its start
 }
 
 // run queues a request, makes attempts at targets and passes the answer on to the
@@ -78,15 +80,15 @@
 		if err == nil {
 			return nil
 		}
-		if err == errTargetHeld { // nothing was sent
-			x.attempts--
-			x.r.Trace.Attempts = x.attempts
-			x.cd.cfg.Log.WithFields(logrus.Fields{"request": x.r.CallerID, "id": x.r.ID, "target": pick.Target.ID}).Info("placed again: target held")
+		if x.notSent(pick, err) {
+			if err != errTargetHeld {
+				return x.outcome(err)
+			}
 			continue
 		}
 		x.traceFailure(coder.Of(err), x.cd.cfg.Now().Sub(since))
 		if c := coder.Of(err); c.Run != coder.NotRun {
-			x.lastFailure = c
+			x.lastFailure, x.r.Trial = c, false
 		}
 		if err := x.prepareRetry(ctx, pick, err); err != nil {
 			return x.outcome(err)
@@ -94,6 +96,20 @@
 	}
 }
 
+// notSent reports whether an attempt ended before its request was sent, and if so no longer
+// counts it.
+func (x *execution) notSent(pick router.Pick, err error) bool {
+	if err != errTargetHeld && coder.Of(err).Code != coder.PartQuarantined {
+		return false
+	}
+	x.attempts--
+	x.r.Trace.Attempts = x.attempts
+	if err == errTargetHeld {
+		x.cd.cfg.Log.WithFields(logrus.Fields{"request": x.r.CallerID, "id": x.r.ID, "target": pick.Target.ID}).Info("placed again: target held")
+	}
+	return true
+}
+
 // traceFailure adds the time of an attempt that failed before the first chunk to the
 // trace, by the kind of failure.
 func (x *execution) traceFailure(c *coder.Error, took time.Duration) {
@@ -132,12 +148,20 @@
 	since := x.cd.cfg.Now()
 	placed := x.cd.control.enqueue(x.ticket, x.targetsLost > 0)
 	defer func() { x.r.Trace.Queued += x.cd.cfg.Now().Sub(since) }()
-	select {
-	case p := <-placed:
-		return p.Pick, p.Err
-	case <-bound.Done():
-		x.cd.control.abandon(x.ticket, placed)
-		return router.Pick{}, x.placementError(bound)
+	for {
+		changed := x.cd.parts.listChanged()
+		if err := x.cd.checkParts(x.r); err != nil {
+			x.cd.control.abandon(x.ticket, placed)
+			return router.Pick{}, err
+		}
+		select {
+		case p := <-placed:
+			return p.Pick, p.Err
+		case <-changed:
+		case <-bound.Done():
+			x.cd.control.abandon(x.ticket, placed)
+			return router.Pick{}, x.placementError(bound)
+		}
 	}
 }
 
@@ -213,36 +237,7 @@
 	}
 	defer x.cd.control.requestEnded(x.ticket, pick)
 	defer started(0)
-	a := &Attempt{
-		ID: fmt.Sprintf("%s-%d", x.r.ID, x.placements), Request: x.r, Target: pick.Target, Helpers: pick.Helpers,
-		Remaining: x.remaining(), LastEventID: x.r.LastEventID, Repeated: slices.Contains(x.addresses, pick.Target.Address),
-		Emit: func(c messenger.Chunk) error {
-			if !x.gotChunk {
-				x.r.Trace.Wait = x.cd.cfg.Now().Sub(placed)
-			}
-			x.answering.Store(true)
-			started(x.cd.cfg.Now().Sub(placed))
-			x.observeChunk()
-			return x.r.Answer.Chunk(c)
-		},
-		ReportLoad:  func(l messenger.Load) { x.cd.control.recordLoad(pick, l) },
-		ReportLimit: func(rate float64) { x.cd.control.recordLimit(placed, pick, rate) },
-
-		ReportLeaving: func() { x.cd.control.recordLeaving(x.r.CallerID, pick) },
-		ReportPause:   func(d time.Duration) { x.cd.control.recordPause(x.r.CallerID, pick, d) },
-		ReserveRetry: func(err error) bool {
-			ok := x.checkPauses(pick) == nil && x.cd.control.reserveRetry(x.retryCase(err))
-			x.retryReserved.Store(ok)
-			return ok
-		},
-	}
-	x.addresses = append(x.addresses, pick.Target.Address)
-	a.FirstTimeout, a.IdleTimeout = x.timeouts()
-	if x.r.Answer.LastEventID != nil && x.r.Answer.LastEventID() != "" {
-		a.LastEventID = x.r.Answer.LastEventID()
-	}
-	x.blamedHelper, x.targetAlive = nil, false
-	x.answering.Store(false)
+	a := x.newAttempt(pick, placed, started)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	release, err := x.reserveHelpers(ctx, a, pick, func() bool {
@@ -256,18 +251,32 @@
 		return err
 	}
 	defer release()
-	if len(pick.Helpers) > 0 { // reserving their memory has taken time
-		if err := x.cd.control.checkHolds(pick); err != nil {
-			return err
-		}
+	if err := x.checkSend(pick); err != nil {
+		return err
 	}
+	x.sent, x.status = x.cd.cfg.Now(), 0
 	end, err := x.exchange(ctx, a)
 	x.blamedHelper, x.targetAlive = a.BlamedHelper(), a.TargetAlive
 	if err != nil {
 		return err
 	}
 	x.cd.meter.slowdown(x.r, x.cd.cfg.Now().Sub(x.r.Arrived), x.unloadedDuration(pick, end.Usage))
-	return x.r.Answer.End(end)
+	if err := x.r.Answer.End(end); err != nil {
+		return err
+	}
+	x.recordGoneOn()
+	return nil
+}
+
+// checkSend returns the error to end an attempt with before its request is sent, if that
+// must not be sent any more: reserving memory at the helpers takes time.
+func (x *execution) checkSend(pick router.Pick) error {
+	if len(pick.Helpers) > 0 {
+		if err := x.cd.control.checkHolds(pick); err != nil {
+			return err
+		}
+	}
+	return x.cd.checkParts(x.r)
 }
 
 // timeouts returns how long a target may send nothing before its answer and within it,
--- a/conductor/segment.go
+++ b/conductor/segment.go
@@ -76,7 +76,7 @@
 // segment.
 func (g *gang) reportSuspect(a ganger.Action, err *coder.Error) {
 	if err.Code == coder.TargetLost && err.Run != coder.NotRun {
-		g.cd.reportSuspect(g.r, a.Target, a.Incarnation)
+		g.cd.reportSuspect(g.r, a.Target, a.Incarnation, nil)
 	}
 }
 
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -150,7 +150,7 @@
 		return false
 	}
 	switch e.Code {
-	case coder.Cancelled, coder.DeadlineExceeded, coder.Quarantined, coder.Internal:
+	case coder.Cancelled, coder.DeadlineExceeded, coder.Quarantined, coder.PartQuarantined, coder.Internal:
 		return false
 	default:
 		return e.Code >= 2000 && e.Code < 4000 || e.Code == coder.Silent || e.Code == coder.UnknownAttempt
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -14,6 +14,7 @@
 // a stream.
 type Splitter struct {
 	LastID string // id of the last complete event that had one
+	Events int    // complete events so far, without comments
 
 	pending []byte
 }
@@ -28,7 +29,7 @@
 		return nil, len(s.pending) <= MaxEventSize
 	}
 	complete := s.pending[:end]
-	s.recordLastID(complete)
+	s.record(complete)
 	s.pending = append([]byte(nil), s.pending[end:]...)
 	return complete, len(s.pending) <= MaxEventSize
 }
@@ -50,11 +51,20 @@
 	return end
 }
 
-// recordLastID records the last id in complete events.
-func (s *Splitter) recordLastID(complete []byte) {
+// record counts complete events and records the last id in them.
+func (s *Splitter) record(complete []byte) {
+	fields := 0 // of the current event
 	for line := range strings.Lines(string(complete)) {
 		line = strings.TrimRight(line, "\r\n")
-		if name, value, _ := strings.Cut(line, ":"); name == "id" {
+		name, value, _ := strings.Cut(line, ":")
+		switch {
+		case name != "":
+			fields++
+		case line == "" && fields > 0:
+			s.Events++
+			fields = 0
+		}
+		if name == "id" {
 			s.LastID = strings.TrimPrefix(value, " ")
 		}
 	}
--- a/splitter/splitter_test.go
+++ b/splitter/splitter_test.go
@@ -51,6 +51,7 @@
 			}
 			Expect(out.String()).To(Equal(stream))
 			Expect(sp.LastID).To(Equal("3"))
+			Expect(sp.Events).To(Equal(3))
 			Expect(sp.Pending()).To(BeTrue())
 			sp.Reset()
 			Expect(sp.Pending()).To(BeFalse())
