--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -50,6 +50,7 @@
 	Output      int // predicted tokens
 	Class       messenger.Class
 	Fingerprint uint64
+	Trial       bool // sent although its parts are isolated, to find out whether they crash targets
 	Gang        bool // exceeds the memory of any single target
 
 	Answer Answer
@@ -81,6 +82,7 @@
 	Begin            func() bool
 	Resumable        func() bool       // whether Begin would return true; nil if no attempt may run beside another one
 	HasEvent         func([]byte) bool // whether data from the start of an attempt holds a whole event; nil if any data can be passed on
+	Events           func() int        // complete events of a stream written so far, over all attempts; nil if not known
 	LastEventID      func() string     // ID of the last complete event written; nil if no other attempt can resume after it
 	Chunk            func(messenger.Chunk) error
 	CheckEnd         func() error // returns an error with code TargetLost if the chunks so far are no whole answer; nil if that is unknown
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -82,6 +82,9 @@
 	since        time.Time // when the target was picked
 	answering    atomic.Bool
 	sent         bool              // it was described to the exchange; guarded by execution.mu
+	sentAt       time.Time         // when its exchange began
+	events       int               // that the caller had received before it; guarded by execution.mu
+	status       int               // HTTP status of the answer, zero if none; guarded by execution.mu
 	superseded   bool              // another attempt goes on with the answer; guarded by execution.mu
 	hedged       bool              // the first hedge beside it was logged; guarded by execution.mu
 	hedgeRefused bool              // it was logged why there is no hedge; guarded by execution.mu
@@ -134,13 +137,21 @@
 		}
 		x.mu.Unlock()
 	}()
-	select {
-	case p := <-placed:
-		a.pick, a.since = p.Pick, x.cd.cfg.Now()
-		return p.Err
-	case <-bound.Done():
-		x.cd.control.abandon(a.ticket, placed)
-		return x.placementError(bound, a.ticket)
+	for {
+		changed := x.cd.parts.listChanged()
+		if err := x.cd.checkParts(x.r); err != nil {
+			x.cd.control.abandon(a.ticket, placed)
+			return err
+		}
+		select {
+		case p := <-placed:
+			a.pick, a.since = p.Pick, x.cd.cfg.Now()
+			return p.Err
+		case <-changed:
+		case <-bound.Done():
+			x.cd.control.abandon(a.ticket, placed)
+			return x.placementError(bound, a.ticket)
+		}
 	}
 }
 
@@ -170,11 +181,10 @@
 		return err
 	}
 	defer release()
-	if len(pick.Helpers) > 0 { // reserving their memory has taken time
-		if err := x.cd.control.checkHolds(pick); err != nil {
-			return err
-		}
+	if err := x.checkSend(pick); err != nil {
+		return err
 	}
+	a.sentAt = x.cd.cfg.Now()
 	end, err := x.exchange(a.ctx, out)
 	a.blamedHelper, a.targetAlive = out.BlamedHelper(), out.TargetAlive
 	if err != nil {
@@ -183,6 +193,17 @@
 	return a.end(end)
 }
 
+// checkSend returns the error to end an attempt with before its request is sent, if that
+// must not be sent any more: reserving memory at the helpers takes time.
+func (x *execution) checkSend(pick router.Pick) error {
+	if len(pick.Helpers) > 0 {
+		if err := x.cd.control.checkHolds(pick); err != nil {
+			return err
+		}
+	}
+	return x.cd.checkParts(x.r)
+}
+
 // describe counts the attempt and describes it to the exchange. It fails if another attempt
 // has superseded it.
 func (a *attempt) describe() (*Attempt, error) {
@@ -195,7 +216,7 @@
 	x.attempts++
 	x.placements++
 	x.r.Trace.Attempts = x.attempts
-	a.sent = true
+	a.sent, a.events = true, x.events()
 	if x.current == a {
 		x.traceTarget(a)
 	}
@@ -245,7 +266,11 @@
 		x.r.Trace.Wait = x.cd.cfg.Now().Sub(a.since)
 	}
 	x.observeChunk()
+	if c.Status != 0 {
+		a.status = c.Status
+	}
 	err = x.r.Answer.Chunk(c)
+	x.recordEvents(a)
 	if err == nil {
 		x.keep(a)
 	}
@@ -286,6 +311,7 @@
 	x.cd.meter.slowdown(x.r, x.cd.cfg.Now().Sub(x.r.Arrived), x.unloadedDuration(a.pick, m.Usage))
 	err := x.r.Answer.End(m)
 	if err == nil {
+		x.recordGoneOn(a)
 		x.keep(a)
 	}
 	return err
--- a/conductor/hedge.go
+++ b/conductor/hedge.go
@@ -57,6 +57,9 @@
 	if err := x.checkTargetLosses(errSilent); err != nil {
 		return err
 	}
+	if x.r.Trial {
+		return coder.Errorf(coder.PartQuarantined, "tried once")
+	}
 	if err := x.cd.cfg.Ready(); err != nil { // this process may not send
 		return err
 	}
@@ -145,7 +148,9 @@
 
 // endsRequest reports whether an attempt that fails with a code ends its request, whatever
 // other attempt runs.
-func endsRequest(c coder.Code) bool { return c == coder.Quarantined || c == coder.Cancelled }
+func endsRequest(c coder.Code) bool {
+	return c == coder.Quarantined || c == coder.PartQuarantined || c == coder.Cancelled
+}
 
 func (x *execution) excludeTarget(a *attempt) {
 	x.mu.Lock()
--- a/conductor/retry.go
+++ b/conductor/retry.go
@@ -25,7 +25,7 @@
 // caller. No attempt runs meanwhile.
 func (x *execution) prepareRetry(ctx context.Context, a *attempt, err error) error {
 	c := coder.Of(err)
-	if ctx.Err() != nil || c.Code == coder.Quarantined {
+	if ctx.Err() != nil || c.Code == coder.Quarantined || c.Code == coder.PartQuarantined {
 		return err
 	}
 	if err := x.checkTargetLosses(c); err != nil { // of hedges
@@ -106,7 +106,7 @@
 	if c.Code != coder.TargetLost || c.Run == coder.NotRun || a.targetAlive {
 		return nil
 	}
-	x.cd.reportSuspect(x.r, a.pick.Target.ID, a.pick.Target.Incarnation)
+	x.cd.reportSuspect(x.r, a.pick.Target.ID, a.pick.Target.Incarnation, x.accusedParts(a))
 	x.targetsLost++
 	return x.checkTargetLosses(c)
 }
@@ -128,12 +128,15 @@
 }
 
 // reportSuspect notifies the keepers that a request was running when its target was
-// lost.
-func (cd *Conductor) reportSuspect(r *chainer.Request, target string, incarnation uint64) {
+// lost, and of the parts that may be the cause.
+func (cd *Conductor) reportSuspect(r *chainer.Request, target string, incarnation uint64, parts []uint64) {
 	if cd.cfg.Call == nil {
 		return
 	}
 	m := messenger.Suspect{Fingerprint: r.Fingerprint, Target: target, Incarnation: incarnation}
+	if len(r.Parts) > 0 {
+		m.Parts, m.Node, m.Service, m.Sound = parts, cd.cfg.Settings.Node, r.Service, cd.parts.sinceSound(cd.cfg.Now(), r.Service)
+	}
 	cd.meter.count("suspects")
 	cd.retryInBackground(func(ctx context.Context) error {
 		var out messenger.Proposed
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -37,6 +37,7 @@
 	lastChunk   time.Time // when the last chunk arrived
 	gaps        metrics.Histogram
 	gotChunk    bool         // an attempt has produced a chunk
+	goneOn      bool         // the answer of an attempt went on after its start
 	lastFailure *coder.Error // of the last attempt that may have run
 	targetsLost int          // targets lost while they ran the request
 	refusals    int          // attempts that did not run
@@ -101,6 +102,11 @@
 	if !a.placed {
 		return err
 	}
+	if coder.Of(err).Code == coder.PartQuarantined { // nothing was sent
+		x.attempts--
+		x.r.Trace.Attempts = x.attempts
+		return err
+	}
 	if err == errTargetHeld { // nothing was sent
 		x.attempts--
 		x.r.Trace.Attempts = x.attempts
@@ -112,6 +118,9 @@
 	x.traceFailure(c, x.cd.cfg.Now().Sub(a.since))
 	if c.Run != coder.NotRun {
 		x.lastFailure = c
+		if x.r.Trial { // has no hedge that would read it
+			x.r.Trial = false
+		}
 	}
 	if err := x.recordTargetLoss(a, c); err != nil {
 		return err
--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -160,6 +160,8 @@
 		log.WithError(err).Info("lost target not recorded")
 	} else {
 		log.Info("lost target recorded")
+		p.logAccused(&s)
+		p.settleParts()
 	}
 	return proposedReply(index, a, err)
 }
@@ -173,7 +175,11 @@
 	if err != nil {
 		return reply{err: err}
 	}
-	return proposedReply(p.proposeCommand(ctx, c))
+	index, a, err := p.proposeCommand(ctx, c)
+	if err == nil && c.Parts != nil {
+		p.logPartsChange(c.Parts)
+	}
+	return proposedReply(index, a, err)
 }
 
 func proposedReply(index uint64, a *applier.Answer, err error) reply {
