Charge no retry after an attempt that reached no target

Callers of sound requests got 503 (code 2014) although almost all targets were sound: an entry tries an ended target about once a second until its lease ends, and each refused connection was charged to the retry budget that all requests of the service share. The platform counts arrivals at targets, and nothing arrived.

The attempt after one that reached no target is no retry, so it is not charged; the limit of attempts still holds.

--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -99,7 +99,8 @@
 	return b
 }
 
-// Retry charges a retry to the budget and returns the delay before the next attempt. If
+// Retry charges a retry to the budget, unless nothing reached the target of the failed
+// attempt, and returns the delay before the next attempt. If
 // the request must not be retried it returns the error to report to the caller: that of
 // the attempt, or coder.RetryBudget if only the budget prevents the retry.
 func (r *Retrier) Retry(now time.Time, f Failure) (time.Duration, error) {
@@ -107,7 +108,9 @@
 	if err := r.check(now, f, delay); err != nil {
 		return 0, err
 	}
-	r.budget(f.Service).charge(now, 1)
+	if reached(f) {
+		r.budget(f.Service).charge(now, 1)
+	}
 	return delay, nil
 }
 
@@ -129,12 +132,19 @@
 	if !retryable(e, f) || f.Attempts >= attemptLimit(f) || delay >= f.Remaining {
 		return f.Err
 	}
-	if r.Unused(now, f.Service) < 1 {
+	if reached(f) && r.Unused(now, f.Service) < 1 {
 		return &coder.Error{Code: coder.RetryBudget, Run: e.Run, Retry: max(e.Retry, time.Second), Cause: f.Err}
 	}
 	return nil
 }
 
+// reached reports whether the failed attempt may have reached its target. If not, the next
+// one is the first that a target receives, and no retry.
+func reached(f Failure) bool {
+	e := coder.Of(f.Err)
+	return e.Code != coder.TargetLost || e.Run != coder.NotRun
+}
+
 func attemptLimit(f Failure) int {
 	if f.MaxAttempts <= 0 {
 		return maxAttempts
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -67,6 +67,22 @@
 		Expect(r.Check(now, f)).To(MatchError(lost))
 	})
 
+	It("charges nothing after an attempt that reached no target", func() {
+		var r retrier.Retrier
+		r.SetMaxBudget(now, 1)
+		f := retrier.Failure{Service: "a", Err: &coder.Error{Code: coder.TargetLost, Run: coder.NotRun}, Remaining: time.Minute, Attempts: 1}
+		for range 3 {
+			Expect(retry(&r, f)).To(Succeed())
+		}
+		Expect(r.Unused(now, "a")).To(Equal(1.0))
+		refused := retrier.Failure{Service: "a", Err: &coder.Error{Code: coder.Busy, Run: coder.NotRun}}
+		Expect(retry(&r, refused)).To(Succeed())
+		Expect(retry(&r, refused)).NotTo(Succeed())
+		Expect(retry(&r, f)).To(Succeed())
+		f.Attempts = 6
+		Expect(retry(&r, f)).NotTo(Succeed())
+	})
+
 	It("has a full budget again one window after its start and after each retry", func() {
 		r := retrier.Retrier{Window: 10 * time.Second, Started: now}
 		r.SetMaxBudget(now, 2)
