Quarantine no request whose answer had gone on when its target was lost

Callers of sound requests got 502 and their repeats 422 (code 1012), as their requests were running where another one crashed the target, twice.

A request that crashes targets does so before its answer goes on, so a loss after two events counts neither against the request nor towards its limit of lost targets; the keepers still learn that the target was lost under it, which tells parts of prompts apart. A request that crashed targets only later would be retried within its attempts and never be quarantined; the platform knows none.

--- a/applier/suspects.go
+++ b/applier/suspects.go
@@ -37,8 +37,11 @@
 	byFingerprint map[uint64]*suspect
 }
 
-// report records one crash and reports whether it put the request in quarantine.
+// report records one crash, unless that names no request, and reports whether it put the request in quarantine.
 func (s *suspects) report(ac applyContext, r *messenger.Suspect) bool {
+	if r.Fingerprint == 0 {
+		return false
+	}
 	if s.byFingerprint == nil {
 		s.byFingerprint = map[uint64]*suspect{}
 	}
--- a/conductor/parts.go
+++ b/conductor/parts.go
@@ -126,11 +126,17 @@
 // recordEvents records that the answer of an attempt went on, once enough events of it have
 // reached the caller.
 func (x *execution) recordEvents(a *attempt) {
-	if !x.goneOn && x.events()-a.events >= goneOnEvents {
+	if !x.goneOn && x.goneOnAt(a) {
 		x.recordGoneOn(a)
 	}
 }
 
+// goneOnAt reports whether the answer of an attempt has gone on after its start. A request that
+// crashes targets does so before.
+func (x *execution) goneOnAt(a *attempt) bool {
+	return x.owner == a && x.events()-a.events >= goneOnEvents
+}
+
 func (x *execution) recordGoneOn(a *attempt) {
 	if x.goneOn || a.status >= http.StatusMultipleChoices {
 		return
--- a/conductor/retry.go
+++ b/conductor/retry.go
@@ -106,7 +106,12 @@
 	if c.Code != coder.TargetLost || c.Run == coder.NotRun || a.targetAlive {
 		return nil
 	}
-	x.cd.reportSuspect(x.r, a.pick.Target.ID, a.pick.Target.Incarnation, x.accusedParts(a))
+	parts := x.accusedParts(a)
+	if x.goneOnAt(a) { // another request ended the target
+		x.cd.reportBystander(x.r, a.pick.Target)
+		return nil
+	}
+	x.cd.reportSuspect(x.r, a.pick.Target.ID, a.pick.Target.Incarnation, parts)
 	x.targetsLost++
 	return x.checkTargetLosses(c)
 }
@@ -133,11 +138,23 @@
 	if cd.cfg.Call == nil {
 		return
 	}
-	m := messenger.Suspect{Fingerprint: r.Fingerprint, Target: target, Incarnation: incarnation}
+	m := messenger.Suspect{Fingerprint: r.Fingerprint, Target: target, Incarnation: incarnation, Parts: parts}
+	cd.meter.count("suspects")
+	cd.sendSuspect(r, m)
+}
+
+// reportBystander notifies the keepers that a target was lost under a request that is not the
+// cause. That tells parts of prompts apart that were running there.
+func (cd *Conductor) reportBystander(r *chainer.Request, t messenger.Target) {
+	if cd.cfg.Call != nil && len(r.Parts) > 0 {
+		cd.sendSuspect(r, messenger.Suspect{Target: t.ID, Incarnation: t.Incarnation})
+	}
+}
+
+func (cd *Conductor) sendSuspect(r *chainer.Request, m messenger.Suspect) {
 	if len(r.Parts) > 0 {
-		m.Parts, m.Node, m.Service, m.Sound = parts, cd.cfg.Settings.Node, r.Service, cd.parts.sinceSound(cd.cfg.Now(), r.Service)
+		m.Node, m.Service, m.Sound = cd.cfg.Settings.Node, r.Service, cd.parts.sinceSound(cd.cfg.Now(), r.Service)
 	}
-	cd.meter.count("suspects")
 	cd.retryInBackground(func(ctx context.Context) error {
 		var out messenger.Proposed
 		return cd.cfg.Call(ctx, messenger.KindSuspect, &m, &out)
--- a/messenger/keeper.go
+++ b/messenger/keeper.go
@@ -148,7 +148,7 @@
 
 // Suspect reports a request that was running when a target's incarnation ended.
 type Suspect struct {
-	Fingerprint uint64 `msgpack:"fingerprint"`
+	Fingerprint uint64 `msgpack:"fingerprint"` // zero if the request is not the cause
 	Target      string `msgpack:"target"`
 	Incarnation uint64 `msgpack:"incarnation"`
 
