--- a/isolator/fleet_test.go
+++ b/isolator/fleet_test.go
@@ -51,7 +51,7 @@
 	}
 }
 
-func (f *fleet) expectIsolated(t *rapid.T) {
+func (f *fleet) expectIsolated(t interface{ Errorf(string, ...any) }) {
 	for id, b := range f.bad {
 		if b.late > allowedSends {
 			t.Errorf("part %d: %d sends too late, want at most %d; %d crashes", id, b.late, allowedSends, b.crashes)
