--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -7,10 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"bramleyshunt/allocator"
 	"bramleyshunt/chainer"
 	"bramleyshunt/coder"
-	"bramleyshunt/dispatcher"
 	"bramleyshunt/messenger"
 	"bramleyshunt/predictor"
 	"bramleyshunt/router"
@@ -279,18 +277,22 @@
 
 // checkEnd returns an error if the answer must not end with the chunks so far.
 func (a *attempt) checkEnd() error {
-	x := a.x
-	x.mu.Lock()
-	defer x.mu.Unlock()
+	a.x.mu.Lock()
+	defer a.x.mu.Unlock()
+	return a.checkEndLocked()
+}
+
+func (a *attempt) checkEndLocked() error {
+	check := a.x.r.Answer.CheckEnd
 	switch {
 	case a.superseded:
 		return errSuperseded
 	case len(a.held.Data) > 0:
 		return coder.Errorf(coder.TargetLost, "the stream ended within an event")
-	case x.owner != a || x.r.Answer.CheckEnd == nil:
+	case a.x.owner != a || check == nil:
 		return nil
 	default:
-		return x.r.Answer.CheckEnd()
+		return check()
 	}
 }
 
@@ -299,8 +301,8 @@
 	x := a.x
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.hedge == a && len(a.held.Data) > 0 {
-		return coder.Errorf(coder.TargetLost, "the other target ended its answer within an event")
+	if err := a.checkEndLocked(); err != nil {
+		return err
 	}
 	if err := x.take(a); err != nil {
 		return err
@@ -337,61 +339,3 @@
 	prefill := predictor.Predictor{Engine: x.r.Spec.Engine}.Prefill(x.r.Prompt, 1)
 	return max(minTimeout, firstTimeoutObjectives*seconds(path.Objective, 0)) + prefill, max(minTimeout, idleTimeoutGaps*seconds(path.Gap, 0))
 }
-
-// reserveHelpers reserves memory at the helpers and returns a function that releases
-// it. giveUp is called if the target has not started the request within the time for
-// which the helpers may keep unused memory reserved.
-func (x *execution) reserveHelpers(ctx context.Context, a *Attempt, memory []int, giveUp func() bool) (func(), error) {
-	var reservations []allocator.Reservation
-	a.ReservationIDs = make([]string, len(a.Helpers))
-	for i, n := range memory {
-		if n > 0 {
-			a.ReservationIDs[i] = fmt.Sprintf("%s.%d", a.ID, i)
-			reservations = append(reservations, allocator.Reservation{ID: a.ReservationIDs[i], Target: a.Helpers[i], Tokens: n})
-		}
-	}
-	if len(reservations) == 0 {
-		return func() {}, nil
-	}
-	return x.cd.cfg.Allocator.ReserveAll(ctx, reservations, giveUp)
-}
-
-// exchange runs an attempt through Config.Exchange if that is set, else through the
-// target's agent.
-func (x *execution) exchange(ctx context.Context, a *Attempt) (messenger.End, error) {
-	if x.cd.cfg.Exchange != nil {
-		return messenger.End{Attempt: a.ID}, x.cd.cfg.Exchange(ctx, a)
-	}
-	return x.cd.dispatch.Do(ctx, x.job(a))
-}
-
-func (x *execution) job(a *Attempt) dispatcher.Job {
-	return dispatcher.Job{
-		Address: a.Target.Address,
-		Reserve: messenger.Reserve{
-			Attempt: a.ID, Incarnation: a.Target.Incarnation, Account: x.r.Account,
-			Prompt: x.r.Prompt, Output: x.r.Output, Priority: priority(x.r),
-			Remaining: a.Remaining, Fingerprint: x.r.Fingerprint, Key: x.r.Key, Batch: x.r.Batch,
-		},
-		Run: messenger.Run{
-			Attempt: a.ID, Incarnation: a.Target.Incarnation, Remaining: a.Remaining,
-			Method: x.r.Method, Path: x.r.Path, Headers: x.r.Headers, Body: x.r.Body,
-		},
-		BeforeRun: func(ctx context.Context) error { return x.claim(ctx, a.Target.ID) },
-		OnLoad:    a.ReportLoad,
-		OnChunk:   a.Emit,
-	}
-}
-
-// priority ranks short prompts before long ones of the same configured priority.
-func priority(r *chainer.Request) int {
-	return r.Priority*messenger.Classes + messenger.Classes - 1 - int(r.Class)
-}
-
-// claim records with the keepers that a non-idempotent request starts to run.
-func (x *execution) claim(ctx context.Context, target string) error {
-	if !x.r.NonIdempotent {
-		return nil
-	}
-	return x.cd.claims.Run(ctx, claimOf(x.r), target)
-}
--- a/conductor/hedge.go
+++ b/conductor/hedge.go
@@ -189,7 +189,7 @@
 	return c, false, nil
 }
 
-// passHeld passes on what is held of an attempt that has ended: a head, or the start of an
+// passHeld passes on the head that is held of an attempt whose answer has ended without an
 // event.
 func (x *execution) passHeld(a *attempt) error {
 	if a.held.Status == 0 {
