Keep test processes from using each other's loopback addresses

A start failed twice with "bind: address already in use" on a port of a test's own address, while other test processes ran. That this was the cause in the two cases is suspected: the other processes' ids were not kept.

--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -125,7 +125,7 @@
 	tb.Helper()
 	fleetCount++
 	f := &fleet{
-		net: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, fleetCount), dir: tb.TempDir(), tb: tb,
+		net: fmt.Sprintf("127.%d.%d", 192+os.Getpid()%60, fleetCount), dir: tb.TempDir(), tb: tb,
 		key: []byte("0123456789abcdef0123456789abcdef"), agents: map[string]*process{}, engines: map[string]*process{},
 	}
 	Expect(os.WriteFile(f.path("key"), f.key, 0o600)).To(Succeed())
