--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -106,8 +106,9 @@
 		c.start(1)
 		_, err := c.hosts[0].keeper.Load().Confirm(context.Background())
 		expectCode(err, coder.NoQuorum)
-		Expect(c.hosts[0].keeper.Load().Status().Group).To(BeZero())
-		Expect(c.hosts[2].keeper.Load().Status().Group).To(Equal(group))
+		emptied, kept := c.hosts[0].keeper.Load().Status(), c.hosts[2].keeper.Load().Status()
+		Expect(emptied.Group).To(BeZero(), "group of the keepers was %d; emptied %+v, kept %+v", group, emptied, kept)
+		Expect(kept.Group).To(Equal(group))
 	})
 
 	It("keep the term when an isolated leader returns", func() {
