--- a/conductor/parts.go
+++ b/conductor/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -48,15 +47,7 @@
 }
 
 func (cd *Conductor) groupLog(g *messenger.PartGroup) *logrus.Entry {
-	return cd.cfg.Log.WithFields(logrus.Fields{"parts": hexParts(g.Parts), "crashes": g.Crashes, "until": time.Unix(0, g.Until)})
-}
-
-func hexParts(parts []uint64) []string {
-	out := make([]string, len(parts))
-	for i, id := range parts {
-		out[i] = fmt.Sprintf("%016x", id)
-	}
-	return out
+	return cd.cfg.Log.WithFields(logrus.Fields{"parts": isolator.FormatParts(g.Parts), "crashes": g.Crashes, "until": time.Unix(0, g.Until)})
 }
 
 // reportSound reports parts to the keepers that accuse them of crashes.
@@ -65,7 +56,7 @@
 		return
 	}
 	cd.meter.count("parts.sound")
-	cd.cfg.Log.WithField("parts", hexParts(parts)).Info("suspected parts are answered, reporting")
+	cd.cfg.Log.WithField("parts", isolator.FormatParts(parts)).Info("suspected parts are answered, reporting")
 	cd.proposeParts(func() *applier.PartsChange {
 		return &applier.PartsChange{Sound: cd.parts.sinceParts(cd.cfg.Now(), parts)}
 	})
@@ -103,7 +94,7 @@
 	}
 	cd.meter.count("parts.refused")
 	cd.reportSeen(r, g)
-	return coder.Errorf(coder.PartQuarantined, "parts %v until %s, %d crashes", hexParts(g.Parts), time.Unix(0, g.Until).Format(time.RFC3339), g.Crashes)
+	return coder.Errorf(coder.PartQuarantined, "parts %v until %s, %d crashes", isolator.FormatParts(g.Parts), time.Unix(0, g.Until).Format(time.RFC3339), g.Crashes)
 }
 
 func (cd *Conductor) isolatedGroup(r *chainer.Request) *messenger.PartGroup {
@@ -166,7 +157,7 @@
 	x.cd.meter.count("parts.accused")
 	x.cd.cfg.Log.WithFields(logrus.Fields{
 		"request": x.r.CallerID, "id": x.r.ID, "target": a.pick.Target.ID, "incarnation": a.pick.Target.Incarnation, "service": x.r.Service,
-		"begun": x.gotChunk, "goneon": x.goneOn, "parts": hexParts(x.r.Parts), "accused": hexParts(parts),
+		"begun": x.gotChunk, "goneon": x.goneOn, "parts": isolator.FormatParts(x.r.Parts), "accused": isolator.FormatParts(parts),
 	}).Info("target lost under a request")
 	return parts
 }
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"time"
 
@@ -353,3 +354,12 @@
 	}
 	return nil
 }
+
+// FormatParts formats parts for the log.
+func FormatParts(parts []uint64) []string {
+	out := make([]string, len(parts))
+	for i, id := range parts {
+		out[i] = fmt.Sprintf("%016x", id)
+	}
+	return out
+}
--- a/publisher/isolated.go
+++ b/publisher/isolated.go
@@ -44,7 +44,7 @@
 }
 
 func (p *Publisher) groupLog(g messenger.PartGroup) *logrus.Entry {
-	return p.cfg.Log.WithFields(logrus.Fields{"parts": hex(g.Parts), "crashes": g.Crashes, "trial": g.Trial, "until": time.Unix(0, g.Until)})
+	return p.cfg.Log.WithFields(logrus.Fields{"parts": isolator.FormatParts(g.Parts), "crashes": g.Crashes, "trial": g.Trial, "until": time.Unix(0, g.Until)})
 }
 
 // settleParts proposes the isolation of the parts that become due by the passing of time.
@@ -76,7 +76,7 @@
 	}
 	p.count("publisher.parts.accused")
 	p.cfg.Log.WithFields(logrus.Fields{
-		"parts": hex(s.Parts), "crashes": p.cfg.Applier.PartCrashes(s.Parts), "target": s.Target, "incarnation": s.Incarnation,
+		"parts": isolator.FormatParts(s.Parts), "crashes": p.cfg.Applier.PartCrashes(s.Parts), "target": s.Target, "incarnation": s.Incarnation,
 		"service": s.Service, "entry": s.Node, "fingerprint": fmt.Sprintf("%016x", s.Fingerprint), "sound": s.Sound.Milliseconds(),
 	}).Info("crash counted for parts of a prompt")
 }
@@ -86,19 +86,10 @@
 	for _, s := range c.Sound {
 		p.count("publisher.parts.sound")
 		p.cfg.Log.WithFields(logrus.Fields{
-			"parts": hex([]uint64{s.Part}), "ago": s.Ago.Milliseconds(), "crashes": p.cfg.Applier.PartCrashes([]uint64{s.Part}),
+			"parts": isolator.FormatParts([]uint64{s.Part}), "ago": s.Ago.Milliseconds(), "crashes": p.cfg.Applier.PartCrashes([]uint64{s.Part}),
 		}).Info("part of a prompt was answered")
 	}
 	if len(c.Seen) > 0 {
-		p.cfg.Log.WithField("parts", hex(c.Seen)).Info("isolation of parts extended: requests still arrive")
+		p.cfg.Log.WithField("parts", isolator.FormatParts(c.Seen)).Info("isolation of parts extended: requests still arrive")
 	}
 }
-
-// hex formats the hashes of parts.
-func hex(parts []uint64) []string {
-	out := make([]string, len(parts))
-	for i, id := range parts {
-		out[i] = fmt.Sprintf("%016x", id)
-	}
-	return out
-}
