Add up the counts of entries in groups, so that their age does not grow with the fleet

Cause: each entry sent its counts to every other one, at an interval that grows with their number: 0.53 s at 103 entries, beyond MaxInterval and near the time after which reports expire, while 160 to 500 prompts a second arrive. All entries placed by the same outdated counts. Change: package aggregator. The entries of a zone form groups of at most 32; the first one adds up the reports of its members, exchanges the sum with the other groups and sends the sum over the fleet back. Nothing is agreed upon; a silent relay is replaced after 0.5 s. Entries that do not announce that they aggregate are sent each entry's own counts as before, so builds can run side by side. Counts are encoded in as few bytes as they need. Ruled out: sending more often to everyone, whose messages grow with the square of the entries.

--- /dev/null
+++ b/aggregator/sum.go
@@ -0,0 +1,88 @@
+package aggregator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"bramleyshunt/messenger"
+)
+
+// Sum adds up counts by target. Targets are sorted, and those without any count are left
+// out.
+func Sum(all ...[]messenger.Sent) []messenger.Sent {
+	sums := map[uint64]messenger.Sent{}
+	for _, sends := range all {
+		for _, s := range sends {
+			sum := sums[s.Target]
+			sum.Target = s.Target
+			sum.InFlight += s.InFlight
+			sum.PendingPrefill += s.PendingPrefill
+			sum.Memory += s.Memory
+			sum.Unsplit += s.Unsplit
+			sum.MinGap = shorterGap(sum.MinGap, s.MinGap)
+			sums[s.Target] = sum
+		}
+	}
+	out := make([]messenger.Sent, 0, len(sums))
+	for _, target := range slices.Sorted(maps.Keys(sums)) {
+		s := sums[target]
+		s.InFlight, s.PendingPrefill = max(0, s.InFlight), max(0, s.PendingPrefill)
+		s.Memory, s.Unsplit = max(0, s.Memory), max(0, s.Unsplit)
+		if s.InFlight > 0 || s.PendingPrefill > 0 || s.Memory > 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// shorterGap returns the shorter of two gaps, of which zero means that there is no bound.
+func shorterGap(a, b int) int {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
+// sum adds up reports.
+func (a *Aggregator) sum(now time.Time, scope messenger.Scope, reports []*report) messenger.Share {
+	out := messenger.Share{Node: a.Node, Scope: scope}
+	var sends [][]messenger.Sent
+	limits := map[uint64]messenger.Limit{}
+	for _, r := range reports {
+		sends = append(sends, r.Sends)
+		age := int(now.Sub(r.at).Milliseconds())
+		out.Oldest = max(out.Oldest, age+r.Oldest)
+		if r.Scope == messenger.ScopeGroup || r.Scope == messenger.ScopeFleet {
+			out.Entries += r.Entries
+		} else if r.Node != "" {
+			out.Entries++
+		}
+		for _, l := range r.Limits {
+			l.Age += age
+			if l.Observer == "" {
+				l.Observer = r.Node
+			}
+			if known, ok := limits[l.Target]; !ok || known.Age > l.Age {
+				limits[l.Target] = l
+			}
+		}
+	}
+	out.Sends = Sum(sends...)
+	for _, target := range slices.Sorted(maps.Keys(limits)) {
+		out.Limits = append(out.Limits, limits[target])
+	}
+	return out
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// sortedReports returns reports in the order of their nodes.
+func sortedReports(m map[string]*report) []*report {
+	out := make([]*report, 0, len(m))
+	for _, node := range sortedKeys(m) {
+		out = append(out, m[node])
+	}
+	return out
+}
--- a/bencher/fleet.go
+++ b/bencher/fleet.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bramleyshunt/messenger"
 	"bramleyshunt/switcher"
 )
 
@@ -23,6 +24,7 @@
 	loop
 	rnd        *rand.Rand
 	entries    []*fleetEntry
+	announced  []messenger.Target // by the entries
 	nodes      []*node
 	calls      []*call   // including those that continue calls cut off by a restart
 	upAt       time.Time // when the entries have restarted
--- a/bencher/fleetentry.go
+++ b/bencher/fleetentry.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"bramleyshunt/admitter"
+	"bramleyshunt/aggregator"
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
 	"bramleyshunt/passer"
 	"bramleyshunt/predictor"
 	"bramleyshunt/router"
 	"bramleyshunt/scheduler"
-	"bramleyshunt/sharer"
 	"bramleyshunt/switcher"
 )
 
@@ -28,17 +28,20 @@
 	pending   map[*scheduler.Ticket]*call
 	killed    bool          // by a restart
 	ticking   bool          // a tick is scheduled
-	throttled bool          // sharer.MinInterval has not passed since the latest message to peers
+	throttled bool          // the shortest interval since the latest messages to peers has not passed
 	changed   bool          // requests in flight have changed since that message
 	rotation  int           // next target of RoundRobin
 	inFlight  map[*node]int // own calls, used by LeastOutstanding
 	holds     []sharedHold  // reported to the other entries
+
+	aggregator aggregator.Aggregator
 }
 
 func newFleetEntry(f *Fleet, i int) *fleetEntry {
 	seed := f.Seed*uint64(f.Site.Entries) + uint64(i)
 	e := &fleetEntry{
 		f: f, name: fmt.Sprint("e", i), rotation: i, pending: map[*scheduler.Ticket]*call{}, inFlight: map[*node]int{},
+		aggregator: aggregator.Aggregator{Node: fmt.Sprint("e", i)},
 		scheduler: scheduler.Scheduler{
 			Admitter: admitter.Admitter{Seed: seed},
 			Router:   router.Router{Seed: seed, Disabled: f.Disabled.Router()},
@@ -171,8 +174,8 @@
 	}
 }
 
-// shareSends reports this entry's requests in flight to the other entries, as package
-// sharer does: after a change, at most once per sharer.MinInterval.
+// shareSends exchanges the requests in flight with the other entries, as package sharer
+// does: after a change, at most once per aggregator.Aggregator.Interval.
 func (e *fleetEntry) shareSends() {
 	if e.killed || e.f.Disabled.Off(switcher.ShareCounts) {
 		return
@@ -183,31 +186,81 @@
 	}
 	e.throttled, e.changed = true, false
 	sends := e.scheduler.Router.Sends()
-	var holds []sharedHold
-	if e.f.Holds == SharedMarks || e.f.Holds == Shared {
-		holds = e.sharedHolds(sends)
+	e.shareHolds(sends)
+	for _, m := range e.aggregator.Round(e.f.now, e.f.peers(), messenger.Share{Sends: sends}) {
+		e.f.send(func() {
+			for _, to := range m.To {
+				if peer := e.f.entryNamed(to.ID); peer != nil && peer != e {
+					peer.recordShare(m.Share)
+				}
+			}
+		})
+	}
+	e.recordOthers()
+	e.f.after(e.aggregator.Interval(), func() {
+		e.throttled = false
+		if e.changed {
+			e.shareSends()
+		}
+	})
+}
+
+// recordShare records what another entry has sent.
+func (e *fleetEntry) recordShare(m messenger.Share) {
+	e.aggregator.Record(e.f.now, m)
+	if m.Scope == messenger.ScopeFleet {
+		e.recordOthers()
+		return
+	}
+	e.shareSends()
+}
+
+func (e *fleetEntry) recordOthers() {
+	if m, ok := e.aggregator.Others(e.f.now); ok {
+		oldest := time.Duration(m.Oldest) * time.Millisecond
+		e.scheduler.Router.RecordPeers(e.f.now, router.Peers{Sends: m.Sends, Entries: m.Entries, Oldest: oldest})
+	}
+}
+
+// shareHolds sends what this entry has heard of targets that leave or pause to all others.
+func (e *fleetEntry) shareHolds(sends []messenger.Sent) {
+	if e.f.Holds != SharedMarks && e.f.Holds != Shared {
+		return
 	}
+	holds := e.sharedHolds(sends)
 	e.f.send(func() {
 		for _, peer := range e.f.entries {
 			if peer != e {
-				peer.scheduler.Router.RecordPeer(e.f.now, e.name, sends)
 				peer.recordSharedHolds(holds)
 			}
 		}
 	})
-	e.f.after(sharer.MinInterval(len(e.f.entries)), func() {
-		e.throttled = false
-		if e.changed {
-			e.shareSends()
-		}
-	})
 }
 
-// shareRepeatedly reports this entry's requests in flight every sharer.MaxInterval, changed
-// or not.
+// shareRepeatedly shares every aggregator.MaxInterval, changed or not.
 func (e *fleetEntry) shareRepeatedly() {
 	e.shareSends()
-	e.f.after(sharer.MaxInterval, e.shareRepeatedly)
+	e.f.after(aggregator.MaxInterval, e.shareRepeatedly)
+}
+
+// peers returns the announcements of the entries.
+func (f *Fleet) peers() []messenger.Target {
+	if len(f.announced) != len(f.entries) {
+		f.announced = nil
+		for i, e := range f.entries {
+			f.announced = append(f.announced, messenger.Target{ID: e.name, Zone: fmt.Sprint("z", i%max(1, f.Site.Zones)), Aggregates: true})
+		}
+	}
+	return f.announced
+}
+
+// entryNamed returns the entry with a name, nil if there is none.
+func (f *Fleet) entryNamed(name string) *fleetEntry {
+	i := slices.IndexFunc(f.entries, func(e *fleetEntry) bool { return e.name == name })
+	if i < 0 {
+		return nil
+	}
+	return f.entries[i]
 }
 
 // sendBaseline sends a call unsplit and immediately, as a simple load balancer does.
--- a/bencher/site.go
+++ b/bencher/site.go
@@ -14,6 +14,7 @@
 type Site struct {
 	Name    string
 	Entries int
+	Zones   int // availability zones of the entries; zero stands for one
 	Targets int
 	Engine  configurer.Engine
 	Queue   int           // length of an engine's queue, besides its slots
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -283,10 +283,10 @@
 	return out
 }
 
-// RecordSends records the load that another entry has placed on targets.
-func (cd *Conductor) RecordSends(node string, sends []messenger.Sent) {
+// RecordSends records the load that the other entries have placed on targets.
+func (cd *Conductor) RecordSends(p router.Peers) {
 	c := cd.control
-	c.do(func() { c.scheduler.Router.RecordPeer(c.cfg.Now(), node, sends) })
+	c.do(func() { c.scheduler.Router.RecordPeers(c.cfg.Now(), p) })
 }
 
 // notifySendsChanged reports that the result of Sends or Limits has changed.
--- a/conductor/limit.go
+++ b/conductor/limit.go
@@ -16,14 +16,14 @@
 	return out
 }
 
-// RecordLimits records the rate limits of targets that another entry has observed.
-func (cd *Conductor) RecordLimits(node string, limits []messenger.Limit) {
+// RecordLimits records the rate limits of targets that other entries have observed.
+func (cd *Conductor) RecordLimits(limits []messenger.Limit) {
 	if len(limits) == 0 {
 		return
 	}
 	c := cd.control
 	c.do(func() {
-		c.scheduler.Router.RecordPeerLimits(c.cfg.Now(), limits, func(target string, from, to float64) { c.limitChanged(target, node, from, to) })
+		c.scheduler.Router.RecordPeerLimits(c.cfg.Now(), limits, c.limitChanged)
 	})
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -9,7 +9,7 @@
 	"bramleyshunt/coder"
 )
 
-//go:generate go tool -modfile=../tools/go.mod stringer -type=Kind,Class,State -output=kind_string.go
+//go:generate go tool -modfile=../tools/go.mod stringer -type=Kind,Class,State,Scope -output=kind_string.go
 
 // Kind identifies the type of a message on the wire. Numbers are stable: new kinds
 // are appended at the end.
@@ -150,6 +150,8 @@
 	// Empty reports that the engine has no model loaded; Model is then the model that
 	// it is configured for.
 	Empty bool `msgpack:"empty,omitempty"`
+	// Aggregates reports, of an entry, that it adds up the counts of others.
+	Aggregates bool `msgpack:"aggregates,omitempty"`
 }
 
 // Failed ends an exchange with an error.
--- a/messenger/share.go
+++ b/messenger/share.go
@@ -1,12 +1,38 @@
 package messenger
 
-// Share reports to the other entries the requests that an entry has in flight, by target,
-// and the rate limits that it has observed.
+import "github.com/vmihailenco/msgpack/v5"
+
+// Scope says which entries the counts of a Share belong to.
+type Scope uint8
+
+// Scopes. ScopeEntry is the only one that entries of earlier releases send.
+const (
+	ScopeEntry  Scope = iota // the sender; the receiver uses them itself
+	ScopeMember              // the sender; the receiver adds them to its group
+	ScopeGroup               // the sender and the members of its group
+	ScopeFleet               // all entries, including the receiver
+)
+
+// Share reports to other entries the requests that entries have in flight, by target, and
+// the rate limits that these have observed.
 type Share struct {
 	Node  string `msgpack:"node"`
 	Sends []Sent `msgpack:"sends"`
 
 	Limits []Limit `msgpack:"limits,omitempty"`
+
+	Scope    Scope      `msgpack:"scope,omitempty"`
+	Seq      uint64     `msgpack:"seq,omitempty"`      // of ScopeMember: increases with each report of the sender
+	Included []Included `msgpack:"included,omitempty"` // of ScopeFleet: the reports of the members that it includes
+	Entries  int        `msgpack:"entries,omitempty"`  // of ScopeGroup and ScopeFleet: number of entries
+	Oldest   int        `msgpack:"oldest,omitempty"`   // likewise: milliseconds since the oldest report was received
+}
+
+// Included names the report of a member that a sum includes.
+type Included struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Node     string
+	Seq      uint64
 }
 
 // Limit is a rate limit that an entry has observed in an answer of a target.
@@ -15,6 +41,7 @@
 	Incarnation uint64  `msgpack:"incarnation"` // of the target
 	Rate        float64 `msgpack:"rate"`        // requests per second that the target accepts from all entries together; zero if it named none
 	Age         int     `msgpack:"age"`         // milliseconds since the answer
+	Observer    string  `msgpack:"observer,omitempty"` // node name of the entry, if another one passes the limit on
 }
 
 // Sent counts the requests in flight of one entry at one target.
@@ -27,3 +54,21 @@
 	Unsplit        int      // of InFlight, those whose prompt is not split across a gang
 	MinGap         int      // milliseconds, shortest inter-token gap allowed by a stream of InFlight; zero if none sets one
 }
+
+// sentFields is the number of fields of a Sent on the wire.
+const sentFields = 6
+
+// EncodeMsgpack encodes each field in as few bytes as its value allows. Sums over many
+// targets are the largest messages that entries exchange often.
+func (s *Sent) EncodeMsgpack(enc *msgpack.Encoder) error {
+	err := enc.EncodeArrayLen(sentFields)
+	if err == nil {
+		err = enc.EncodeUint(s.Target)
+	}
+	for _, n := range []int{s.InFlight, s.PendingPrefill, s.Memory, s.Unsplit, s.MinGap} {
+		if err == nil {
+			err = enc.EncodeInt(int64(n))
+		}
+	}
+	return err
+}
--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -68,7 +68,7 @@
 			}
 			for b.Loop() {
 				now = now.Add(time.Second)
-				to.RecordPeerLimits(now, from.Limits(now), func(string, float64, float64) {})
+				to.RecordPeerLimits(now, from.Limits(now), func(string, string, float64, float64) {})
 			}
 		})
 	}
--- a/router/limit.go
+++ b/router/limit.go
@@ -110,10 +110,10 @@
 // that have ended. They are sent to the other entries.
 func (r *Router) Limits(now time.Time) []messenger.Limit {
 	var out []messenger.Limit
-	for id, s := range r.byID {
+	for _, s := range r.byID {
 		if age := now.Sub(s.limit.observedAt); s.limit.own && age < limitTTL {
 			out = append(out, messenger.Limit{
-				Target: xxhash.Sum64String(id), Incarnation: s.target.Incarnation, Rate: s.limit.rate, Age: int(age.Milliseconds()),
+				Target: s.hash, Incarnation: s.target.Incarnation, Rate: s.limit.rate, Age: int(age.Milliseconds()),
 			})
 		}
 	}
@@ -123,7 +123,7 @@
 
 // RecordPeerLimits records the limits that another entry has observed, where they are newer
 // than what this entry knows. It calls changed for each limit that this changes.
-func (r *Router) RecordPeerLimits(now time.Time, limits []messenger.Limit, changed func(target string, from, to float64)) {
+func (r *Router) RecordPeerLimits(now time.Time, limits []messenger.Limit, changed func(target, observer string, from, to float64)) {
 	if len(limits) == 0 {
 		return
 	}
@@ -132,13 +132,13 @@
 		byHash[l.Target] = l
 	}
 	for id, s := range r.byID {
-		l, ok := byHash[xxhash.Sum64String(id)]
+		l, ok := byHash[s.hash]
 		at := now.Add(-time.Duration(l.Age) * time.Millisecond)
 		if !ok || l.Incarnation != s.target.Incarnation || !at.After(s.limit.observedAt) {
 			continue
 		}
 		if from, to := r.setLimit(s, l.Rate, at, false); from != to {
-			changed(id, from, to)
+			changed(id, l.Observer, from, to)
 		}
 	}
 }
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"bramleyshunt/aggregator"
 	"bramleyshunt/messenger"
 	"bramleyshunt/router"
 )
@@ -166,14 +167,15 @@
 
 // share passes the counts of each entry on to the others.
 func (f *limitedFleet) share() {
-	for i, from := range f.routers {
-		sends, limits := from.Sends(), from.Limits(f.now)
-		for j, to := range f.routers {
+	for i, to := range f.routers {
+		var sends [][]messenger.Sent
+		for j, from := range f.routers {
 			if i != j {
-				to.RecordPeer(f.now, fmt.Sprint(i), sends)
-				to.RecordPeerLimits(f.now, limits, func(string, float64, float64) {})
+				sends = append(sends, from.Sends())
+				to.RecordPeerLimits(f.now, from.Limits(f.now), func(string, string, float64, float64) {})
 			}
 		}
+		to.RecordPeers(f.now, router.Peers{Sends: aggregator.Sum(sends...), Entries: len(sends)})
 	}
 }
 
--- a/router/peers.go
+++ b/router/peers.go
@@ -5,19 +5,23 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"bramleyshunt/aggregator"
 	"bramleyshunt/messenger"
 )
 
-// peerTTL is how long a report of another entry stays valid. Entries send several
-// reports in that time.
-const peerTTL = time.Second
+// Peers holds what the other entries have in flight.
+type Peers struct {
+	Sends   []messenger.Sent // sum over the entries, by target
+	Entries int              // number of entries
+	Oldest  time.Duration    // age of the oldest report in it
+}
 
-// peerReport is the last report of another entry.
-type peerReport struct {
-	receivedAt time.Time
-	sends      []messenger.Sent
+// peerSums is the last Peers that was recorded.
+type peerSums struct {
+	at      time.Time
+	entries int
+	oldest  time.Duration
+	byHash  map[uint64]messenger.Sent // by hash of the target's id
 }
 
 // Sends returns the requests in flight of this entry at targets that report their slots.
@@ -25,10 +29,11 @@
 func (r *Router) Sends() []messenger.Sent {
 	var out []messenger.Sent
 	for _, id := range slices.Sorted(maps.Keys(r.byID)) {
-		c := &r.byID[id].counts
+		s := r.byID[id]
+		c := &s.counts
 		if c.inFlight > 0 || c.pendingPrefill > 0 || c.memory > 0 {
 			out = append(out, messenger.Sent{
-				Target: xxhash.Sum64String(id), InFlight: c.inFlight, PendingPrefill: int(c.pendingPrefill.Milliseconds()), Memory: c.memory, Unsplit: c.unsplit,
+				Target: s.hash, InFlight: c.inFlight, PendingPrefill: int(c.pendingPrefill.Milliseconds()), Memory: c.memory, Unsplit: c.unsplit,
 				MinGap: int(c.gaps.shortest().Milliseconds()),
 			})
 		}
@@ -36,35 +41,32 @@
 	return out
 }
 
-// RecordPeer records the requests in flight of another entry.
-func (r *Router) RecordPeer(now time.Time, node string, sends []messenger.Sent) {
-	if r.peers == nil {
-		r.peers = map[string]peerReport{}
+// RecordPeers records the requests in flight of the other entries, in place of those that
+// were recorded before.
+func (r *Router) RecordPeers(now time.Time, p Peers) {
+	r.peers = peerSums{at: now, entries: p.Entries, oldest: p.Oldest, byHash: make(map[uint64]messenger.Sent, len(p.Sends))}
+	for _, s := range p.Sends {
+		r.peers.byHash[s.Target] = s
 	}
-	r.peers[node] = peerReport{receivedAt: now, sends: sends}
-	r.sumPeers(now)
+	r.applyPeers(now)
 }
 
-// sumPeers drops expired reports and adds up the requests of the other entries at each
-// target.
-func (r *Router) sumPeers(now time.Time) {
-	sums := map[uint64]messenger.Sent{}
-	for node, s := range r.peers {
-		if now.Sub(s.receivedAt) > peerTTL {
-			delete(r.peers, node)
-			continue
-		}
-		for _, sent := range s.sends {
-			sum := sums[sent.Target]
-			sum.InFlight += sent.InFlight
-			sum.PendingPrefill += sent.PendingPrefill
-			sum.Memory += sent.Memory
-			sum.Unsplit += sent.Unsplit
-			sum.MinGap = shorterGap(sum.MinGap, sent.MinGap)
-			sums[sent.Target] = sum
-		}
+// PeerAge returns the age of the oldest report of another entry that is in use, and the
+// number of entries whose reports are.
+func (r *Router) PeerAge(now time.Time) (oldest time.Duration, entries int) {
+	if r.peers.entries == 0 {
+		return 0, 0
+	}
+	return r.peers.oldest + now.Sub(r.peers.at), r.peers.entries
+}
+
+// applyPeers assigns the counts of the other entries to the targets, none if they have
+// expired.
+func (r *Router) applyPeers(now time.Time) {
+	if now.Sub(r.peers.at) > aggregator.ReportTTL {
+		r.peers = peerSums{}
 	}
-	for id, s := range r.byID {
-		s.counts.peers, s.counts.hasPeers = sums[xxhash.Sum64String(id)], len(r.peers) > 0
+	for _, s := range r.byID {
+		s.counts.peers, s.counts.hasPeers = r.peers.byHash[s.hash], r.peers.entries > 0
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -81,9 +81,9 @@
 	byID    map[string]*targetState
 	byName  map[string]*serviceIndex
 	history history
-	peers   map[string]peerReport // by node name of the entry
-	self    string                // node name of this entry
-	entries []string              // node names of all live entries
+	peers   peerSums // of the other entries
+	self    string   // node name of this entry
+	entries []string // node names of all live entries
 
 	holds        map[holdKey]*hold
 	lastPauseEnd time.Time // of all pauses
--- a/router/slots.go
+++ b/router/slots.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bramleyshunt/messenger"
 )
 
@@ -44,8 +42,8 @@
 	memory         int            // tokens reserved for requests of this entry
 	unsplit        int            // of inFlight, those whose prompt is not split
 	gaps           gapCounts      // inter-token gaps that the inFlight requests allow
-	peers          messenger.Sent // sum of the valid reports of the other entries
-	hasPeers       bool           // whether any other entry has a valid report
+	peers          messenger.Sent // sum of the reports of the other entries
+	hasPeers       bool           // whether reports of other entries are valid
 }
 
 // gapCounts counts streams by the inter-token gap that they allow.
@@ -109,7 +107,7 @@
 func rankTargets(set []*targetState) []*targetState {
 	out := slices.Clone(set)
 	slices.SortFunc(out, func(a, b *targetState) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.target.ID), xxhash.Sum64String(b.target.ID)), cmp.Compare(a.target.ID, b.target.ID))
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.target.ID, b.target.ID))
 	})
 	return out
 }
@@ -151,7 +149,7 @@
 // before they receive each other's reports; they select the less loaded of two random
 // targets among as many as are needed, plus some spare ones.
 func (r *Router) pickFirstFit(now time.Time, open []*targetState) Pick {
-	if spare := len(r.peers) / peersPerSpareTarget; spare > 0 && !r.Disabled.Spare {
+	if spare := r.peers.entries / peersPerSpareTarget; spare > 0 && !r.Disabled.Spare {
 		candidates := slices.DeleteFunc(slices.Clone(open[:min(len(open), targetsNeeded(open)+spare)]), func(s *targetState) bool { return !s.acceptsUnsplit(now) })
 		if len(candidates) > 0 {
 			return r.pickOfTwo(now, candidates)
--- a/router/slots_test.go
+++ b/router/slots_test.go
@@ -214,7 +214,7 @@
 		for i := range 4 {
 			streams = append(streams, messenger.Sent{Target: xxhash.Sum64String(fmt.Sprintf("t%d", i)), InFlight: 1, MinGap: 800})
 		}
-		r.RecordPeer(now, "other", streams)
+		r.RecordPeers(now, router.Peers{Sends: streams, Entries: 1})
 		Expect(placeable(r)).To(Equal(2))
 	})
 
@@ -252,7 +252,7 @@
 
 	It("respects the streams of other entries", func() {
 		r := newSlotRouter(targetCount)
-		r.RecordPeer(now, "other", busy(targetCount).Sends())
+		r.RecordPeers(now, router.Peers{Sends: busy(targetCount).Sends(), Entries: 1})
 		_, ok := r.Pick(now, long)
 		Expect(ok).To(BeFalse())
 	})
@@ -271,7 +271,7 @@
 			}
 			others = append(others, sent)
 		}
-		r.RecordPeer(time.Unix(0, 0), "other", others)
+		r.RecordPeers(time.Unix(0, 0), router.Peers{Sends: others, Entries: 1})
 		req := router.Request{
 			Service: "s", Prompt: 60000, Output: 800, Prefill: 600 * time.Millisecond, PrefillTargets: 12, PassTime: 60 * time.Millisecond,
 			Objective: 1500 * time.Millisecond, MaxGap: 150 * time.Millisecond,
@@ -381,7 +381,7 @@
 		for range 11 {
 			place(a, shortRequest)
 		}
-		b.RecordPeer(time.Unix(0, 0), "a", a.Sends())
+		b.RecordPeers(time.Unix(0, 0), router.Peers{Sends: a.Sends(), Entries: 1})
 		first := a.Sends()[0].Target
 		place(b, shortRequest)
 		Expect(b.Sends()[0].Target).NotTo(Equal(first), "the first target in rank order is full")
@@ -391,10 +391,8 @@
 	It("does not lead many entries to select the same target, though their reports are old", func() {
 		a, b := newSlotRouter(targetCount), newSlotRouter(targetCount)
 		a.Seed, b.Seed = 1, 2
-		for i := range 30 {
-			for _, r := range []*router.Router{a, b} {
-				r.RecordPeer(time.Unix(0, 0), fmt.Sprint("e", i), nil)
-			}
+		for _, r := range []*router.Router{a, b} {
+			r.RecordPeers(time.Unix(0, 0), router.Peers{Entries: 30})
 		}
 		used, same := map[string]bool{}, 0
 		for range 100 {
@@ -414,21 +412,21 @@
 		two := longRequest
 		two.PrefillTargets = 2
 		p := place(a, two)
-		b.RecordPeer(time.Unix(0, 0), "a", a.Sends())
+		b.RecordPeers(time.Unix(0, 0), router.Peers{Sends: a.Sends(), Entries: 1})
 		q := place(b, two)
 		Expect([]string{q.Target.ID, q.Helpers[0].ID}).NotTo(ContainElements(p.Target.ID))
 		Expect([]string{q.Target.ID, q.Helpers[0].ID}).NotTo(ContainElements(p.Helpers[0].ID))
 	})
 
-	It("expires when an entry becomes unresponsive", func() {
+	It("expires when no reports arrive any more", func() {
 		a, b := newSlotRouter(1), newSlotRouter(1)
 		for range slotsPerTarget {
 			place(a, shortRequest)
 		}
-		b.RecordPeer(time.Unix(0, 0), "a", a.Sends())
+		b.RecordPeers(time.Unix(0, 0), router.Peers{Sends: a.Sends(), Entries: 1})
 		_, ok := b.Pick(time.Unix(0, 0), shortRequest)
 		Expect(ok).To(BeFalse())
-		b.RecordPeer(time.Unix(2, 0), "c", nil)
+		b.Update(time.Unix(2, 0), []messenger.Target{b.Target("t0")})
 		_, ok = b.Pick(time.Unix(2, 0), shortRequest)
 		Expect(ok).To(BeTrue())
 	})
--- a/router/state.go
+++ b/router/state.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bramleyshunt/messenger"
 )
 
@@ -31,6 +33,7 @@
 // targetState is the state of one target as this entry knows it.
 type targetState struct {
 	target       messenger.Target
+	hash         uint64      // of the target's id
 	otherTokens  classTokens // prompt tokens waiting there that other entries sent
 	ownTokens    classTokens // prompt tokens that this entry sent and that are not yet prefilled
 	ownMemory    int         // tokens of memory for requests that this entry sent since the report
@@ -62,7 +65,7 @@
 	for _, t := range targets {
 		s := r.byID[t.ID]
 		if s == nil || s.target.Incarnation != t.Incarnation {
-			s = &targetState{target: t, otherTokens: t.Load.ByClass, reportedAt: now}
+			s = &targetState{target: t, hash: xxhash.Sum64String(t.ID), otherTokens: t.Load.ByClass, reportedAt: now}
 		}
 		s.update(now, t)
 		if len(r.holds) > 0 {
@@ -82,7 +85,7 @@
 		x.complete()
 	}
 	r.byID, r.byName = byID, byName
-	r.sumPeers(now)
+	r.applyPeers(now)
 	r.expireHolds(now)
 }
 
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -23,6 +23,7 @@
 	"bramleyshunt/proposer"
 	"bramleyshunt/publisher"
 	"bramleyshunt/retrier"
+	"bramleyshunt/router"
 	"bramleyshunt/setter"
 	"bramleyshunt/sharer"
 	"bramleyshunt/sleeper"
@@ -174,17 +175,17 @@
 // flight to the other entries.
 func (r *Runner) startSharer() {
 	cfg := sharer.Config{
-		Node: r.cfg.Settings.Node, Address: r.cfg.Settings.Listen, Pool: r.pool, Peers: r.liveEntries,
+		Node: r.cfg.Settings.Node, Address: r.cfg.Settings.Listen, Zone: r.cfg.Settings.Zone, Pool: r.pool, Peers: r.liveEntries,
 		Report: func() messenger.Share { return messenger.Share{Sends: r.Entry.Sends(), Limits: r.Entry.Limits()} },
 		Record: func(m messenger.Share) {
-			r.Entry.RecordSends(m.Node, m.Sends)
-			r.Entry.RecordLimits(m.Node, m.Limits)
+			r.Entry.RecordSends(router.Peers{Sends: m.Sends, Entries: m.Entries, Oldest: time.Duration(m.Oldest) * time.Millisecond})
+			r.Entry.RecordLimits(m.Limits)
 		},
 		Keepers: r.keeperAddresses, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	}
 	if r.cfg.Disabled.Off(switcher.ShareCounts) { // entries still divide retries and rate limits
 		cfg.Report = func() messenger.Share { return messenger.Share{Limits: r.Entry.Limits()} }
-		cfg.Record = func(m messenger.Share) { r.Entry.RecordLimits(m.Node, m.Limits) }
+		cfg.Record = func(m messenger.Share) { r.Entry.RecordLimits(m.Limits) }
 	}
 	s, closer := sharer.New(cfg)
 	r.sharer.Store(s)
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -1,18 +1,21 @@
-// Package sharer reports the number of requests that this entry has in flight at each
-// target to the other entries, so that all of them place requests by the same counts, and
-// the rate limits that targets have named to it. The counts are a hint: an entry that
-// receives none relies on its own counts and on the load that targets report.
+// Package sharer exchanges with the other entries what each has in flight at the targets, so
+// that all of them place requests by the same counts, and the rate limits that targets have
+// named. The counts are a hint: an entry that receives none relies on its own counts and on
+// the load that targets report. Package aggregator decides who sends what to whom.
 package sharer
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"github.com/vmihailenco/msgpack/v5"
 
+	"bramleyshunt/aggregator"
 	"bramleyshunt/defaulter"
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
@@ -24,15 +27,6 @@
 	// ServiceEntries is the service under which entries announce themselves.
 	ServiceEntries = "entries"
 
-	// baseInterval is the part of the minimum interval between two messages to the same
-	// peer that does not depend on the number of peers.
-	baseInterval = 20 * time.Millisecond
-	// intervalPerPeer is added for each peer, so that an entry sends and receives at
-	// most about 200 messages per second, however many peers there are.
-	intervalPerPeer = 5 * time.Millisecond
-	// MaxInterval is the maximum interval between two messages to the same peer. It is
-	// shorter than the time for which the receiver trusts the counts.
-	MaxInterval = 400 * time.Millisecond
 	// announceInterval is the time between two announcements of this entry to keepers.
 	announceInterval = time.Second
 	// callTimeout is the timeout of an announcement and of opening a stream.
@@ -43,10 +37,11 @@
 type Config struct {
 	Node    string
 	Address string // at which other entries reach this one
+	Zone    string // availability zone of this entry
 	Pool    *pooler.Pooler
 	Peers   func() []messenger.Target // live entries, including this one
 	Report  func() messenger.Share    // counts and limits of this entry; Node is filled in
-	Record  func(messenger.Share)     // called with those of another entry
+	Record  func(messenger.Share)     // called with those of all other entries
 	Keepers func() []string           // addresses of keepers
 	Log     *logrus.Entry
 	Metrics metrics.Registry
@@ -59,8 +54,9 @@
 	ctx     context.Context
 	wg      conc.WaitGroup
 
-	mu      sync.Mutex
-	streams map[string]*muxer.Stream // by address of the peer; nil while one is being opened
+	mu         sync.Mutex
+	aggregator aggregator.Aggregator
+	streams    map[string]*muxer.Stream // by address of the peer; nil while one is being opened
 }
 
 // New starts a Sharer. The returned function stops it and waits until its goroutines have
@@ -69,7 +65,10 @@
 	now := time.Now
 	defaulter.Fill(&cfg.Log, &cfg.Metrics, &now)
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Sharer{cfg: cfg, ctx: ctx, changed: make(chan struct{}, 1), streams: map[string]*muxer.Stream{}}
+	s := &Sharer{
+		cfg: cfg, ctx: ctx, changed: make(chan struct{}, 1), streams: map[string]*muxer.Stream{},
+		aggregator: aggregator.Aggregator{Node: cfg.Node},
+	}
 	s.wg.Go(s.announce)
 	s.wg.Go(s.share)
 	return s, func() {
@@ -78,10 +77,6 @@
 	}
 }
 
-// MinInterval returns the minimum interval between two messages to the same peer, given
-// the number of entries including this one.
-func MinInterval(peers int) time.Duration { return baseInterval + time.Duration(peers)*intervalPerPeer }
-
 // Changed signals that the requests that this entry has in flight have changed. It never
 // blocks.
 func (s *Sharer) Changed() {
@@ -95,7 +90,8 @@
 // the other entries.
 func (s *Sharer) announce() {
 	a := &messenger.Announce{Spread: true, Target: messenger.Target{
-		ID: s.cfg.Node, Service: ServiceEntries, Address: s.cfg.Address, Incarnation: uint64(time.Now().UnixNano()),
+		ID: s.cfg.Node, Service: ServiceEntries, Address: s.cfg.Address, Zone: s.cfg.Zone, Incarnation: uint64(time.Now().UnixNano()),
+		Aggregates: true,
 	}}
 	for i := 0; s.ctx.Err() == nil; i++ {
 		if keepers := s.cfg.Keepers(); len(keepers) > 0 {
@@ -118,10 +114,10 @@
 	}
 }
 
-// share sends the counts of this entry to its peers when they change, and at least every
-// MaxInterval.
+// share sends counts to the peers when they change, and at least every
+// aggregator.MaxInterval.
 func (s *Sharer) share() {
-	ticker := time.NewTicker(MaxInterval)
+	ticker := time.NewTicker(aggregator.MaxInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -130,31 +126,47 @@
 		case <-s.changed:
 		case <-ticker.C:
 		}
-		peers := s.cfg.Peers()
-		if len(peers) > 1 {
-			m := s.cfg.Report()
-			m.Node = s.cfg.Node
-			s.send(peers, &m)
+		peers, own := s.cfg.Peers(), s.cfg.Report()
+		s.mu.Lock()
+		messages := s.aggregator.Round(time.Now(), peers, own)
+		others, known := s.aggregator.Others(time.Now())
+		interval := s.aggregator.Interval()
+		s.mu.Unlock()
+		for _, m := range messages {
+			s.send(m)
+		}
+		s.closeStale(peers)
+		if known {
+			s.cfg.Record(others)
 		}
-		_ = sleeper.Sleep(s.ctx, MinInterval(len(peers)))
+		_ = sleeper.Sleep(s.ctx, interval)
 	}
 }
 
-// send sends the counts on the streams to the peers. It opens missing and broken streams
+// send sends a message on the streams to its receivers. It opens missing and broken streams
 // in the background, and skips peers whose stream is being opened.
-func (s *Sharer) send(peers []messenger.Target, m *messenger.Share) {
-	for _, p := range peers {
-		if p.ID == s.cfg.Node {
-			continue
-		}
+func (s *Sharer) send(m aggregator.Message) {
+	body, err := msgpack.Marshal(&m.Share) // once for all receivers
+	if err != nil {
+		s.cfg.Log.WithError(err).Error("could not encode counts")
+		return
+	}
+	s.count(m, len(body))
+	for _, p := range m.To {
 		stream, opening := s.stream(p.Address)
-		if opening || stream != nil && stream.Send(messenger.KindShare, m) == nil {
+		if opening || stream != nil && stream.Send(messenger.KindShare, msgpack.RawMessage(body)) == nil {
 			continue
 		}
 		s.setStream(p.Address, nil)
-		s.wg.Go(func() { s.open(p.Address, m) })
+		s.wg.Go(func() { s.open(p.Address, msgpack.RawMessage(body)) })
 	}
-	s.closeStale(peers)
+}
+
+// count counts the messages and bytes sent, by scope.
+func (s *Sharer) count(m aggregator.Message, size int) {
+	name := "share." + strings.ToLower(strings.TrimPrefix(m.Share.Scope.String(), "Scope"))
+	metrics.GetOrRegisterCounter(name+".messages", s.cfg.Metrics).Inc(int64(len(m.To)))
+	metrics.GetOrRegisterCounter(name+".bytes", s.cfg.Metrics).Inc(int64(len(m.To) * size))
 }
 
 // stream returns the stream to an address, or nil, and reports whether one is being
@@ -180,7 +192,7 @@
 
 // open opens a stream to a peer. It runs in its own goroutine, so that an unreachable peer
 // does not delay the messages to the others.
-func (s *Sharer) open(addr string, m *messenger.Share) {
+func (s *Sharer) open(addr string, m msgpack.RawMessage) {
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
 	var stream *muxer.Stream
@@ -225,10 +237,30 @@
 			s.cfg.Log.WithError(err).Warn("could not decode the counts of another entry")
 			return true
 		}
-		s.cfg.Record(m)
+		s.record(m)
 		var err error
 		if msg, err = stream.Receive(ctx); err != nil || msg.Kind != messenger.KindShare {
 			return true
 		}
 	}
 }
+
+// record records what another entry has sent. A sum over the fleet is used at once; what is
+// to be added up is so in the next round.
+func (s *Sharer) record(m messenger.Share) {
+	now := time.Now()
+	s.mu.Lock()
+	s.aggregator.Record(now, m)
+	var others messenger.Share
+	known := false
+	if m.Scope == messenger.ScopeFleet {
+		others, known = s.aggregator.Others(now)
+	}
+	s.mu.Unlock()
+	if known {
+		s.cfg.Record(others)
+	}
+	if m.Scope != messenger.ScopeFleet {
+		s.Changed()
+	}
+}
