Have the relay of a group place the requests of its members

Cause: with counts 50 to 100 ms old, 103 entries still send short prompts into the same pass of a target; a first token has 300 ms, of which a pass takes 75 to 150. Change: an entry that has picked targets asks the relay of its group, which picks by counts that include all it has placed, and counts that request until the entry reports it. Members report within 5 ms, relays exchange what has changed within 10 ms, sums over the fleet go back to members every 100 ms. An entry that gets no answer in 30 ms uses its own pick, and does so for 200 ms; it also does if it may not send to the choice of the relay. If no target accepts a request, it waits at its entry and is refused as before. Part ask-relay switches it off.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -24,10 +24,15 @@
 	// of them may be lost before counts expire or a relay counts as silent.
 	MaxInterval = 200 * time.Millisecond
 
-	// baseInterval and intervalPerPeer add up to the shortest interval between two messages
-	// to the same entry: a relay sends one to each member and to each other relay.
-	baseInterval    = 20 * time.Millisecond
-	intervalPerPeer = time.Millisecond
+	// memberInterval is the shortest interval between two reports of a member. A relay
+	// places requests by them, and few requests begin or end at one entry.
+	memberInterval = 5 * time.Millisecond
+	// relayInterval is the shortest interval between two sums that a relay sends to the
+	// others: in that time two relays may send a request each to the same target.
+	relayInterval = 10 * time.Millisecond
+	// fleetInterval is the same for the sums that a relay sends to its members, which place
+	// by them only while no relay answers.
+	fleetInterval = 100 * time.Millisecond
 	// maxGroup bounds the entries of a group, as the relay sends each of them the sum over
 	// the fleet.
 	maxGroup = 32
@@ -35,8 +40,15 @@
 	relayTimeout = 500 * time.Millisecond
 	// relayRetry is the time after which a replaced relay is asked again.
 	relayRetry = time.Second
-	// maxUnconfirmed bounds the own reports that are kept until a sum includes them.
+	// maxUnconfirmed bounds the own reports that are kept until a sum includes them: those
+	// of fleetInterval, twice, and of a slow network.
 	maxUnconfirmed = 64
+	// reservedFor is the time after which a reservation is dropped that no report of its
+	// entry has confirmed.
+	reservedFor = 500 * time.Millisecond
+	// transferTime is the time within which a placement reaches the entry that asked for it
+	// and the report of it comes back. A report that arrives later includes it.
+	transferTime = 20 * time.Millisecond
 )
 
 // Message is a Share and the entries to send it to.
@@ -53,11 +65,18 @@
 	peers   []messenger.Target // of the last Round
 	before  []messenger.Target // entries of the own group that precede this one
 	relays  []messenger.Target // first entries of the other groups
-	size    int                // of the own group
 	entries map[string]*report // counts of single entries, by node
 	groups  map[string]*report // sums of other groups, by node of their relay
 	fleet   *report            // sum over the fleet that was received last
 	asked   map[string]*asked  // entries asked to relay, by node
+	relay   *messenger.Target  // of this entry; nil if it relays itself
+
+	reserved []reservation
+
+	toGroups   pace             // of sums to other relays
+	toFleet    pace             // of sums to members
+	sentSums   []messenger.Sent // in the last sum to other relays
+	sentSumSeq uint64           // of that message
 
 	seq         uint64
 	unconfirmed []messenger.Share // own reports sent to relays, oldest first
@@ -70,9 +89,23 @@
 	at time.Time
 }
 
+// reservation is a request that this entry has placed for a member, until a report of the
+// member includes it.
+type reservation struct {
+	node  string
+	at    time.Time
+	sends []messenger.Sent
+}
+
+// pace spaces messages out.
+type pace struct {
+	last time.Time // when one was sent
+	full time.Time // when the last one that amends no other was
+}
+
 // asked is what is known of an entry that was asked to relay.
 type asked struct {
-	since    time.Time // first report to it, or the last answer
+	since    time.Time // first report to it, or the last message that it sent as a relay
 	silentAt time.Time // when it was replaced; zero if it was not
 	retried  time.Time // last report to it since then
 }
@@ -87,15 +120,59 @@
 	case messenger.ScopeEntry, messenger.ScopeMember:
 		a.entries[m.Node] = r
 		delete(a.groups, m.Node) // it does not relay any more
+		a.confirm(now, m.Node)
 	case messenger.ScopeGroup:
+		if m.Base != 0 && !a.amend(r) {
+			return
+		}
 		a.groups[m.Node] = r
 		delete(a.entries, m.Node)
 	case messenger.ScopeFleet:
 		a.fleet = r
-		if s := a.asked[m.Node]; s != nil {
-			*s = asked{since: now}
+	}
+	if s := a.asked[m.Node]; s != nil && m.Scope >= messenger.ScopeGroup {
+		*s = asked{since: now}
+	}
+}
+
+// amend completes a sum that holds only what has changed since another one. It returns false
+// if that one is not known; a whole sum follows then.
+func (a *Aggregator) amend(r *report) bool {
+	base := a.groups[r.Node]
+	if base == nil || base.Seq != r.Base {
+		return false
+	}
+	changed := make(map[uint64]bool, len(r.Sends))
+	for _, s := range r.Sends {
+		changed[s.Target] = true
+	}
+	sends := slices.DeleteFunc(slices.Clone(r.Sends), isZero)
+	for _, s := range base.Sends {
+		if !changed[s.Target] {
+			sends = append(sends, s)
 		}
 	}
+	r.Sends = sends
+	return true
+}
+
+// Reserve counts a request that this entry has placed for a member until the member reports
+// it.
+func (a *Aggregator) Reserve(now time.Time, node string, sends []messenger.Sent) {
+	a.reserved = append(a.reserved, reservation{node: node, at: now, sends: sends})
+}
+
+// confirm drops the reservations that a report of a member includes.
+func (a *Aggregator) confirm(now time.Time, node string) {
+	a.reserved = slices.DeleteFunc(a.reserved, func(r reservation) bool { return r.node == node && now.Sub(r.at) >= transferTime })
+}
+
+// Relay returns the entry that places requests for this one; false if there is none.
+func (a *Aggregator) Relay() (messenger.Target, bool) {
+	if a.relay == nil {
+		return messenger.Target{}, false
+	}
+	return *a.relay, true
 }
 
 // Round returns what to send now, given the live entries, including this one, and the counts
@@ -109,14 +186,13 @@
 		out = append(out, Message{To: direct, Share: own})
 	}
 	a.own = own
-	to, found := a.relayFor(now)
-	if len(to) > 0 && len(a.members()) == 0 {
-		out = append(out, Message{To: to, Share: a.memberReport(now, own)})
-	}
-	if !found || len(a.members()) > 0 {
-		out = append(out, a.relayed(now)...)
+	relay, retry := a.chooseRelay(now)
+	if relay == nil || len(a.members()) > 0 {
+		a.relay = nil
+		return append(out, a.relayed(now)...)
 	}
-	return out
+	a.relay = relay
+	return append(out, Message{To: append(retry, *relay), Share: a.memberReport(now, own)})
 }
 
 // memberReport returns the own report as sent to a relay, and keeps it until a sum includes
@@ -133,24 +209,54 @@
 // over the fleet to its members.
 func (a *Aggregator) relayed(now time.Time) []Message {
 	members := a.members()
-	group := []*report{{Share: a.own, at: now}}
-	var included []messenger.Included
-	for _, r := range members {
-		group = append(group, r)
-		included = append(included, messenger.Included{Node: r.Node, Seq: r.Seq})
-	}
+	group := append([]*report{{Share: a.own, at: now}}, members...)
+	group = append(group, a.reservations(now)...)
 	var out []Message
-	if relays := a.otherRelays(); len(relays) > 0 {
-		out = append(out, Message{To: relays, Share: a.sum(now, messenger.ScopeGroup, group)})
+	if relays := a.otherRelays(); len(relays) > 0 && now.Sub(a.toGroups.last) >= relayInterval {
+		if m, ok := a.groupSum(now, group); ok {
+			out = append(out, Message{To: relays, Share: m})
+		}
 	}
-	if to := a.targets(members); len(to) > 0 {
+	if to := a.targets(members); len(to) > 0 && now.Sub(a.toFleet.last) >= fleetInterval {
+		a.toFleet.last = now
 		all := a.sum(now, messenger.ScopeFleet, append(group, sortedReports(a.groups)...))
-		all.Included = included
+		for _, r := range members {
+			all.Included = append(all.Included, messenger.Included{Node: r.Node, Seq: r.Seq})
+		}
 		out = append(out, Message{To: to, Share: all})
 	}
 	return out
 }
 
+// groupSum returns the sum of the own group, or what has changed since the last one. It
+// returns false if nothing has.
+func (a *Aggregator) groupSum(now time.Time, group []*report) (messenger.Share, bool) {
+	m := a.sum(now, messenger.ScopeGroup, group)
+	sums := m.Sends
+	if now.Sub(a.toGroups.full) >= MaxInterval {
+		a.toGroups.full = now
+	} else {
+		m.Sends, m.Base = changedSums(a.sentSums, sums), a.sentSumSeq
+		if len(m.Sends) == 0 {
+			return m, false
+		}
+	}
+	a.toGroups.last, a.sentSums = now, sums
+	a.sentSumSeq = max(a.sentSumSeq+1, uint64(now.UnixNano())) // differs from those of an earlier start
+	m.Seq = a.sentSumSeq
+	return m, true
+}
+
+// reservations returns the reservations that are in force.
+func (a *Aggregator) reservations(now time.Time) []*report {
+	a.reserved = slices.DeleteFunc(a.reserved, func(r reservation) bool { return now.Sub(r.at) > reservedFor })
+	out := make([]*report, 0, len(a.reserved))
+	for _, r := range a.reserved {
+		out = append(out, &report{Share: messenger.Share{Sends: r.sends}, at: now})
+	}
+	return out
+}
+
 // Others returns the counts and limits of all other entries: Entries of them are known, and
 // Oldest is the age of the oldest report. It returns false if nothing is known.
 func (a *Aggregator) Others(now time.Time) (messenger.Share, bool) {
@@ -160,7 +266,7 @@
 		reports = slices.DeleteFunc(reports, func(r *report) bool { return r.Scope == messenger.ScopeMember })
 		reports = append(reports, a.fleet, a.confirmed())
 	} else {
-		reports = append(reports, sortedReports(a.groups)...)
+		reports = append(append(reports, sortedReports(a.groups)...), a.reservations(now)...)
 	}
 	if len(reports) == 0 {
 		return messenger.Share{}, false
@@ -175,7 +281,7 @@
 
 // usesFleet reports whether the sum that was received is used, in place of one of its own.
 func (a *Aggregator) usesFleet() bool {
-	return a.fleet != nil && len(a.members()) == 0 && len(a.groups) == 0
+	return a.fleet != nil && a.relay != nil
 }
 
 // confirmed returns the own report that the sum over the fleet includes, with negative
@@ -204,18 +310,21 @@
 	return out
 }
 
-// Interval returns the shortest interval between two messages to the same entry.
+// Interval returns the shortest interval between two rounds.
 func (a *Aggregator) Interval() time.Duration {
-	return baseInterval + time.Duration(a.size+len(a.relays))*intervalPerPeer
+	if a.relay != nil {
+		return memberInterval
+	}
+	return relayInterval
 }
 
-// relayFor returns the entries of the group to send the own report to, and reports whether
-// one of them relays. Otherwise this entry relays itself.
-func (a *Aggregator) relayFor(now time.Time) (to []messenger.Target, found bool) {
+// chooseRelay returns the entry of the group that relays for this one, nil if this one relays
+// itself, and those to be asked besides whether they relay again.
+func (a *Aggregator) chooseRelay(now time.Time) (relay *messenger.Target, retry []messenger.Target) {
 	if a.asked == nil {
 		a.asked = map[string]*asked{}
 	}
-	for _, t := range a.before {
+	for i, t := range a.before {
 		s := a.asked[t.ID]
 		if s == nil {
 			s = &asked{since: now}
@@ -223,15 +332,15 @@
 		}
 		switch {
 		case s.silentAt.IsZero() && now.Sub(s.since) < relayTimeout:
-			return append(to, t), true
+			return &a.before[i], retry
 		case s.silentAt.IsZero():
 			s.silentAt, s.retried = now, now
 		case now.Sub(s.retried) >= relayRetry:
 			s.retried = now
-			to = append(to, t)
+			retry = append(retry, t)
 		}
 	}
-	return to, false
+	return nil, nil // the others answer the sums that this one sends them as a relay
 }
 
 // expire drops what is older than ReportTTL.
@@ -255,14 +364,14 @@
 	}) {
 		return
 	}
-	a.peers, a.before, a.relays, a.size = slices.Clone(peers), nil, nil, 1
+	a.peers, a.before, a.relays = slices.Clone(peers), nil, nil
 	for _, g := range groupsOf(peers) {
 		at := slices.IndexFunc(g, func(t messenger.Target) bool { return t.ID == a.Node })
 		if at < 0 {
 			a.relays = append(a.relays, g[0])
 			continue
 		}
-		a.before, a.size = g[:at], len(g)
+		a.before = g[:at]
 	}
 	for node := range a.asked {
 		if !slices.ContainsFunc(a.before, func(t messenger.Target) bool { return t.ID == node }) {
@@ -306,13 +415,10 @@
 }
 
 // otherRelays returns the entries to exchange sums of groups with: the first of each group,
-// and those that have sent one. The first of the own group is one of them if another one
-// relays in its place.
+// those that have sent one, and, if this entry relays in their place, those that precede it in
+// its group.
 func (a *Aggregator) otherRelays() []messenger.Target {
-	out := slices.Clone(a.relays)
-	if len(a.before) > 0 {
-		out = append(out, a.before[0])
-	}
+	out := append(slices.Clone(a.relays), a.before...)
 	for _, t := range a.targets(sortedReports(a.groups)) {
 		if !slices.ContainsFunc(out, func(o messenger.Target) bool { return o.ID == t.ID }) {
 			out = append(out, t)
--- a/aggregator/sum.go
+++ b/aggregator/sum.go
@@ -30,13 +30,39 @@
 		s := sums[target]
 		s.InFlight, s.PendingPrefill = max(0, s.InFlight), max(0, s.PendingPrefill)
 		s.Memory, s.Unsplit = max(0, s.Memory), max(0, s.Unsplit)
-		if s.InFlight > 0 || s.PendingPrefill > 0 || s.Memory > 0 {
+		if !isZero(s) {
 			out = append(out, s)
 		}
 	}
 	return out
 }
 
+func isZero(s messenger.Sent) bool {
+	return s.InFlight <= 0 && s.PendingPrefill <= 0 && s.Memory <= 0
+}
+
+// changedSums returns the sums of now that differ from before; a target that has none any
+// more has zero counts. Both are sorted by target.
+func changedSums(before, now []messenger.Sent) []messenger.Sent {
+	var out []messenger.Sent
+	for len(before) > 0 || len(now) > 0 {
+		switch {
+		case len(now) == 0 || len(before) > 0 && before[0].Target < now[0].Target:
+			out = append(out, messenger.Sent{Target: before[0].Target})
+			before = before[1:]
+		case len(before) == 0 || now[0].Target < before[0].Target:
+			out = append(out, now[0])
+			now = now[1:]
+		default:
+			if now[0] != before[0] {
+				out = append(out, now[0])
+			}
+			before, now = before[1:], now[1:]
+		}
+	}
+	return out
+}
+
 // shorterGap returns the shorter of two gaps, of which zero means that there is no bound.
 func shorterGap(a, b int) int {
 	if a == 0 || b == 0 {
--- a/bencher/fleetentry.go
+++ b/bencher/fleetentry.go
@@ -16,6 +16,10 @@
 	"bramleyshunt/switcher"
 )
 
+// placeInterval is the time after which the relay is asked again for a call that no target
+// accepted.
+const placeInterval = 20 * time.Millisecond
+
 // maxAttempts limits the targets that a call is sent to.
 const maxAttempts = 3
 
@@ -169,11 +173,59 @@
 			e.f.finish(c)
 			continue
 		}
-		placed.reserveHelperMemory()
+		e.askRelay(placed)
 		e.shareSends()
 	}
 }
 
+// askRelay has the relay of this entry, if it has one, choose the targets of a call in place
+// of those picked here, and sends the call.
+func (e *fleetEntry) askRelay(p *placement) {
+	t, ok := e.aggregator.Relay()
+	relay := e.f.entryNamed(t.ID)
+	if !ok || relay == nil || relay.killed || p.ticket.Prefill == 0 || e.f.Disabled.Off(switcher.AskRelay) {
+		p.reserveHelperMemory()
+		return
+	}
+	queued := p.ticket.QueueTime(e.f.now)
+	e.f.send(func() {
+		pick, found := relay.scheduler.PlaceFor(e.f.now, p.ticket, queued, func(sends []messenger.Sent) {
+			relay.aggregator.Reserve(e.f.now, e.name, sends)
+		})
+		relay.shareSends()
+		e.f.send(func() {
+			switch {
+			case found && e.scheduler.Move(e.f.now, p.ticket, p.pick, pick):
+				p.pick = pick
+				e.shareSends()
+				p.reserveHelperMemory()
+			case found:
+				p.reserveHelperMemory()
+			default:
+				e.placeLater(p)
+			}
+		})
+	})
+}
+
+// placeLater queues a call again that no target accepts now.
+func (e *fleetEntry) placeLater(p *placement) {
+	p.end()
+	if p.call.done {
+		return
+	}
+	if err := e.scheduler.CheckHeavy(e.f.now, p.ticket); err != nil {
+		e.f.refuse(p.call, coder.Of(err).Retry)
+		return
+	}
+	t := *p.ticket
+	e.f.after(placeInterval, func() {
+		if !p.call.done {
+			e.enqueue(p.call, &t)
+		}
+	})
+}
+
 // shareSends exchanges the requests in flight with the other entries, as package sharer
 // does: after a change, at most once per aggregator.Aggregator.Interval.
 func (e *fleetEntry) shareSends() {
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync/atomic"
@@ -143,8 +144,11 @@
 		}
 		select {
 		case p := <-placed:
-			a.pick, a.since = p.Pick, x.cd.cfg.Now()
-			return p.Err
+			again, err := a.confirm(bound, p, suspect)
+			if !again {
+				return err
+			}
+			placed = x.cd.control.enqueue(a.ticket, suspect)
 		case <-changed:
 		case <-bound.Done():
 			x.cd.control.abandon(a.ticket, placed)
@@ -153,6 +157,21 @@
 	}
 }
 
+// confirm takes the targets of a placement, or those that the relay picks in their place. It
+// returns true if the request is to be placed again.
+func (a *attempt) confirm(ctx context.Context, p scheduler.Placement, suspect bool) (again bool, err error) {
+	cd := a.x.cd
+	if p.Err == nil && !suspect { // the relay knows of no suspects
+		p.Pick, err = cd.askRelay(ctx, a.ticket, p.Pick)
+	}
+	if errors.Is(err, errNoTargetNow) {
+		err = cd.control.returnPlacement(ctx, a.ticket, p.Pick)
+		return err == nil, err
+	}
+	a.pick, a.since = p.Pick, cd.cfg.Now()
+	return false, p.Err
+}
+
 // send runs the request at the picked target.
 func (a *attempt) send() error {
 	x, pick, prefilling := a.x, a.pick, true
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -38,21 +38,22 @@
 // zero fields select defaults.
 type Config struct {
 	Settings       *setter.Setter
-	View           func() *watcher.View                                             // the current view; returns nil until one is confirmed
-	Ready          func() error                                                     // fails with code Stale if the view cannot be confirmed
-	Pool           *pooler.Pooler                                                   // connections to agents
-	Call           func(ctx context.Context, kind messenger.Kind, v, out any) error // sends a request to the leading keeper
-	ReserveTimeout time.Duration                                                    // for the answer to a reservation; the dispatcher's default if zero
-	Exchange       func(ctx context.Context, a *Attempt) error                      // runs an attempt; nil runs it through the target's agent
-	BodyTimeout    time.Duration                                                    // for receiving a request body; DefaultBodyTimeout if zero
-	RetryRatio     float64                                                          // retries that a request earns its service if the configuration sets none; the retrier's default if zero
-	MaxRetryBudget func(*watcher.View) float64                                      // max retry budget of a service in this process; the retrier's default if nil or zero
-	Entries        func(*watcher.View) []string                                     // node names of the live entries in a view; nil stands for this process alone
-	RetryWindow    time.Duration                                                    // after which spent retries are given back, and in which the budget holds across restarts; zero for neither
-	Allocator      *allocator.Allocator                                             // reserves memory at helpers; required with Exchange
-	Disabled       switcher.Switcher                                                // parts of the policy that are switched off
-	IDPerStart     bool                                                             // targets use a new id at each start
-	SendsChanged   func()                                                           // called when the result of Sends or Limits has changed; may be nil
+	View           func() *watcher.View                                               // the current view; returns nil until one is confirmed
+	Ready          func() error                                                       // fails with code Stale if the view cannot be confirmed
+	Pool           *pooler.Pooler                                                     // connections to agents
+	Call           func(ctx context.Context, kind messenger.Kind, v, out any) error   // sends a request to the leading keeper
+	ReserveTimeout time.Duration                                                      // for the answer to a reservation; the dispatcher's default if zero
+	Exchange       func(ctx context.Context, a *Attempt) error                        // runs an attempt; nil runs it through the target's agent
+	BodyTimeout    time.Duration                                                      // for receiving a request body; DefaultBodyTimeout if zero
+	RetryRatio     float64                                                            // retries that a request earns its service if the configuration sets none; the retrier's default if zero
+	MaxRetryBudget func(*watcher.View) float64                                        // max retry budget of a service in this process; the retrier's default if nil or zero
+	Entries        func(*watcher.View) []string                                       // node names of the live entries in a view; nil stands for this process alone
+	RetryWindow    time.Duration                                                      // after which spent retries are given back, and in which the budget holds across restarts; zero for neither
+	Allocator      *allocator.Allocator                                               // reserves memory at helpers; required with Exchange
+	Disabled       switcher.Switcher                                                  // parts of the policy that are switched off
+	IDPerStart     bool                                                               // targets use a new id at each start
+	SendsChanged   func()                                                             // called when the result of Sends or Limits has changed; may be nil
+	Place          func(context.Context, *messenger.Place) (*messenger.Placed, error) // asks the entry that places requests for this one; nil without an error if there is none, nil if there never is
 	Log            *logrus.Entry
 	Metrics        metrics.Registry
 	Now            func() time.Time
@@ -72,6 +73,7 @@
 	nextID       atomic.Uint64
 	ctx          context.Context // for work that outlives its request
 	started      time.Time
+	placeAfter   atomic.Int64 // Config.Place is not called before, nanoseconds since the Unix epoch
 	wasReady     atomic.Bool  // Ready has succeeded at least once
 	heldRequests atomic.Int64 // requests waiting in AwaitReady
 
--- /dev/null
+++ b/conductor/relay.go
@@ -0,0 +1,130 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/messenger"
+	"bramleyshunt/router"
+	"bramleyshunt/scheduler"
+	"bramleyshunt/sleeper"
+	"bramleyshunt/switcher"
+)
+
+const (
+	// placeTimeout bounds the wait for the target that the relay picks. It is far above the
+	// round trip within a zone, and a small part of any objective.
+	placeTimeout = 30 * time.Millisecond
+	// placeBackoff is the time after a relay that did not answer in which requests are placed
+	// without it.
+	placeBackoff = 200 * time.Millisecond
+	// placeInterval is the time after which the relay is asked again for a request that no
+	// target accepted.
+	placeInterval = 20 * time.Millisecond
+)
+
+// errNoTargetNow says that no target accepts a request now, by the counts of the relay.
+var errNoTargetNow = coder.Errorf(coder.Busy, "no target accepts the request now")
+
+// askRelay has the relay pick the targets of a request in place of those that were picked
+// here: it knows of all requests that it has placed for the entries of its group, and of those of
+// other groups sooner. The targets picked here are used if the relay can't be asked, or if
+// this entry may not send to its choice.
+func (cd *Conductor) askRelay(ctx context.Context, t *scheduler.Ticket, pick router.Pick) (router.Pick, error) {
+	now := cd.cfg.Now()
+	if cd.cfg.Place == nil || t.Prefill == 0 || now.UnixNano() < cd.placeAfter.Load() || cd.cfg.Disabled.Off(switcher.AskRelay) {
+		return pick, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	out, err := cd.cfg.Place(ctx, &messenger.Place{
+		Node: cd.cfg.Settings.Node, Service: t.Service, Prompt: t.Prompt, Output: t.Output, Exclude: t.Exclude,
+		Prefill: t.Prefill, PrefillTargets: t.PrefillTargets, Objective: t.Objective, MaxGap: t.MaxGap, PassTime: t.PassTime,
+		Queued: t.QueueTime(now),
+	})
+	log := cd.cfg.Log.WithFields(logrus.Fields{"id": t.ID, "target": pick.Target.ID})
+	switch {
+	case err != nil:
+		cd.placeAfter.Store(cd.cfg.Now().Add(placeBackoff).UnixNano())
+		cd.meter.count("relay.failed")
+		log.WithError(err).Info("relay did not answer, placing without it")
+		return pick, nil
+	case out == nil:
+		return pick, nil
+	case out.Target == nil:
+		cd.meter.count("relay.none")
+		return pick, errNoTargetNow
+	}
+	moved, ok := cd.control.move(t, pick, out)
+	if !ok {
+		cd.meter.count("relay.unusable")
+		log.WithField("relayed", out.Target.ID).Info("may not send to the target that the relay picked")
+		return pick, nil
+	}
+	cd.meter.count("relay.placed")
+	return moved, nil
+}
+
+// move replaces the targets of a placed request by those that the relay has picked, and
+// reports whether this entry may send to them.
+func (c *control) move(t *scheduler.Ticket, from router.Pick, m *messenger.Placed) (to router.Pick, ok bool) {
+	c.do(func() {
+		target := func(p messenger.PlacedTarget) messenger.Target {
+			known := c.scheduler.Router.Target(p.ID)
+			known.ID, known.Incarnation = p.ID, p.Incarnation // refused below if it is not the known one
+			return known
+		}
+		to = router.Pick{Target: target(*m.Target), Running: m.Running}
+		for _, h := range m.Helpers {
+			to.Helpers, to.HelperMemory = append(to.Helpers, target(h)), append(to.HelperMemory, h.Memory)
+		}
+		if ok = c.scheduler.Move(c.cfg.Now(), t, from, to); ok {
+			c.notifySendsChanged()
+		}
+	})
+	return to, ok
+}
+
+// returnPlacement gives up the targets of a request that was placed but not sent, and waits until
+// it may be placed again. It returns the error to end the request with if it has waited for
+// too long.
+func (c *control) returnPlacement(ctx context.Context, t *scheduler.Ticket, pick router.Pick) (err error) {
+	c.do(func() {
+		c.scheduler.PrefillDone(t, pick, 0)
+		c.scheduler.Ended(t, pick)
+		c.notifySendsChanged()
+		err = c.scheduler.CheckHeavy(c.cfg.Now(), t)
+	})
+	if err == nil {
+		_ = sleeper.Sleep(ctx, placeInterval) // the caller notices the end of the context
+	}
+	return err
+}
+
+// PlaceFor picks the targets of a request that another entry has admitted. reserve is called with
+// the counts of the request.
+func (cd *Conductor) PlaceFor(m *messenger.Place, reserve func([]messenger.Sent)) *messenger.Placed {
+	t := &scheduler.Ticket{
+		Service: m.Service, Prompt: m.Prompt, Output: m.Output, Exclude: m.Exclude, Prefill: m.Prefill, PrefillTargets: m.PrefillTargets,
+		Objective: m.Objective, MaxGap: m.MaxGap, PassTime: m.PassTime,
+	}
+	out := &messenger.Placed{}
+	c := cd.control
+	c.do(func() {
+		c.refreshView()
+		pick, ok := c.scheduler.PlaceFor(c.cfg.Now(), t, m.Queued, reserve)
+		if !ok {
+			return
+		}
+		out.Running = pick.Running
+		out.Target = &messenger.PlacedTarget{ID: pick.Target.ID, Incarnation: pick.Target.Incarnation}
+		for i, h := range pick.Helpers {
+			out.Helpers = append(out.Helpers, messenger.PlacedTarget{ID: h.ID, Incarnation: h.Incarnation, Memory: pick.HelperMemory[i]})
+		}
+	})
+	cd.meter.count("relay.answered")
+	return out
+}
--- a/messenger/kind_string.go
+++ b/messenger/kind_string.go
@@ -48,11 +48,13 @@
 	_ = x[KindStand-37]
 	_ = x[KindForward-38]
 	_ = x[KindShare-39]
+	_ = x[KindPlace-40]
+	_ = x[KindPlaced-41]
 }
 
-const _Kind_name = "KindNoneKindFailedKindReserveKindReservedKindRunKindChunkKindEndKindVoidKindVoidedKindCancelKindCancelledKindResumeKindReleaseKindAnnounceKindAnnouncedKindWatchKindUpdateKindClaimKindClaimedKindProposeKindProposedKindVoteKindVotedKindAppendKindAppendedKindInstallKindInstalledKindOrderKindOrderedKindSuspectKindProbeKindProbedKindFoundKindConfirmKindConfirmedKindNodesKindNodesListedKindStandKindForwardKindShare"
+const _Kind_name = "KindNoneKindFailedKindReserveKindReservedKindRunKindChunkKindEndKindVoidKindVoidedKindCancelKindCancelledKindResumeKindReleaseKindAnnounceKindAnnouncedKindWatchKindUpdateKindClaimKindClaimedKindProposeKindProposedKindVoteKindVotedKindAppendKindAppendedKindInstallKindInstalledKindOrderKindOrderedKindSuspectKindProbeKindProbedKindFoundKindConfirmKindConfirmedKindNodesKindNodesListedKindStandKindForwardKindShareKindPlaceKindPlaced"
 
-var _Kind_index = [...]uint16{0, 8, 18, 29, 41, 48, 57, 64, 72, 82, 92, 105, 115, 126, 138, 151, 160, 170, 179, 190, 201, 213, 221, 230, 240, 252, 263, 276, 285, 296, 307, 316, 326, 335, 346, 359, 368, 383, 392, 403, 412}
+var _Kind_index = [...]uint16{0, 8, 18, 29, 41, 48, 57, 64, 72, 82, 92, 105, 115, 126, 138, 151, 160, 170, 179, 190, 201, 213, 221, 230, 240, 252, 263, 276, 285, 296, 307, 316, 326, 335, 346, 359, 368, 383, 392, 403, 412, 421, 431}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -67,6 +67,9 @@
 	KindForward
 	// Entry to entry: requests in flight by target.
 	KindShare
+	// Entry to entry: the target of a request.
+	KindPlace
+	KindPlaced
 )
 
 // Class is the length class of a prompt.
--- /dev/null
+++ b/messenger/place.go
@@ -0,0 +1,34 @@
+package messenger
+
+import "time"
+
+// Place asks another entry, which knows the counts of all entries best, for the target of a
+// request that the sender has admitted.
+type Place struct {
+	Node           string        `msgpack:"node"` // entry that sends the request
+	Service        string        `msgpack:"service"`
+	Prompt         int           `msgpack:"prompt"`  // tokens
+	Output         int           `msgpack:"output"`  // tokens
+	Exclude        []string      `msgpack:"exclude"` // targets that failed or refused it
+	Prefill        time.Duration `msgpack:"prefill"` // on one target
+	PrefillTargets int           `msgpack:"targets"` // that should share the prefill
+	Objective      time.Duration `msgpack:"objective"`
+	MaxGap         time.Duration `msgpack:"gap"`
+	PassTime       time.Duration `msgpack:"pass"`
+	Queued         time.Duration `msgpack:"queued"` // so far
+}
+
+// Placed answers a Place. Without a target, none accepts the request now.
+type Placed struct {
+	Target  *PlacedTarget  `msgpack:"target"`
+	Helpers []PlacedTarget `msgpack:"helpers"`
+	Running int            `msgpack:"running"` // known requests at the target
+}
+
+// PlacedTarget is a target of a request, and the tokens of memory to reserve there if it
+// helps.
+type PlacedTarget struct {
+	ID          string `msgpack:"id"`
+	Incarnation uint64 `msgpack:"incarnation"`
+	Memory      int    `msgpack:"memory"`
+}
--- a/messenger/share.go
+++ b/messenger/share.go
@@ -22,7 +22,8 @@
 	Limits []Limit `msgpack:"limits,omitempty"`
 
 	Scope    Scope      `msgpack:"scope,omitempty"`
-	Seq      uint64     `msgpack:"seq,omitempty"`      // of ScopeMember: increases with each report of the sender
+	Seq      uint64     `msgpack:"seq,omitempty"`      // of ScopeMember and ScopeGroup: increases with each one of the sender
+	Base     uint64     `msgpack:"base,omitempty"`     // of ScopeGroup: Sends holds only targets whose sums have changed since this one; zero if it holds all
 	Included []Included `msgpack:"included,omitempty"` // of ScopeFleet: the reports of the members that it includes
 	Entries  int        `msgpack:"entries,omitempty"`  // of ScopeGroup and ScopeFleet: number of entries
 	Oldest   int        `msgpack:"oldest,omitempty"`   // likewise: milliseconds since the oldest report was received
@@ -37,10 +38,10 @@
 
 // Limit is a rate limit that an entry has observed in an answer of a target.
 type Limit struct {
-	Target      uint64  `msgpack:"target"`      // hash of the target's id
-	Incarnation uint64  `msgpack:"incarnation"` // of the target
-	Rate        float64 `msgpack:"rate"`        // requests per second that the target accepts from all entries together; zero if it named none
-	Age         int     `msgpack:"age"`         // milliseconds since the answer
+	Target      uint64  `msgpack:"target"`             // hash of the target's id
+	Incarnation uint64  `msgpack:"incarnation"`        // of the target
+	Rate        float64 `msgpack:"rate"`               // requests per second that the target accepts from all entries together; zero if it named none
+	Age         int     `msgpack:"age"`                // milliseconds since the answer
 	Observer    string  `msgpack:"observer,omitempty"` // node name of the entry, if another one passes the limit on
 }
 
--- a/router/peers.go
+++ b/router/peers.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bramleyshunt/aggregator"
 	"bramleyshunt/messenger"
 )
@@ -51,6 +53,54 @@
 	r.applyPeers(now)
 }
 
+// AddPeer adds the counts of a request that another entry has in flight, until the next call
+// of RecordPeers.
+func (r *Router) AddPeer(now time.Time, sends []messenger.Sent) {
+	if r.peers.byHash == nil {
+		r.peers = peerSums{at: now, byHash: map[uint64]messenger.Sent{}}
+	}
+	r.peers.entries = max(1, r.peers.entries)
+	for _, s := range sends {
+		sum := r.peers.byHash[s.Target]
+		sum.InFlight += s.InFlight
+		sum.PendingPrefill += s.PendingPrefill
+		sum.Memory += s.Memory
+		sum.Unsplit += s.Unsplit
+		sum.MinGap = shorterGap(sum.MinGap, s.MinGap)
+		r.peers.byHash[s.Target] = sum
+	}
+	r.applyPeers(now)
+}
+
+// Counts returns what a request adds to the counts of the targets that were picked for it.
+func (r *Router) Counts(p Pick, req Request) []messenger.Sent {
+	part := int((req.Prefill / time.Duration(1+len(p.Helpers))).Milliseconds())
+	first := messenger.Sent{
+		Target: xxhash.Sum64String(p.Target.ID), InFlight: 1, PendingPrefill: part, Memory: req.Prompt + req.Output, MinGap: int(req.MaxGap.Milliseconds()),
+	}
+	if req.PrefillTargets <= 1 {
+		first.Unsplit = 1
+	}
+	out := []messenger.Sent{first}
+	for i, t := range p.Helpers {
+		out = append(out, messenger.Sent{Target: xxhash.Sum64String(t.ID), PendingPrefill: part, Memory: p.HelperMemory[i]})
+		out[0].Memory = max(0, out[0].Memory-p.HelperMemory[i])
+	}
+	return out
+}
+
+// Accepts reports whether this entry may send a request to targets that another entry has
+// picked for it.
+func (r *Router) Accepts(now time.Time, p Pick) bool {
+	for _, t := range append([]messenger.Target{p.Target}, p.Helpers...) {
+		s := r.byID[t.ID]
+		if s == nil || s.target.Incarnation != t.Incarnation || s.target.Leaving || now.Before(s.refusedUntil) || !s.limit.allows(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // PeerAge returns the age of the oldest report of another entry that is in use, and the
 // number of entries whose reports are.
 func (r *Router) PeerAge(now time.Time) (oldest time.Duration, entries int) {
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -157,6 +158,7 @@
 		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
 		View:  r.watcher.View,
 		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, IDPerStart: r.cfg.IDPerStart, MaxRetryBudget: r.maxRetryBudget, Entries: entryNames, Seed: rand.Uint64(),
+		Place:    r.askRelay,
 		Disabled: r.cfg.Disabled, RetryRatio: r.cfg.RetryRatio, RetryWindow: r.cfg.RetryWindow,
 		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
@@ -181,7 +183,7 @@
 			r.Entry.RecordSends(router.Peers{Sends: m.Sends, Entries: m.Entries, Oldest: time.Duration(m.Oldest) * time.Millisecond})
 			r.Entry.RecordLimits(m.Limits)
 		},
-		Keepers: r.keeperAddresses, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
+		Place: r.Entry.PlaceFor, Keepers: r.keeperAddresses, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	}
 	if r.cfg.Disabled.Off(switcher.ShareCounts) { // entries still divide retries and rate limits
 		cfg.Report = func() messenger.Share { return messenger.Share{Limits: r.Entry.Limits()} }
@@ -193,6 +195,15 @@
 	r.handlers = append(r.handlers, s.Handle)
 }
 
+// askRelay asks the entry that places requests for this one, if there is one.
+func (r *Runner) askRelay(ctx context.Context, m *messenger.Place) (*messenger.Placed, error) {
+	s := r.sharer.Load()
+	if s == nil {
+		return nil, nil
+	}
+	return s.Ask(ctx, m)
+}
+
 func (r *Runner) notifySharer() {
 	if s := r.sharer.Load(); s != nil {
 		s.Changed()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -307,10 +307,8 @@
 		s.Router.Sent(now, pick, req)
 		return Placement{Ticket: t, Pick: pick}, true
 	}
-	if s.Router.ShouldRefuse(req) {
-		e := coder.Errorf(coder.Overloaded, "a read of about %d tokens would hold up streams at every target", t.Prompt)
-		e.Retry = s.Admitter.RetryAfter(0)
-		return Placement{Ticket: t, Err: e}, true
+	if err := s.CheckHeavy(now, t); err != nil {
+		return Placement{Ticket: t, Err: err}, true
 	}
 	if err := s.checkLimits(now, t, 0); err != nil {
 		return Placement{Ticket: t, Err: err}, true
@@ -321,6 +319,53 @@
 	return Placement{Ticket: t, Err: s.noTarget(t)}, true
 }
 
+// CheckHeavy returns the error to refuse a ticket with that no target accepts beside its
+// streams, and that has waited for long enough; nil for others.
+func (s *Scheduler) CheckHeavy(now time.Time, t *Ticket) error {
+	req := toRequest(t)
+	req.QueueTime = t.QueueTime(now)
+	if !s.Router.ShouldRefuse(req) {
+		return nil
+	}
+	e := coder.Errorf(coder.Overloaded, "a read of about %d tokens would hold up streams at every target", t.Prompt)
+	e.Retry = s.Admitter.RetryAfter(0)
+	return e
+}
+
+// PlaceFor picks the targets of a request that another entry has in its queue, and counts
+// the request there until that entry reports it. reserve is called with these counts.
+func (s *Scheduler) PlaceFor(now time.Time, t *Ticket, queued time.Duration, reserve func([]messenger.Sent)) (router.Pick, bool) {
+	req := toRequest(t)
+	req.QueueTime = queued
+	pick, ok := s.Router.Pick(now, req)
+	if ok {
+		counts := s.Router.Counts(pick, req)
+		reserve(counts)
+		s.Router.AddPeer(now, counts)
+	}
+	return pick, ok
+}
+
+// QueueTime returns how long the placement of a ticket has been attempted.
+func (t *Ticket) QueueTime(now time.Time) time.Duration {
+	if t.firstAttempt.IsZero() {
+		return 0
+	}
+	return now.Sub(t.firstAttempt)
+}
+
+// Move replaces the targets of a ticket that was placed but not sent. It returns false if
+// this entry may not send to the new ones.
+func (s *Scheduler) Move(now time.Time, t *Ticket, from, to router.Pick) bool {
+	if !s.Router.Accepts(now, to) {
+		return false
+	}
+	s.Router.PrefillDone(from, toRequest(t))
+	s.Router.Ended(from, toRequest(t))
+	s.Router.Sent(now, to, toRequest(t))
+	return true
+}
+
 // recordDrain updates the drain rate of a queue after a dispatch.
 func (s *Scheduler) recordDrain(now time.Time, k queueKey, placed []Placement) {
 	tokens := 0
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -39,10 +39,11 @@
 	Address string // at which other entries reach this one
 	Zone    string // availability zone of this entry
 	Pool    *pooler.Pooler
-	Peers   func() []messenger.Target // live entries, including this one
-	Report  func() messenger.Share    // counts and limits of this entry; Node is filled in
-	Record  func(messenger.Share)     // called with those of all other entries
-	Keepers func() []string           // addresses of keepers
+	Peers   func() []messenger.Target                                                  // live entries, including this one
+	Report  func() messenger.Share                                                     // counts and limits of this entry; Node is filled in
+	Record  func(messenger.Share)                                                      // called with those of all other entries
+	Keepers func() []string                                                            // addresses of keepers
+	Place   func(m *messenger.Place, reserve func([]messenger.Sent)) *messenger.Placed // picks the targets of another entry's request
 	Log     *logrus.Entry
 	Metrics metrics.Registry
 }
@@ -224,10 +225,14 @@
 	}
 }
 
-// Handle reports whether the first message of a stream holds the counts of another entry.
-// If so, it records the counts that arrive on the stream until the stream ends. Otherwise
-// it returns at once and leaves the stream to other handlers.
+// Handle reports whether the first message of a stream holds the counts of another entry, or
+// asks for the target of a request. In the first case it records the counts that arrive on the
+// stream until the stream ends. Otherwise it returns at once.
 func (s *Sharer) Handle(ctx context.Context, stream *muxer.Stream, first muxer.Message) bool {
+	if first.Kind == messenger.KindPlace {
+		s.place(stream, first)
+		return true
+	}
 	if first.Kind != messenger.KindShare {
 		return false
 	}
--- a/switcher/part_string.go
+++ b/switcher/part_string.go
@@ -18,21 +18,22 @@
 	_ = x[PassWaiting-7]
 	_ = x[RefuseLate-8]
 	_ = x[ShareCounts-9]
-	_ = x[HoldAtStart-10]
-	_ = x[GiveUpSilent-11]
-	_ = x[RememberTargets-12]
-	_ = x[Lanes-13]
-	_ = x[OwnSends-14]
-	_ = x[PrefixCache-15]
-	_ = x[WaitBound-16]
-	_ = x[ClassWait-17]
-	_ = x[RoomCheck-18]
-	_ = x[Aging-19]
+	_ = x[AskRelay-10]
+	_ = x[HoldAtStart-11]
+	_ = x[GiveUpSilent-12]
+	_ = x[RememberTargets-13]
+	_ = x[Lanes-14]
+	_ = x[OwnSends-15]
+	_ = x[PrefixCache-16]
+	_ = x[WaitBound-17]
+	_ = x[ClassWait-18]
+	_ = x[RoomCheck-19]
+	_ = x[Aging-20]
 }
 
-const _Part_name = "first-fitsplit-prefillrefuse-heavykeep-apartgroup-decodeidle-queuespare-targetspass-waitingrefuse-lateshare-countshold-at-startgive-up-silentremember-targetslanesown-sendsprefix-cachewait-boundclass-waitroom-checkaging"
+const _Part_name = "first-fitsplit-prefillrefuse-heavykeep-apartgroup-decodeidle-queuespare-targetspass-waitingrefuse-lateshare-countsask-relayhold-at-startgive-up-silentremember-targetslanesown-sendsprefix-cachewait-boundclass-waitroom-checkaging"
 
-var _Part_index = [...]uint8{0, 9, 22, 34, 44, 56, 66, 79, 91, 102, 114, 127, 141, 157, 162, 171, 183, 193, 203, 213, 218}
+var _Part_index = [...]uint8{0, 9, 22, 34, 44, 56, 66, 79, 91, 102, 114, 123, 136, 150, 166, 171, 180, 192, 202, 212, 222, 227}
 
 func (i Part) String() string {
 	idx := int(i) - 0
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -29,6 +29,7 @@
 	PassWaiting                 // pass-waiting
 	RefuseLate                  // refuse-late
 	ShareCounts                 // share-counts
+	AskRelay                    // ask-relay
 	HoldAtStart                 // hold-at-start
 	GiveUpSilent                // give-up-silent
 	RememberTargets             // remember-targets
@@ -55,6 +56,7 @@
 	PassWaiting:     "place requests behind one that waits for targets",
 	RefuseLate:      "refuse requests that are predicted to miss their deadline",
 	ShareCounts:     "tell other entries the requests in flight",
+	AskRelay:        "have one entry of each zone place the requests of the others there",
 	HoldAtStart:     "hold requests until the first confirmed view",
 	GiveUpSilent:    "try another target when one sends nothing",
 	RememberTargets: "restore the recorded targets when a keeper starts",
