Compress configuration files on their way to watchers

Change: keepers compress a file once for all watchers that say that they accept it (package packer); others get it as it is.

--- a/messenger/keeper.go
+++ b/messenger/keeper.go
@@ -40,12 +40,16 @@
 	Lean bool `msgpack:"lean"`
 	// Seq increases with each Watch of a stream; see Update.Seq.
 	Seq uint64 `msgpack:"seq"`
+	// Packs reports that the watcher accepts compressed files.
+	Packs bool `msgpack:"packs,omitempty"`
 }
 
-// File is one configuration file. In an Update, nil Data removes the file.
+// File is one configuration file. In an Update, nil Data removes the file unless it is
+// compressed.
 type File struct {
-	Name string `msgpack:"name"`
-	Data []byte `msgpack:"data"`
+	Name   string `msgpack:"name"`
+	Data   []byte `msgpack:"data"`
+	Packed []byte `msgpack:"packed,omitempty"` // Data, compressed by package packer
 }
 
 // Update carries the changes since the previous Update of the same stream. The
--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -198,7 +198,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := &cursor{configOnly: w.Lean, version: w.Version}
+	c := &cursor{configOnly: w.Lean, version: w.Version, packs: w.Packs}
 	p.recordWatch(ctx, c, &w)
 	p.confirm.request()
 	var wg conc.WaitGroup
@@ -244,6 +244,7 @@
 		st := p.state.Load()
 		if u := c.nextUpdate(st, p.cfg.Now()); u != nil {
 			p.count("publisher.update")
+			p.packFiles(c, u)
 			if s.Send(messenger.KindUpdate, u) != nil {
 				return
 			}
@@ -257,3 +258,16 @@
 		}
 	}
 }
+
+// packFiles compresses the files of an update if the watcher accepts that.
+func (p *Publisher) packFiles(c *cursor, u *messenger.Update) {
+	if !c.packs || len(u.Files) == 0 {
+		return
+	}
+	files, err := p.packer.Pack(u.Files)
+	if err != nil {
+		p.cfg.Log.WithError(err).Warn("could not compress the configuration, sending it as it is")
+		return
+	}
+	u.Files = files
+}
--- a/publisher/operator_test.go
+++ b/publisher/operator_test.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -15,6 +17,7 @@
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
 	"bramleyshunt/operator"
+	"bramleyshunt/packer"
 	"bramleyshunt/watcher"
 )
 
@@ -84,6 +87,35 @@
 		}).WithTimeout(eventTimeout).Should(Equal([]administrator.Node{{Node: "n1", Version: 2}, {Node: "n2", Version: 2}}))
 	})
 
+	It("compresses a folder only for watchers that accept it", func() {
+		f := newFleet(GinkgoTB())
+		o := f.startAdministrators()
+		dir := write(GinkgoT().TempDir(), 1)
+		comment := "// " + strings.Repeat("a long comment ", 1000) + "\n{}\n"
+		Expect(os.WriteFile(filepath.Join(dir, "zz.json"), []byte(comment), 0o600)).To(Succeed())
+		_, err := o.Apply(ctx, dir, operator.Options{})
+		Expect(err).NotTo(HaveOccurred())
+		for _, packs := range []bool{false, true} {
+			conn, err := f.pool(fmt.Sprint("watcher-", packs)).Get(ctx, f.nodes[0].Address)
+			Expect(err).NotTo(HaveOccurred())
+			s, err := conn.Open(messenger.KindWatch, &messenger.Watch{Node: fmt.Sprint("watcher-", packs), Packs: packs})
+			Expect(err).NotTo(HaveOccurred())
+			var u messenger.Update
+			for len(u.Files) == 0 {
+				m, err := s.Receive(ctx)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(m.Decode(&u)).To(Succeed())
+			}
+			s.Close()
+			i := slices.IndexFunc(u.Files, func(f messenger.File) bool { return f.Name == "zz.json" })
+			Expect(i).To(BeNumerically(">=", 0))
+			Expect(len(u.Files[i].Packed) > 0).To(Equal(packs))
+			files, err := packer.Unpack(u.Files)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(files[i].Data)).To(Equal(comment))
+		}
+	})
+
 	It("sees that a node is lagging", func() {
 		f := newFleet(GinkgoTB())
 		o := f.startAdministrators()
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -17,6 +17,7 @@
 	"bramleyshunt/coder"
 	"bramleyshunt/defaulter"
 	"bramleyshunt/messenger"
+	"bramleyshunt/packer"
 	"bramleyshunt/pooler"
 	"bramleyshunt/registrar"
 )
@@ -58,6 +59,7 @@
 // Publisher serves the other nodes on behalf of a keeper.
 type Publisher struct {
 	cfg     Config
+	packer  packer.Packer
 	confirm confirmer
 	inbox   chan func()
 	wake    chan struct{}
--- a/publisher/state.go
+++ b/publisher/state.go
@@ -53,6 +53,7 @@
 	reportedVersion uint64 // version in force at the watcher; owned by the goroutine that receives
 
 	configOnly  bool
+	packs       bool // the watcher accepts compressed files
 	started     bool
 	confirmedAt time.Time // when a report of a watcher with a configuration was last confirmed
 	version     uint64
--- a/watcher/follow.go
+++ b/watcher/follow.go
@@ -50,7 +50,7 @@
 	f.seq++
 	f.sentAt[f.seq], f.lastReport = now, now
 	delete(f.sentAt, f.seq-maxPendingReports)
-	return &messenger.Watch{Node: f.cfg.Node, Version: f.state.version, Lean: f.cfg.Lean, Seq: f.seq}
+	return &messenger.Watch{Node: f.cfg.Node, Version: f.state.version, Lean: f.cfg.Lean, Seq: f.seq, Packs: true}
 }
 
 // handleUpdate receives and applies one update. It reports false if the watcher should change
--- a/watcher/state.go
+++ b/watcher/state.go
@@ -11,6 +11,7 @@
 	"bramleyshunt/configurer"
 	"bramleyshunt/merger"
 	"bramleyshunt/messenger"
+	"bramleyshunt/packer"
 )
 
 // targetGrace is how long a target reported by the previous keeper is kept if the new keeper
@@ -59,7 +60,10 @@
 		return changed, nil
 	}
 	s.sentVersion = u.Version
-	files := s.mergeFiles(u)
+	files, err := s.mergeFiles(u)
+	if err != nil {
+		return changed, coder.Errorf(coder.Invalid, "version %d: %v", u.Version, err)
+	}
 	merged, faults := s.reader()(sortedFiles(files))
 	if len(faults) > 0 {
 		return changed, coder.Errorf(coder.Invalid, "version %d: %v", u.Version, faults)
@@ -77,19 +81,23 @@
 
 // mergeFiles returns the files of the update's version: those in the update, added to the
 // current ones unless the update is full. A file without data is deleted.
-func (s *state) mergeFiles(u *messenger.Update) map[string][]byte {
+func (s *state) mergeFiles(u *messenger.Update) (map[string][]byte, error) {
+	unpacked, err := packer.Unpack(u.Files)
+	if err != nil {
+		return nil, err
+	}
 	files := map[string][]byte{}
 	if !u.Full {
 		maps.Copy(files, s.files)
 	}
-	for _, f := range u.Files {
+	for _, f := range unpacked {
 		if f.Data == nil {
 			delete(files, f.Name)
 			continue
 		}
 		files[f.Name] = f.Data
 	}
-	return files
+	return files, nil
 }
 
 // sortedFiles returns the files sorted by name.
