Select the least loaded of four random targets where spare ones are filled

Cause: two random targets of those that are filled leave the collisions of two choices, although relays know the counts to about 10 ms. Change: four choices.

--- a/router/slots.go
+++ b/router/slots.go
@@ -24,6 +24,9 @@
 	// needed is filled at the same time: the more entries there are, the older their
 	// reports of each other's requests.
 	peersPerSpareTarget = 10
+	// spareChoices is the number of random targets of which the least loaded one is selected
+	// where spare targets are filled.
+	spareChoices = 4
 	// runningTTL is how long a request count reported by a target stays valid. A short
 	// answer lasts about that long.
 	runningTTL = 3 * time.Second
@@ -146,13 +149,13 @@
 
 // pickFirstFit returns the first target in rank order that accepts an unsplit prompt, or
 // the least loaded one if there is none. Many entries would all select the same target
-// before they receive each other's reports; they select the less loaded of two random
+// before they receive each other's reports; they select the least loaded of some random
 // targets among as many as are needed, plus some spare ones.
 func (r *Router) pickFirstFit(now time.Time, open []*targetState) Pick {
 	if spare := r.peers.entries / peersPerSpareTarget; spare > 0 && !r.Disabled.Spare {
 		candidates := slices.DeleteFunc(slices.Clone(open[:min(len(open), targetsNeeded(open)+spare)]), func(s *targetState) bool { return !s.acceptsUnsplit(now) })
 		if len(candidates) > 0 {
-			return r.pickOfTwo(now, candidates)
+			return r.pickOfSome(now, candidates)
 		}
 	}
 	best := open[0]
@@ -167,13 +170,15 @@
 	return Pick{Target: best.target, Running: best.running(now)}
 }
 
-// pickOfTwo returns the less loaded of two random targets.
-func (r *Router) pickOfTwo(now time.Time, candidates []*targetState) Pick {
-	s := r.sample(candidates, 0)
-	if len(candidates) > 1 && lessLoaded(now, r.sample(candidates, 1), s) {
-		s = candidates[1]
+// pickOfSome returns the least loaded of spareChoices random targets.
+func (r *Router) pickOfSome(now time.Time, candidates []*targetState) Pick {
+	best := r.sample(candidates, 0)
+	for i := 1; i < min(spareChoices, len(candidates)); i++ {
+		if s := r.sample(candidates, i); lessLoaded(now, s, best) {
+			best = s
+		}
 	}
-	return Pick{Target: s.target, Running: s.running(now)}
+	return Pick{Target: best.target, Running: best.running(now)}
 }
 
 // targetsNeeded returns the number of targets that the running unsplit requests fill.
