Log what a placement knew: peers, age of their reports, relay and the target's own count

Cause: how old the counts were at a decision, and how far believed from reported load, could not be read from logs. Change: the line of each request has peers, age (oldest report, ms), relay (entry that picked the target) and reported (requests by the target's own answer) beside busy. Ruled out: a line for each report, whose volume grows with the fleet.

--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -63,6 +63,10 @@
 	Target         string        // of the last attempt
 	Helpers        int           // of the last attempt
 	TargetRequests int           // known requests at the target when it was picked
+	Reported       int           // requests at the target by its own answer, this one included; zero if it tells none
+	PeerEntries    int           // other entries whose requests were known then
+	PeerAge        time.Duration // age of the oldest report of them
+	Relay          string        // node name of the entry that picked the target, if another one did
 	Held           time.Duration // wait for the first view after the process started
 	Queued         time.Duration // wait for a target, over all attempts
 	Wait           time.Duration // from the last placement to the first chunk that followed it
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -240,7 +240,7 @@
 	out := &Attempt{
 		ID: fmt.Sprintf("%s-%d", x.r.ID, x.placements), Request: x.r, Target: pick.Target, Helpers: pick.Helpers,
 		Remaining: x.remaining(), LastEventID: x.r.LastEventID, Repeated: slices.Contains(x.addresses, pick.Target.Address),
-		ReportLoad:    func(l messenger.Load) { x.cd.control.recordLoad(pick, l) },
+		ReportLoad:    func(l messenger.Load) { a.recordLoad(l) },
 		ReportLimit:   func(rate float64) { x.cd.control.recordLimit(a.since, pick, rate) },
 		ReportLeaving: func() { x.cd.control.recordLeaving(x.r.CallerID, pick) },
 		ReportPause:   func(d time.Duration) { x.cd.control.recordPause(x.r.CallerID, pick, d) },
@@ -254,10 +254,22 @@
 	return out, nil
 }
 
+// recordLoad records the load that the target of an attempt reports with its answer.
+func (a *attempt) recordLoad(l messenger.Load) {
+	x := a.x
+	x.mu.Lock()
+	if x.current == a {
+		x.r.Trace.Reported = l.Running
+	}
+	x.mu.Unlock()
+	x.cd.control.recordLoad(a.pick, l)
+}
+
 // traceTarget records the target of an attempt in the trace.
 func (x *execution) traceTarget(a *attempt) {
 	t := &x.r.Trace
 	t.Target, t.Helpers, t.TargetRequests = a.pick.Target.ID, len(a.pick.Helpers), a.pick.Running
+	t.PeerEntries, t.PeerAge, t.Relay = a.pick.PeerEntries, a.pick.PeerAge, a.pick.Relay
 	t.Prefill = a.ticket.Prefill / time.Duration(1+len(a.pick.Helpers))
 }
 
--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -77,7 +77,7 @@
 			known.ID, known.Incarnation = p.ID, p.Incarnation // refused below if it is not the known one
 			return known
 		}
-		to = router.Pick{Target: target(*m.Target), Running: m.Running}
+		to = router.Pick{Target: target(*m.Target), Running: m.Running, PeerEntries: m.Entries, PeerAge: m.Age, Relay: m.Relay}
 		for _, h := range m.Helpers {
 			to.Helpers, to.HelperMemory = append(to.Helpers, target(h)), append(to.HelperMemory, h.Memory)
 		}
@@ -119,7 +119,7 @@
 		if !ok {
 			return
 		}
-		out.Running = pick.Running
+		out.Running, out.Entries, out.Age, out.Relay = pick.Running, pick.PeerEntries, pick.PeerAge, cd.cfg.Settings.Node
 		out.Target = &messenger.PlacedTarget{ID: pick.Target.ID, Incarnation: pick.Target.Incarnation}
 		for i, h := range pick.Helpers {
 			out.Helpers = append(out.Helpers, messenger.PlacedTarget{ID: h.ID, Incarnation: h.Incarnation, Memory: pick.HelperMemory[i]})
--- a/conductor/relay_test.go
+++ b/conductor/relay_test.go
@@ -48,7 +48,7 @@
 }
 
 func placedAt(id string, incarnation uint64) *messenger.Placed {
-	return &messenger.Placed{Target: &messenger.PlacedTarget{ID: id, Incarnation: incarnation}}
+	return &messenger.Placed{Target: &messenger.PlacedTarget{ID: id, Incarnation: incarnation}, Relay: "relay", Entries: 102, Age: 12 * time.Millisecond}
 }
 
 // Pattern: many entries that select targets by counts of different age select the same ones; the
@@ -62,6 +62,9 @@
 			b.Expect(id).To(Equal("t2"))
 		}
 		b.Expect(b.asked).To(HaveLen(20))
+		r, err := do(b.t, b.cd, safePath())
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(r.Trace).To(And(HaveField("Relay", "relay"), HaveField("PeerEntries", 102), HaveField("PeerAge", 12*time.Millisecond), HaveField("Target", "t2")))
 		b.Expect(b.asked[0].Prefill).To(BeNumerically(">", 0))
 	})
 }
--- a/messenger/place.go
+++ b/messenger/place.go
@@ -23,6 +23,9 @@
 	Target  *PlacedTarget  `msgpack:"target"`
 	Helpers []PlacedTarget `msgpack:"helpers"`
 	Running int            `msgpack:"running"` // known requests at the target
+	Entries int            `msgpack:"entries"` // whose requests were known
+	Age     time.Duration  `msgpack:"age"`     // of the oldest report of them
+	Relay   string         `msgpack:"relay"`   // node name of the entry that answers
 }
 
 // PlacedTarget is a target of a request, and the tokens of memory to reserve there if it
--- a/router/router.go
+++ b/router/router.go
@@ -64,6 +64,10 @@
 	Helpers      []messenger.Target // targets that prefill a part of the prompt
 	HelperMemory []int              // tokens of memory to reserve at each helper
 	Running      int                // known requests at the target, if it reports its slots
+
+	PeerEntries int           // other entries whose requests were known
+	PeerAge     time.Duration // age of the oldest report of them
+	Relay       string        // node name of the entry that picked the targets; empty for this one
 }
 
 // Router tracks the state of targets. Zero fields select the defaults.
@@ -208,7 +212,9 @@
 		return Pick{}, false
 	}
 	if x.bySlots {
-		return r.pickBySlots(now, x, req)
+		p, ok := r.pickBySlots(now, x, req)
+		p.PeerAge, p.PeerEntries = r.PeerAge(now)
+		return p, ok
 	}
 	best, found := r.pickCached(now, req)
 	for _, set := range r.candidateSets(x, req) {
