Let a relay place requests only once it knows the counts of all others, and fail where it can't tell

Cause, found by reading: a relay that had just started, or could not confirm its view, answered for its whole zone by empty counts or without targets, and members waited as if nothing accepted their requests; the same where only the relay itself was told to pause or limited. Change: a relay places from two longest intervals after it began to relay; otherwise, without a confirmed view, or if no target is left and some are closed to it alone, it fails and members use their own picks. Ruled out: holding such requests at the members until the relay is ready, which adds its start to their wait.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -40,6 +40,9 @@
 	relayTimeout = 500 * time.Millisecond
 	// relayRetry is the time after which a replaced relay is asked again.
 	relayRetry = time.Second
+	// gatherTime is the time from which a relay places requests of its members: by then each
+	// other entry has sent its counts.
+	gatherTime = 2 * MaxInterval
 	// maxUnconfirmed bounds the own reports that are kept until a sum includes them: those
 	// of fleetInterval, twice, and of a slow network.
 	maxUnconfirmed = 64
@@ -70,6 +73,7 @@
 	fleet   *report            // sum over the fleet that was received last
 	asked   map[string]*asked  // entries asked to relay, by node
 	relay   *messenger.Target  // of this entry; nil if it relays itself
+	since   time.Time          // when this entry began to relay; zero if it does not
 
 	reserved []reservation
 
@@ -175,6 +179,12 @@
 	return *a.relay, true
 }
 
+// Places reports whether this entry relays, and for long enough to know the counts of all
+// others.
+func (a *Aggregator) Places(now time.Time) bool {
+	return !a.since.IsZero() && now.Sub(a.since) >= gatherTime
+}
+
 // Round returns what to send now, given the live entries, including this one, and the counts
 // and limits of this one.
 func (a *Aggregator) Round(now time.Time, peers []messenger.Target, own messenger.Share) []Message {
@@ -188,10 +198,12 @@
 	a.own = own
 	relay, retry := a.chooseRelay(now)
 	if relay == nil || len(a.members()) > 0 {
-		a.relay = nil
+		if a.relay = nil; a.since.IsZero() {
+			a.since = now
+		}
 		return append(out, a.relayed(now)...)
 	}
-	a.relay = relay
+	a.relay, a.since = relay, time.Time{}
 	return append(out, Message{To: append(retry, *relay), Share: a.memberReport(now, own)})
 }
 
--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -97,6 +98,32 @@
 	}
 }
 
+// Guards against requests of a whole zone that a relay places by no counts, as it has just
+// started.
+func TestRelayPlacesOnlyOnceItKnowsTheCountsOfAllOthers(t *testing.T) {
+	g, f := NewWithT(t), newFleet(30, 1)
+	f.run(settled)
+	relay := f.relays()[0]
+	i := slices.Index(f.nodes, relay)
+	g.Expect(relay.agg.Places(f.now)).To(BeTrue())
+	f.restart(i)
+	for range 200 {
+		f.run(5 * time.Millisecond)
+		if !relay.agg.Places(f.now) {
+			continue
+		}
+		for j := range f.nodes {
+			g.Expect(j == i || f.knows(relay, j)).To(BeTrue(), "%d", j)
+		}
+	}
+	g.Expect(relay.agg.Places(f.now)).To(BeTrue())
+	for _, x := range f.nodes {
+		if _, member := x.agg.Relay(); member {
+			g.Expect(x.agg.Places(f.now)).To(BeFalse(), x.name)
+		}
+	}
+}
+
 func TestCountsOfLostEntryExpire(t *testing.T) {
 	g, f := NewWithT(t), newFleet(30, 1)
 	f.run(settled)
--- a/bencher/fleetentry.go
+++ b/bencher/fleetentry.go
@@ -189,12 +189,11 @@
 	}
 	queued := p.ticket.QueueTime(e.f.now)
 	e.f.send(func() {
-		pick, found := relay.scheduler.PlaceFor(e.f.now, p.ticket, queued, func(sends []messenger.Sent) {
-			relay.aggregator.Reserve(e.f.now, e.name, sends)
-		})
-		relay.shareSends()
+		pick, found, err := relay.placeFor(e, p.ticket, queued)
 		e.f.send(func() {
 			switch {
+			case err != nil:
+				p.reserveHelperMemory()
 			case found && e.scheduler.Move(e.f.now, p.ticket, p.pick, pick):
 				p.pick = pick
 				e.shareSends()
@@ -208,6 +207,15 @@
 	})
 }
 
+// placeFor picks the targets of a call of another entry.
+func (e *fleetEntry) placeFor(from *fleetEntry, t *scheduler.Ticket, queued time.Duration) (router.Pick, bool, error) {
+	if !e.aggregator.Places(e.f.now) {
+		return router.Pick{}, false, coder.Errorf(coder.NotReady, "")
+	}
+	defer e.shareSends()
+	return e.scheduler.PlaceFor(e.f.now, t, queued, func(sends []messenger.Sent) { e.aggregator.Reserve(e.f.now, from.name, sends) })
+}
+
 // placeLater queues a call again that no target accepts now.
 func (e *fleetEntry) placeLater(p *placement) {
 	p.end()
--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -105,18 +105,23 @@
 }
 
 // PlaceFor picks the targets of a request that another entry has admitted. reserve is called with
-// the counts of the request.
-func (cd *Conductor) PlaceFor(m *messenger.Place, reserve func([]messenger.Sent)) *messenger.Placed {
+// the counts of the request. It fails if this entry knows the targets no better than that one.
+func (cd *Conductor) PlaceFor(m *messenger.Place, reserve func([]messenger.Sent)) (*messenger.Placed, error) {
+	if err := cd.cfg.Ready(); err != nil {
+		return nil, err
+	}
 	t := &scheduler.Ticket{
 		Service: m.Service, Prompt: m.Prompt, Output: m.Output, Exclude: m.Exclude, Prefill: m.Prefill, PrefillTargets: m.PrefillTargets,
 		Objective: m.Objective, MaxGap: m.MaxGap, PassTime: m.PassTime,
 	}
 	out := &messenger.Placed{}
+	var err error
 	c := cd.control
 	c.do(func() {
 		c.refreshView()
-		pick, ok := c.scheduler.PlaceFor(c.cfg.Now(), t, m.Queued, reserve)
-		if !ok {
+		var pick router.Pick
+		var ok bool
+		if pick, ok, err = c.scheduler.PlaceFor(c.cfg.Now(), t, m.Queued, reserve); !ok {
 			return
 		}
 		out.Running, out.Entries, out.Age, out.Relay = pick.Running, pick.PeerEntries, pick.PeerAge, cd.cfg.Settings.Node
@@ -126,5 +131,5 @@
 		}
 	})
 	cd.meter.count("relay.answered")
-	return out
+	return out, err
 }
--- a/conductor/relay_test.go
+++ b/conductor/relay_test.go
@@ -178,9 +178,10 @@
 		var reserved []messenger.Sent
 		used := map[string]int{}
 		for range 9 {
-			out := b.cd.PlaceFor(&messenger.Place{Service: "s", Prompt: 100, Output: 10, Prefill: 10 * time.Millisecond, PrefillTargets: 1}, func(s []messenger.Sent) {
+			out, err := b.cd.PlaceFor(&messenger.Place{Service: "s", Prompt: 100, Output: 10, Prefill: 10 * time.Millisecond, PrefillTargets: 1}, func(s []messenger.Sent) {
 				reserved = append(reserved, s...)
 			})
+			b.Expect(err).NotTo(HaveOccurred())
 			if out.Target != nil {
 				used[out.Target.ID]++
 			}
@@ -192,3 +193,28 @@
 		b.Expect(b.cd.Sends()).To(BeEmpty(), "others report them")
 	})
 }
+
+// Guards against requests that wait at other entries because the relay has just started, can't
+// confirm its view, or may not send to a target itself.
+func TestRelayThatKnowsNoBetterFails(t *testing.T) {
+	place := &messenger.Place{Service: "s", Prompt: 100, Output: 10, Prefill: 10 * time.Millisecond, PrefillTargets: 1, Exclude: []string{"t1"}}
+	expectFailure := func(b *holdBed) {
+		_, err := b.cd.PlaceFor(place, func([]messenger.Sent) {})
+		b.Expect(coder.Of(err)).To(HaveField("Code", Or(Equal(coder.NotReady), Equal(coder.Stale))), "%v", err)
+	}
+	t.Run("stale", func(t *testing.T) {
+		withHolds(t, Config{Ready: func() error { return coder.Errorf(coder.Stale, "") }}, engineTargets(), expectFailure)
+	})
+	t.Run("without targets", func(t *testing.T) {
+		v := engineTargets()
+		v.Targets = nil
+		withHolds(t, Config{}, v, expectFailure)
+	})
+	t.Run("paused", func(t *testing.T) {
+		withHolds(t, Config{}, engineTargets(), func(b *holdBed) {
+			b.Expect(b.send()).To(Succeed())
+			b.pause(b.target(1), time.Minute)
+			expectFailure(b)
+		})
+	})
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -101,6 +101,14 @@
 	return true
 }
 
+// Restricted reports whether this entry sends nothing to some target of a service for a reason
+// that other entries may not share: a refusal, a pause or a rate limit. It also does if it
+// knows no target.
+func (r *Router) Restricted(now time.Time, service string) bool {
+	x := r.byName[service]
+	return x == nil || slices.ContainsFunc(x.all, func(s *targetState) bool { return now.Before(s.refusedUntil) || !s.limit.allows(now) })
+}
+
 // PeerAge returns the age of the oldest report of another entry that is in use, and the
 // number of entries whose reports are.
 func (r *Router) PeerAge(now time.Time) (oldest time.Duration, entries int) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -333,17 +333,22 @@
 }
 
 // PlaceFor picks the targets of a request that another entry has in its queue, and counts
-// the request there until that entry reports it. reserve is called with these counts.
-func (s *Scheduler) PlaceFor(now time.Time, t *Ticket, queued time.Duration, reserve func([]messenger.Sent)) (router.Pick, bool) {
+// the request there until that entry reports it. reserve is called with these counts. It
+// returns false if no target accepts the request now, and an error if that can't be told for
+// other entries.
+func (s *Scheduler) PlaceFor(now time.Time, t *Ticket, queued time.Duration, reserve func([]messenger.Sent)) (router.Pick, bool, error) {
 	req := toRequest(t)
 	req.QueueTime = queued
 	pick, ok := s.Router.Pick(now, req)
-	if ok {
+	switch {
+	case ok:
 		counts := s.Router.Counts(pick, req)
 		reserve(counts)
 		s.Router.AddPeer(now, counts)
+	case s.Router.Restricted(now, t.Service):
+		return pick, false, coder.Errorf(coder.NotReady, "the entry asked may not send to some targets")
 	}
-	return pick, ok
+	return pick, ok, nil
 }
 
 // QueueTime returns how long the placement of a ticket has been attempted.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -39,11 +39,11 @@
 	Address string // at which other entries reach this one
 	Zone    string // availability zone of this entry
 	Pool    *pooler.Pooler
-	Peers   func() []messenger.Target                                                  // live entries, including this one
-	Report  func() messenger.Share                                                     // counts and limits of this entry; Node is filled in
-	Record  func(messenger.Share)                                                      // called with those of all other entries
-	Keepers func() []string                                                            // addresses of keepers
-	Place   func(m *messenger.Place, reserve func([]messenger.Sent)) *messenger.Placed // picks the targets of another entry's request
+	Peers   func() []messenger.Target                                                           // live entries, including this one
+	Report  func() messenger.Share                                                              // counts and limits of this entry; Node is filled in
+	Record  func(messenger.Share)                                                               // called with those of all other entries
+	Keepers func() []string                                                                     // addresses of keepers
+	Place   func(m *messenger.Place, reserve func([]messenger.Sent)) (*messenger.Placed, error) // picks the targets of another entry's request
 	Log     *logrus.Entry
 	Metrics metrics.Registry
 }
