--- a/aggregator/fleet_test.go
+++ b/aggregator/fleet_test.go
@@ -24,7 +24,8 @@
 	nodes []*node
 	rng   *rand.Rand
 
-	messages map[string]int // sent, by sender
+	messages map[string]int                           // sent, by sender
+	sent     func(x *node, to int, m messenger.Share) // called with each message; may be nil
 }
 
 // node is one entry.
@@ -123,6 +124,9 @@
 	x.changed = false
 	for _, m := range x.agg.Round(f.now, live, messenger.Share{Sends: x.own, Limits: x.limits}) {
 		f.messages[x.name] += len(m.To)
+		if f.sent != nil {
+			f.sent(x, len(m.To), m.Share)
+		}
 		m.Share.Sends = slices.Clone(m.Share.Sends)
 		for _, to := range m.To {
 			y := f.nodes[slices.IndexFunc(f.nodes, func(y *node) bool { return y.name == to.ID })]
