--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -8,12 +8,9 @@
 package aggregator
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bramleyshunt/messenger"
 )
 
@@ -217,58 +214,6 @@
 	return own
 }
 
-// relayed returns what a relay sends: the sum of its group to the other relays, and the sum
-// over the fleet to its members.
-func (a *Aggregator) relayed(now time.Time) []Message {
-	members := a.members()
-	group := append([]*report{{Share: a.own, at: now}}, members...)
-	group = append(group, a.reservations(now)...)
-	var out []Message
-	if relays := a.otherRelays(); len(relays) > 0 && now.Sub(a.toGroups.last) >= relayInterval {
-		if m, ok := a.groupSum(now, group); ok {
-			out = append(out, Message{To: relays, Share: m})
-		}
-	}
-	if to := a.targets(members); len(to) > 0 && now.Sub(a.toFleet.last) >= fleetInterval {
-		a.toFleet.last = now
-		all := a.sum(now, messenger.ScopeFleet, append(group, sortedReports(a.groups)...))
-		for _, r := range members {
-			all.Included = append(all.Included, messenger.Included{Node: r.Node, Seq: r.Seq})
-		}
-		out = append(out, Message{To: to, Share: all})
-	}
-	return out
-}
-
-// groupSum returns the sum of the own group, or what has changed since the last one. It
-// returns false if nothing has.
-func (a *Aggregator) groupSum(now time.Time, group []*report) (messenger.Share, bool) {
-	m := a.sum(now, messenger.ScopeGroup, group)
-	sums := m.Sends
-	if now.Sub(a.toGroups.full) >= MaxInterval {
-		a.toGroups.full = now
-	} else {
-		m.Sends, m.Base = changedSums(a.sentSums, sums), a.sentSumSeq
-		if len(m.Sends) == 0 {
-			return m, false
-		}
-	}
-	a.toGroups.last, a.sentSums = now, sums
-	a.sentSumSeq = max(a.sentSumSeq+1, uint64(now.UnixNano())) // differs from those of an earlier start
-	m.Seq = a.sentSumSeq
-	return m, true
-}
-
-// reservations returns the reservations that are in force.
-func (a *Aggregator) reservations(now time.Time) []*report {
-	a.reserved = slices.DeleteFunc(a.reserved, func(r reservation) bool { return now.Sub(r.at) > reservedFor })
-	out := make([]*report, 0, len(a.reserved))
-	for _, r := range a.reserved {
-		out = append(out, &report{Share: messenger.Share{Sends: r.sends}, at: now})
-	}
-	return out
-}
-
 // Others returns the counts and limits of all other entries: Entries of them are known, and
 // Oldest is the age of the oldest report. It returns false if nothing is known.
 func (a *Aggregator) Others(now time.Time) (messenger.Share, bool) {
@@ -330,31 +275,6 @@
 	return relayInterval
 }
 
-// chooseRelay returns the entry of the group that relays for this one, nil if this one relays
-// itself, and those to be asked besides whether they relay again.
-func (a *Aggregator) chooseRelay(now time.Time) (relay *messenger.Target, retry []messenger.Target) {
-	if a.asked == nil {
-		a.asked = map[string]*asked{}
-	}
-	for i, t := range a.before {
-		s := a.asked[t.ID]
-		if s == nil {
-			s = &asked{since: now}
-			a.asked[t.ID] = s
-		}
-		switch {
-		case s.silentAt.IsZero() && now.Sub(s.since) < relayTimeout:
-			return &a.before[i], retry
-		case s.silentAt.IsZero():
-			s.silentAt, s.retried = now, now
-		case now.Sub(s.retried) >= relayRetry:
-			s.retried = now
-			retry = append(retry, t)
-		}
-	}
-	return nil, nil // the others answer the sums that this one sends them as a relay
-}
-
 // expire drops what is older than ReportTTL.
 func (a *Aggregator) expire(now time.Time) {
 	for _, m := range []map[string]*report{a.entries, a.groups} {
@@ -369,52 +289,6 @@
 	}
 }
 
-// divide divides the entries into groups.
-func (a *Aggregator) divide(peers []messenger.Target) {
-	if slices.EqualFunc(a.peers, peers, func(x, y messenger.Target) bool {
-		return x.ID == y.ID && x.Zone == y.Zone && x.Aggregates == y.Aggregates && x.Address == y.Address
-	}) {
-		return
-	}
-	a.peers, a.before, a.relays = slices.Clone(peers), nil, nil
-	for _, g := range groupsOf(peers) {
-		at := slices.IndexFunc(g, func(t messenger.Target) bool { return t.ID == a.Node })
-		if at < 0 {
-			a.relays = append(a.relays, g[0])
-			continue
-		}
-		a.before = g[:at]
-	}
-	for node := range a.asked {
-		if !slices.ContainsFunc(a.before, func(t messenger.Target) bool { return t.ID == node }) {
-			delete(a.asked, node)
-		}
-	}
-}
-
-// groupsOf divides the entries that aggregate into groups of at most maxGroup of one zone. As
-// entries come and go, few others change their group.
-func groupsOf(peers []messenger.Target) [][]messenger.Target {
-	byZone := map[string][]messenger.Target{}
-	for _, t := range peers {
-		if t.Aggregates {
-			byZone[t.Zone] = append(byZone[t.Zone], t)
-		}
-	}
-	var out [][]messenger.Target
-	for _, zone := range sortedKeys(byZone) {
-		all := byZone[zone]
-		slices.SortFunc(all, func(x, y messenger.Target) int {
-			return cmp.Or(cmp.Compare(xxhash.Sum64String(x.ID), xxhash.Sum64String(y.ID)), cmp.Compare(x.ID, y.ID))
-		})
-		n := (len(all) + maxGroup - 1) / maxGroup
-		for i := range n {
-			out = append(out, all[i*len(all)/n:(i+1)*len(all)/n])
-		}
-	}
-	return out
-}
-
 // withoutAggregator returns the entries that add up nothing and expect the counts of each
 // other entry from itself.
 func (a *Aggregator) withoutAggregator() []messenger.Target {
--- a/aggregator/sum.go
+++ b/aggregator/sum.go
@@ -15,14 +15,7 @@
 	sums := map[uint64]messenger.Sent{}
 	for _, sends := range all {
 		for _, s := range sends {
-			sum := sums[s.Target]
-			sum.Target = s.Target
-			sum.InFlight += s.InFlight
-			sum.PendingPrefill += s.PendingPrefill
-			sum.Memory += s.Memory
-			sum.Unsplit += s.Unsplit
-			sum.MinGap = shorterGap(sum.MinGap, s.MinGap)
-			sums[s.Target] = sum
+			sums[s.Target] = sums[s.Target].Plus(s)
 		}
 	}
 	out := make([]messenger.Sent, 0, len(sums))
@@ -63,14 +56,6 @@
 	return out
 }
 
-// shorterGap returns the shorter of two gaps, of which zero means that there is no bound.
-func shorterGap(a, b int) int {
-	if a == 0 || b == 0 {
-		return max(a, b)
-	}
-	return min(a, b)
-}
-
 // sum adds up reports.
 func (a *Aggregator) sum(now time.Time, scope messenger.Scope, reports []*report) messenger.Share {
 	out := messenger.Share{Node: a.Node, Scope: scope}
--- a/messenger/share.go
+++ b/messenger/share.go
@@ -1,6 +1,10 @@
 package messenger
 
-import "github.com/vmihailenco/msgpack/v5"
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // Scope says which entries the counts of a Share belong to.
 type Scope uint8
@@ -56,6 +60,25 @@
 	MinGap         int      // milliseconds, shortest inter-token gap allowed by a stream of InFlight; zero if none sets one
 }
 
+// Plus returns the sum of two counts of the same target.
+func (s Sent) Plus(o Sent) Sent {
+	s.Target = o.Target
+	s.InFlight += o.InFlight
+	s.PendingPrefill += o.PendingPrefill
+	s.Memory += o.Memory
+	s.Unsplit += o.Unsplit
+	s.MinGap = ShorterGap(s.MinGap, o.MinGap)
+	return s
+}
+
+// ShorterGap returns the shorter of two gaps. Zero means that there is no bound.
+func ShorterGap[T int | time.Duration](a, b T) T {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // sentFields is the number of fields of a Sent on the wire.
 const sentFields = 6
 
--- a/router/gang.go
+++ b/router/gang.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"bramleyshunt/messenger"
 )
 
 // This file selects gangs: several targets that prefill one prompt together, each a part
@@ -171,7 +173,7 @@
 // prefillSlack returns how long a target may prefill a prompt. An exclusive prefill may
 // use idle targets for any time.
 func (r *Router) prefillSlack(s *targetState, req Request, exclusive bool) time.Duration {
-	gap := shorterGap(s.counts.gaps.shortest(), time.Duration(s.counts.peers.MinGap)*time.Millisecond)
+	gap := messenger.ShorterGap(s.counts.gaps.shortest(), time.Duration(s.counts.peers.MinGap)*time.Millisecond)
 	if gap == 0 && exclusive {
 		if s.pendingPrefill() > 0 {
 			return -1
@@ -181,7 +183,7 @@
 	if gap == 0 && req.Objective > 0 && !r.Disabled.IdleQueue {
 		return time.Duration(idleQueueFraction*float64(req.Objective)) - s.pendingPrefill()
 	}
-	return req.prefillBudget(shorterGap(gap, req.MaxGap)) - s.pendingPrefill()
+	return req.prefillBudget(messenger.ShorterGap(gap, req.MaxGap)) - s.pendingPrefill()
 }
 
 // newGang assigns the prefill and the memory of a prompt to a set of targets. The one that
--- a/router/peers.go
+++ b/router/peers.go
@@ -61,13 +61,7 @@
 	}
 	r.peers.entries = max(1, r.peers.entries)
 	for _, s := range sends {
-		sum := r.peers.byHash[s.Target]
-		sum.InFlight += s.InFlight
-		sum.PendingPrefill += s.PendingPrefill
-		sum.Memory += s.Memory
-		sum.Unsplit += s.Unsplit
-		sum.MinGap = shorterGap(sum.MinGap, s.MinGap)
-		r.peers.byHash[s.Target] = sum
+		r.peers.byHash[s.Target] = r.peers.byHash[s.Target].Plus(s)
 	}
 	r.applyPeers(now)
 }
--- a/router/slots.go
+++ b/router/slots.go
@@ -68,19 +68,11 @@
 func (g gapCounts) shortest() time.Duration {
 	lowest := time.Duration(0)
 	for gap := range g {
-		lowest = shorterGap(lowest, gap)
+		lowest = messenger.ShorterGap(lowest, gap)
 	}
 	return lowest
 }
 
-// shorterGap returns the shorter of two gaps. Zero means that there is no bound.
-func shorterGap[T int | time.Duration](a, b T) T {
-	if a == 0 || b == 0 {
-		return max(a, b)
-	}
-	return min(a, b)
-}
-
 // running returns the number of requests at a target. Reports of other entries are
 // preferred, as they are newer than the target's own report.
 func (s *targetState) running(now time.Time) int {
