Spread prompts over more targets while the requests of other entries are not known

Change: one spare target for each live entry whose requests are not known, beside one for each ten that are. Ruled out: the relay, which places nothing in its first 0.4 s; more retries, which the platform's bound forbids to a restarted entry.

--- a/bencher/fleetentry.go
+++ b/bencher/fleetentry.go
@@ -53,6 +53,7 @@
 		},
 	}
 	e.scheduler.Router.Update(f.now, f.targets())
+	e.scheduler.Router.SetEntries(e.name, f.entryNames())
 	f.after(0, e.shareRepeatedly)
 	return e
 }
@@ -314,6 +315,15 @@
 	return f.announced
 }
 
+// entryNames returns the names of all entries.
+func (f *Fleet) entryNames() []string {
+	out := make([]string, f.Site.Entries)
+	for i := range out {
+		out[i] = fmt.Sprint("e", i)
+	}
+	return out
+}
+
 // entryNamed returns the entry with a name, nil if there is none.
 func (f *Fleet) entryNamed(name string) *fleetEntry {
 	i := slices.IndexFunc(f.entries, func(e *fleetEntry) bool { return e.name == name })
--- a/router/slots.go
+++ b/router/slots.go
@@ -144,7 +144,7 @@
 // before they receive each other's reports; they select the least loaded of some random
 // targets among as many as are needed, plus some spare ones.
 func (r *Router) pickFirstFit(now time.Time, open []*targetState) Pick {
-	if spare := r.peers.entries / peersPerSpareTarget; spare > 0 && !r.Disabled.Spare {
+	if spare := r.peers.entries/peersPerSpareTarget + r.unknownEntries(); spare > 0 && !r.Disabled.Spare {
 		candidates := slices.DeleteFunc(slices.Clone(open[:min(len(open), targetsNeeded(open)+spare)]), func(s *targetState) bool { return !s.acceptsUnsplit(now) })
 		if len(candidates) > 0 {
 			return r.pickOfSome(now, candidates)
@@ -162,6 +162,10 @@
 	return Pick{Target: best.target, Running: best.running(now)}
 }
 
+// unknownEntries returns the number of other live entries whose requests are not known, as
+// after a restart of all. Each of them may fill the same targets as this one.
+func (r *Router) unknownEntries() int { return max(0, len(r.entries)-1-r.peers.entries) }
+
 // pickOfSome returns the least loaded of spareChoices random targets.
 func (r *Router) pickOfSome(now time.Time, candidates []*targetState) Pick {
 	best := r.sample(candidates, 0)
--- a/router/slots_test.go
+++ b/router/slots_test.go
@@ -407,6 +407,30 @@
 		Expect(len(used)).To(BeNumerically("<=", 4), "few targets decode for short prompts")
 	})
 
+	// Pattern: all entries after a restart, each with requests that it has held, and none with the
+	// counts of another one.
+	It("spreads what entries hold over the targets while none knows of another one", func() {
+		const entries, held, targets = 100, 8, 112
+		var names []string
+		for i := range entries {
+			names = append(names, fmt.Sprint("e", i))
+		}
+		used := map[string]int{}
+		for i := range entries {
+			r := newSlotRouter(targets)
+			r.Seed = uint64(i)
+			r.SetEntries(names[i], names)
+			for range held {
+				used[place(r, shortRequest).Target.ID]++
+			}
+		}
+		shed := 0
+		for _, n := range used {
+			shed += max(0, n-slotsPerTarget)
+		}
+		Expect(shed).To(BeNumerically("<", entries*held/20))
+	})
+
 	It("keeps two long prompts on separate targets", func() {
 		a, b := newSlotRouter(4), newSlotRouter(4)
 		two := longRequest
