--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -38,15 +38,17 @@
 	if cd.cfg.Place == nil || t.Prefill == 0 || now.UnixNano() < cd.placeAfter.Load() || cd.cfg.Disabled.Off(switcher.AskRelay) {
 		return pick, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	bound, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	out, err := cd.cfg.Place(ctx, &messenger.Place{
+	out, err := cd.cfg.Place(bound, &messenger.Place{
 		Node: cd.cfg.Settings.Node, Service: t.Service, Prompt: t.Prompt, Output: t.Output, Exclude: t.Exclude,
 		Prefill: t.Prefill, PrefillTargets: t.PrefillTargets, Objective: t.Objective, MaxGap: t.MaxGap, PassTime: t.PassTime,
 		Queued: t.QueueTime(now),
 	})
 	log := cd.cfg.Log.WithFields(logrus.Fields{"id": t.ID, "target": pick.Target.ID})
 	switch {
+	case err != nil && ctx.Err() != nil: // the request has ended, which tells nothing of the relay
+		return pick, nil
 	case err != nil:
 		cd.placeAfter.Store(cd.cfg.Now().Add(placeBackoff).UnixNano())
 		cd.meter.count("relay.failed")
--- a/conductor/relay_test.go
+++ b/conductor/relay_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"bramleyshunt/chainer"
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
 	"bramleyshunt/messenger"
@@ -88,6 +89,24 @@
 	})
 }
 
+// Guards against a relay that is not asked for a time because a caller has left.
+func TestCallerThatLeavesTellsNothingOfTheRelay(t *testing.T) {
+	withRelay(t, Config{}, func(b *relayBed) {
+		ctx, leave := context.WithCancel(context.Background())
+		b.answer = func(*messenger.Place) (*messenger.Placed, error) {
+			leave()
+			return nil, ctx.Err()
+		}
+		ticket := newTicket(&chainer.Request{ID: "r", Service: "s", Prompt: 100, Config: b.view.Load().Config, Spec: b.view.Load().Config.Services["s"]}, nil)
+		pick := (<-b.cd.control.enqueue(ticket, false)).Pick
+		_, err := b.cd.askRelay(ctx, ticket, pick)
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(b.cd.placeAfter.Load()).To(BeZero())
+		b.cd.control.prefillEnded(ticket, pick, 0)
+		b.cd.control.requestEnded(ticket, pick)
+	})
+}
+
 func TestRequestIsPlacedHereIfThereIsNoRelay(t *testing.T) {
 	withRelay(t, Config{}, func(b *relayBed) {
 		b.answer = func(*messenger.Place) (*messenger.Placed, error) { return nil, nil }
