--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -98,6 +98,23 @@
 	}
 }
 
+// Guards against counts of an entry that is still live in the views of the others, but sends
+// nothing any more: they expire at all others within twice their lifetime.
+func TestCountsOfUnresponsiveEntryExpire(t *testing.T) {
+	for name, member := range map[string]bool{"member": true, "relay": false} {
+		t.Run(name, func(t *testing.T) {
+			g, f := NewWithT(t), newFleet(30, 1)
+			f.run(settled)
+			i := slices.IndexFunc(f.nodes, func(x *node) bool { _, ok := x.agg.Relay(); return ok == member })
+			f.nodes[i].frozen = true
+			f.run(2 * aggregator.ReportTTL)
+			for _, x := range f.nodes {
+				g.Expect(x != f.nodes[i] && f.knows(x, i)).To(BeFalse(), x.name)
+			}
+		})
+	}
+}
+
 // Guards against requests of a whole zone that a relay places by no counts, as it has just
 // started.
 func TestRelayPlacesOnlyOnceItKnowsTheCountsOfAllOthers(t *testing.T) {
