--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -27,25 +27,24 @@
 	// ServiceEntries is the service under which entries announce themselves.
 	ServiceEntries = "entries"
 
-	// announceInterval is the time between two announcements of this entry to keepers.
-	announceInterval = time.Second
 	// callTimeout is the timeout of an announcement and of opening a stream.
 	callTimeout = time.Second
 )
 
 // Config configures a Sharer.
 type Config struct {
-	Node    string
-	Address string // at which other entries reach this one
-	Zone    string // availability zone of this entry
-	Pool    *pooler.Pooler
-	Peers   func() []messenger.Target                                                           // live entries, including this one
-	Report  func() messenger.Share                                                              // counts and limits of this entry; Node is filled in
-	Record  func(messenger.Share)                                                               // called with those of all other entries
-	Keepers func() []string                                                                     // addresses of keepers
-	Place   func(m *messenger.Place, reserve func([]messenger.Sent)) (*messenger.Placed, error) // picks the targets of another entry's request
-	Log     *logrus.Entry
-	Metrics metrics.Registry
+	Node     string
+	Address  string // at which other entries reach this one
+	Zone     string // availability zone of this entry
+	Pool     *pooler.Pooler
+	Peers    func() []messenger.Target                                                           // live entries, including this one
+	Report   func() messenger.Share                                                              // counts and limits of this entry; Node is filled in
+	Record   func(messenger.Share)                                                               // called with those of all other entries
+	Keepers  func() []string                                                                     // addresses of keepers
+	Announce func(ctx context.Context, addr string, a *messenger.Announce) error                 // sends an announcement to a keeper; over Pool if nil
+	Place    func(m *messenger.Place, reserve func([]messenger.Sent)) (*messenger.Placed, error) // picks the targets of another entry's request
+	Log      *logrus.Entry
+	Metrics  metrics.Registry
 }
 
 // Sharer exchanges counts with the other entries.
@@ -70,7 +69,10 @@
 		cfg: cfg, ctx: ctx, changed: make(chan struct{}, 1), streams: map[string]*muxer.Stream{},
 		aggregator: aggregator.Aggregator{Node: cfg.Node},
 	}
-	s.wg.Go(s.announce)
+	if s.cfg.Announce == nil {
+		s.cfg.Announce = s.announceTo
+	}
+	s.wg.Go(func() { s.announce(sleeper.Sleep) })
 	s.wg.Go(s.share)
 	return s, func() {
 		cancel()
@@ -87,34 +89,6 @@
 	}
 }
 
-// announce announces this entry to the keepers in turn. They forward the announcement to
-// the other entries.
-func (s *Sharer) announce() {
-	a := &messenger.Announce{Spread: true, Target: messenger.Target{
-		ID: s.cfg.Node, Service: ServiceEntries, Address: s.cfg.Address, Zone: s.cfg.Zone, Incarnation: uint64(time.Now().UnixNano()),
-		Aggregates: true,
-	}}
-	for i := 0; s.ctx.Err() == nil; i++ {
-		if keepers := s.cfg.Keepers(); len(keepers) > 0 {
-			s.announceTo(keepers[i%len(keepers)], a)
-		}
-		_ = sleeper.Sleep(s.ctx, announceInterval)
-	}
-}
-
-func (s *Sharer) announceTo(addr string, a *messenger.Announce) {
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-	defer cancel()
-	var out messenger.Announced
-	conn, err := s.cfg.Pool.Get(ctx, addr)
-	if err == nil {
-		err = conn.Call(ctx, messenger.KindAnnounce, a, &out)
-	}
-	if err != nil {
-		s.cfg.Log.WithError(err).WithField("keeper", addr).Debug("announcement of this entry to a keeper failed")
-	}
-}
-
 // share sends counts to the peers when they change, and at least every
 // aggregator.MaxInterval.
 func (s *Sharer) share() {
