Eject targets that break off requests for a time, where health checks may lie

Change: package ejector decides by the share of a target's requests that are broken off, for 0.3 to 8 s, with a gradual return; entries tell each other ejections with their counts, so that relays keep to them. Ruled out: crashes by a request (other targets serve its repeats), lost connections alone (connects succeed: alive is true).

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -233,6 +233,7 @@
 		out.Entries-- // this one
 	}
 	out.Limits = slices.DeleteFunc(out.Limits, func(l messenger.Limit) bool { return l.Observer == a.Node })
+	out.Ejections = slices.DeleteFunc(out.Ejections, func(e messenger.Ejection) bool { return e.Observer == a.Node })
 	return out, true
 }
 
--- a/aggregator/sum.go
+++ b/aggregator/sum.go
@@ -60,7 +60,7 @@
 func (a *Aggregator) sum(now time.Time, scope messenger.Scope, reports []*report) messenger.Share {
 	out := messenger.Share{Node: a.Node, Scope: scope}
 	var sends [][]messenger.Sent
-	limits := map[uint64]messenger.Limit{}
+	limits, ejections := map[uint64]messenger.Limit{}, map[uint64]messenger.Ejection{}
 	for _, r := range reports {
 		sends = append(sends, r.Sends)
 		age := int(now.Sub(r.at).Milliseconds())
@@ -70,15 +70,11 @@
 		} else if r.Node != "" {
 			out.Entries++
 		}
-		for _, l := range r.Limits {
-			l.Age += age
-			if l.Observer == "" {
-				l.Observer = r.Node
-			}
-			if known, ok := limits[l.Target]; !ok || known.Age > l.Age {
-				limits[l.Target] = l
-			}
-		}
+		mergeEjections(ejections, r, age)
+		mergeLimits(limits, r, age)
+	}
+	for _, target := range slices.Sorted(maps.Keys(ejections)) {
+		out.Ejections = append(out.Ejections, ejections[target])
 	}
 	out.Sends = Sum(sends...)
 	for _, target := range slices.Sorted(maps.Keys(limits)) {
@@ -87,6 +83,30 @@
 	return out
 }
 
+// mergeEjections adds the ejections of a report that was received some milliseconds ago and that
+// have not ended.
+func mergeEjections(all map[uint64]messenger.Ejection, r *report, age int) {
+	for _, e := range r.Ejections {
+		e.Left -= age
+		e.Observer = cmp.Or(e.Observer, r.Node)
+		if e.Left > all[e.Target].Left {
+			all[e.Target] = e
+		}
+	}
+}
+
+// mergeLimits adds the limits of a report that was received some milliseconds ago, the ones
+// observed last.
+func mergeLimits(all map[uint64]messenger.Limit, r *report, age int) {
+	for _, l := range r.Limits {
+		l.Age += age
+		l.Observer = cmp.Or(l.Observer, r.Node)
+		if known, ok := all[l.Target]; !ok || known.Age > l.Age {
+			all[l.Target] = l
+		}
+	}
+}
+
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
 // sortedReports returns reports in the order of their nodes.
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -67,7 +67,7 @@
 		segments:   map[string]*segment{},
 		scheduler: scheduler.Scheduler{
 			Admitter: admitter.Admitter{Seed: cfg.Seed},
-			Router:   router.Router{Seed: cfg.Seed, Disabled: cfg.Disabled.Router(), IDPerStart: cfg.IDPerStart},
+			Router:   router.Router{Seed: cfg.Seed, Disabled: cfg.Disabled.Router(), IDPerStart: cfg.IDPerStart, EjectFailing: cfg.EjectFailing},
 			Disabled: cfg.Disabled.Scheduler(),
 		},
 	}
@@ -334,6 +334,9 @@
 func (c *control) prefillEnded(t *scheduler.Ticket, pick router.Pick, after time.Duration) {
 	c.do(func() {
 		c.scheduler.PrefillDone(t, pick, after)
+		if after > 0 {
+			c.scheduler.Router.RecordSuccess(pick)
+		}
 		c.notifySendsChanged()
 		c.deliverPlacements()
 	})
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -122,6 +122,9 @@
 			x.r.Trial = false
 		}
 	}
+	if x.failedByTarget(a, c) {
+		x.cd.control.recordFailure(x.r.CallerID, a.blamedPick(), a.since)
+	}
 	if err := x.recordTargetLoss(a, c); err != nil {
 		return err
 	}
--- a/messenger/share.go
+++ b/messenger/share.go
@@ -23,7 +23,8 @@
 	Node  string `msgpack:"node"`
 	Sends []Sent `msgpack:"sends"`
 
-	Limits []Limit `msgpack:"limits,omitempty"`
+	Limits    []Limit    `msgpack:"limits,omitempty"`
+	Ejections []Ejection `msgpack:"ejections,omitempty"` // that are in force
 
 	Scope    Scope      `msgpack:"scope,omitempty"`
 	Seq      uint64     `msgpack:"seq,omitempty"`      // of ScopeMember and ScopeGroup: increases with each one of the sender
@@ -49,6 +50,14 @@
 	Observer    string  `msgpack:"observer,omitempty"` // node name of the entry, if another one passes the limit on
 }
 
+// Ejection takes a target out of use for a time, as it broke off requests of an entry.
+type Ejection struct {
+	Target      uint64 `msgpack:"target"`             // hash of the target's id
+	Incarnation uint64 `msgpack:"incarnation"`        // of the target
+	Left        int    `msgpack:"left"`               // milliseconds until it ends
+	Observer    string `msgpack:"observer,omitempty"` // node name of the entry, if another one passes the ejection on
+}
+
 // Sent counts the requests in flight of one entry at one target.
 type Sent struct {
 	_msgpack       struct{} `msgpack:",as_array"`
--- a/router/peers.go
+++ b/router/peers.go
@@ -86,9 +86,10 @@
 // Accepts reports whether this entry may send a request to targets that another entry has
 // picked for it.
 func (r *Router) Accepts(now time.Time, p Pick) bool {
+	limit := r.slotLimit(now, r.byName[p.Target.Service])
 	for _, t := range append([]messenger.Target{p.Target}, p.Helpers...) {
 		s := r.byID[t.ID]
-		if s == nil || s.target.Incarnation != t.Incarnation || s.target.Leaving || now.Before(s.refusedUntil) || !s.limit.allows(now) {
+		if s == nil || s.target.Incarnation != t.Incarnation || s.target.Leaving || now.Before(s.refusedUntil) || !s.limit.allows(now) || limit(s) == 0 {
 			return false
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -77,6 +77,8 @@
 	MaxWait    time.Duration // maximum predicted wait before prefill at an eligible target
 	Disabled   Features      // disabled for ablation benchmarks
 
+	EjectFailing bool // take targets that break off requests out of use for a time
+
 	IDPerStart bool // a target uses a new id at each start, so that a hold binds every incarnation of its id
 
 	Examined uint64 // number of targets examined, read by benchmarks
--- a/router/slots.go
+++ b/router/slots.go
@@ -109,9 +109,10 @@
 
 // pickBySlots selects among targets that report their slots.
 func (r *Router) pickBySlots(now time.Time, x *serviceIndex, req Request) (Pick, bool) {
+	limit := r.slotLimit(now, x)
 	open := slices.DeleteFunc(slices.Clone(x.ranked), func(s *targetState) bool {
 		r.Examined++
-		return now.Before(s.refusedUntil) || !s.limit.allows(now) || slices.Contains(req.Exclude, s.target.ID) || s.running(now) >= s.slots()
+		return now.Before(s.refusedUntil) || !s.limit.allows(now) || slices.Contains(req.Exclude, s.target.ID) || s.running(now) >= limit(s)
 	})
 	switch {
 	case len(open) == 0:
--- a/router/state.go
+++ b/router/state.go
@@ -41,6 +41,7 @@
 	refusedUntil time.Time   // no requests are sent before this time
 	counts       slotCounts
 	limit        rateLimit
+	health       health
 	pausedUntil  time.Time // end of the pause that the target asked for; refusedUntil is no earlier
 }
 
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -157,7 +157,7 @@
 	e, closer, err := entry.New(entry.Config{
 		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
 		View:  r.watcher.View,
-		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, IDPerStart: r.cfg.IDPerStart, MaxRetryBudget: r.maxRetryBudget, Entries: entryNames, Seed: rand.Uint64(),
+		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, IDPerStart: r.cfg.IDPerStart, EjectFailing: r.cfg.EjectFailing, MaxRetryBudget: r.maxRetryBudget, Entries: entryNames, Seed: rand.Uint64(),
 		Place:    r.askRelay,
 		Disabled: r.cfg.Disabled, RetryRatio: r.cfg.RetryRatio, RetryWindow: r.cfg.RetryWindow,
 		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
@@ -178,10 +178,13 @@
 func (r *Runner) startSharer() {
 	cfg := sharer.Config{
 		Node: r.cfg.Settings.Node, Address: r.cfg.Settings.Listen, Zone: r.cfg.Settings.Zone, Pool: r.pool, Peers: r.liveEntries,
-		Report: func() messenger.Share { return messenger.Share{Sends: r.Entry.Sends(), Limits: r.Entry.Limits()} },
+		Report: func() messenger.Share {
+			return messenger.Share{Sends: r.Entry.Sends(), Limits: r.Entry.Limits(), Ejections: r.Entry.Ejections()}
+		},
 		Record: func(m messenger.Share) {
 			r.Entry.RecordSends(router.Peers{Sends: m.Sends, Entries: m.Entries, Oldest: time.Duration(m.Oldest) * time.Millisecond})
 			r.Entry.RecordLimits(m.Limits)
+			r.Entry.RecordEjections(m.Ejections)
 		},
 		Place: r.Entry.PlaceFor, Keepers: r.keeperAddresses, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -52,6 +52,7 @@
 	IDPerStart       bool                                                  // targets use a new id at each start
 	Allocator        *allocator.Allocator                                  // reserves memory at targets; used with Exchange
 	RetryRatio       float64                                               // retries that a request earns its service if the configuration sets none; the retrier's default if zero
+	EjectFailing     bool                                                  // entries take targets that break off requests out of use for a time
 	RetryWindow      time.Duration                                         // after which entries give spent retries back, and in which their budgets hold across restarts; zero for neither
 	FleetRetryBudget float64                                               // maximum unused retries of a service, divided among all entries; each entry uses retrier.DefaultMaxBudget if zero
 	Files            recorder.Files                                        // file system of the keeper; that of the operating system if zero
