Claim trials of isolated prompt parts from the keepers

Cause: only the entry that last reported a part could send a request with it to find out whether it is sound. If that entry got no such request in time, a sound part that is rarely requested stayed isolated.

Changed: an entry that gets a request with an isolated group claims a trial (PartsChange.Claim in the replicated log). The keepers grant one at a time, and one in all, two for doubtful groups, in the time windows that there were. The request waits 400 ms for the grant at most, is sent within another 400 ms or refused, and is no trial if a second isolated group holds it back. State, answer and list have new optional fields; builds without them ignore them. A keeper that restored the state of such a build grants no trial of the parts isolated before. A grant that comes too late is lost.

Ruled out: no end of the time for parts that were never answered.

Its stand-in of the keeper returns the answers of proposals.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -78,7 +78,9 @@
 		accused := a.accuseParts(ac, c.Suspect)
 		return &Answer{}, a.suspects.report(ac, c.Suspect) || accused
 	case c.Verb == VerbParts && c.Parts != nil:
-		return &Answer{}, a.changeParts(ac, c.Parts)
+		changed := a.changeParts(ac, c.Parts)
+		granted := a.parts.Claim(ac.now, c.Parts.Claim)
+		return &Answer{Granted: granted}, changed || granted
 	case c.Verb == VerbFence && c.Target != "":
 		a.fences.issue(c.Target, index)
 		return &Answer{Fence: index}, false
--- a/applier/command.go
+++ b/applier/command.go
@@ -72,6 +72,7 @@
 	Winner  *Record            `msgpack:"winner,omitempty"`
 	Claimed *messenger.Claimed `msgpack:"claimed,omitempty"`
 	Fence   uint64             `msgpack:"fence,omitempty"`
+	Granted bool               `msgpack:"granted,omitempty"` // of PartsChange.Claim
 }
 
 // Err returns the answer's code as an error, nil for OK.
--- a/applier/parts.go
+++ b/applier/parts.go
@@ -12,6 +12,8 @@
 type PartsChange struct {
 	Sound []messenger.SoundPart `msgpack:"sound,omitempty"` // parts that were answered
 	Seen  []uint64              `msgpack:"seen,omitempty"`  // isolated parts with which requests still arrive
+	Claim []uint64              `msgpack:"claim,omitempty"` // group with which the sender wants to send one more request
+	Node  string                `msgpack:"node,omitempty"`  // sender of a claim
 }
 
 // accuseParts counts a crash for the parts of a report, and reports whether the result of
--- a/applier/parts_test.go
+++ b/applier/parts_test.go
@@ -75,6 +75,42 @@
 		Expect(bytes.Equal(restored.Snapshot(), data)).To(BeTrue())
 	})
 
+	It("are tried by the one entry that claims it first, also after a restart from a snapshot", func() {
+		l.isolate(7)
+		claim := func() bool {
+			answer := l.apply(&applier.Command{Verb: applier.VerbParts, Parts: &applier.PartsChange{Claim: []uint64{7}}})
+			return answer.Granted
+		}
+		Expect(claim()).To(BeFalse())
+		l.now = l.now.Add(isolator.TrialDelay)
+		before := l.applier.Snapshot()
+		notified := 0
+		l.applier.Subscribe(func() { notified++ })
+		Expect(claim()).To(BeTrue())
+		Expect(notified).To(Equal(1))
+		Expect(claim()).To(BeFalse())
+		Expect(l.applier.Restore(l.applier.Snapshot())).To(Succeed())
+		Expect(claim()).To(BeFalse())
+		Expect(l.applier.Restore(before)).To(Succeed())
+		Expect(claim()).To(BeTrue())
+	})
+
+	It("are not tried while their snapshot is of a build that does not record the trial", func() {
+		l.isolate(7)
+		l.now = l.now.Add(isolator.TrialDelay)
+		var fields map[string]any
+		Expect(msgpack.Unmarshal(l.applier.Snapshot(), &fields)).To(Succeed())
+		for _, p := range fields["parts"].(map[string]any)["parts"].([]any) {
+			delete(p.(map[string]any), "since")
+		}
+		old, err := msgpack.Marshal(fields)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.applier.Restore(old)).To(Succeed())
+		l.expectIsolated(7)
+		answer := l.apply(&applier.Command{Verb: applier.VerbParts, Parts: &applier.PartsChange{Claim: []uint64{7}}})
+		Expect(answer.Granted).To(BeFalse())
+	})
+
 	It("are unknown to a snapshot of a build without them", func() {
 		l.isolate(7)
 		var fields map[string]any
--- a/applier/rapid_test.go
+++ b/applier/rapid_test.go
@@ -69,7 +69,10 @@
 }
 
 func drawPartsChange(t *rapid.T) *applier.Command {
-	c := &applier.PartsChange{Seen: rapid.SliceOfN(rapid.Uint64Range(1, 4), 0, 2).Draw(t, "seen")}
+	c := &applier.PartsChange{
+		Seen:  rapid.SliceOfN(rapid.Uint64Range(1, 4), 0, 2).Draw(t, "seen"),
+		Claim: rapid.SliceOfN(rapid.Uint64Range(1, 4), 0, 1).Draw(t, "claim"),
+	}
 	for _, id := range rapid.SliceOfN(rapid.Uint64Range(1, 4), 0, 2).Draw(t, "sound") {
 		c.Sound = append(c.Sound, messenger.SoundPart{Part: id, Ago: time.Duration(rapid.IntRange(0, 3).Draw(t, "ago")) * time.Second})
 	}
--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -50,8 +50,9 @@
 	Output      int // predicted tokens
 	Class       messenger.Class
 	Fingerprint uint64
-	Trial       bool // sent although its parts are isolated, to find out whether they crash targets
-	Gang        bool // exceeds the memory of any single target
+	Trial       bool      // sent although its parts are isolated, to find out whether they crash targets
+	TrialBy     time.Time // latest time at which it may be sent so
+	Gang        bool      // exceeds the memory of any single target
 
 	Answer Answer
 	Trace  Trace
--- a/conductor/filters.go
+++ b/conductor/filters.go
@@ -122,7 +122,7 @@
 		if cd.cfg.View().Blocked[r.Fingerprint] {
 			return coder.Errorf(coder.Quarantined, "")
 		}
-		if err := cd.admitParts(r); err != nil {
+		if err := cd.admitParts(ctx, r); err != nil {
 			return err
 		}
 		return next(ctx, r)
--- a/conductor/partmemory.go
+++ b/conductor/partmemory.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"bramleyshunt/isolator"
 	"bramleyshunt/messenger"
 )
 
@@ -31,8 +30,7 @@
 	services map[string]time.Time // last answer that went on, by service
 	reported map[uint64]time.Time // when a listed part was last reported as sound
 	seen     map[uint64]time.Time // when a group was last reported as still requested, by its first part
-	adopted  map[uint64]time.Time // when a part was first listed in a group
-	trials   map[uint64]int       // requests that were sent to try a group, by part
+	claiming map[uint64]bool      // a request waits for the grant of a trial of a group, by its first part
 	listed   *messenger.Isolated  // adopted last
 	changed  chan struct{}        // closed when listed is replaced
 }
@@ -40,7 +38,7 @@
 func newPartMemory() *partMemory {
 	return &partMemory{
 		sound: map[uint64]time.Time{}, services: map[string]time.Time{},
-		reported: map[uint64]time.Time{}, seen: map[uint64]time.Time{}, adopted: map[uint64]time.Time{}, trials: map[uint64]int{}, changed: make(chan struct{}),
+		reported: map[uint64]time.Time{}, seen: map[uint64]time.Time{}, claiming: map[uint64]bool{}, changed: make(chan struct{}),
 	}
 }
 
@@ -95,7 +93,10 @@
 	if v == nil {
 		return old, nil
 	}
-	listed := append(slices.Clone(v.Suspected), m.recordAdopted(now, v)...)
+	listed := slices.Clone(v.Suspected)
+	for _, g := range v.Groups {
+		listed = append(listed, g.Parts...)
+	}
 	listed = slices.DeleteFunc(listed, func(id uint64) bool {
 		at, ok := m.lastSound(id)
 		return !ok || now.Sub(at) > maxSoundAge
@@ -103,46 +104,6 @@
 	return old, m.due(now, listed)
 }
 
-// recordAdopted records when parts were first listed in a group, and returns all of them.
-func (m *partMemory) recordAdopted(now time.Time, v *messenger.Isolated) (parts []uint64) {
-	for _, g := range v.Groups {
-		parts = append(parts, g.Parts...)
-	}
-	for _, id := range parts {
-		if _, known := m.adopted[id]; !known {
-			m.adopted[id] = now
-		}
-	}
-	for id := range m.adopted {
-		if !slices.Contains(parts, id) {
-			delete(m.adopted, id)
-		}
-	}
-	return parts
-}
-
-// try reports whether to send one more request with an isolated group, as the entry of the
-// given name.
-func (m *partMemory) try(now time.Time, name string, g *messenger.PartGroup) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	at, ok := m.adopted[g.Parts[0]]
-	trials := 0
-	for _, id := range g.Parts {
-		trials = max(trials, m.trials[id])
-	}
-	if !ok || !isolator.IsTrialDue(g, name, now.Sub(at), trials) {
-		return false
-	}
-	if len(m.trials) >= maxSoundParts {
-		clear(m.trials)
-	}
-	for _, id := range g.Parts {
-		m.trials[id] = trials + 1
-	}
-	return true
-}
-
 // lastSound returns when an answer with a part last went on, false if that is not known.
 func (m *partMemory) lastSound(id uint64) (time.Time, bool) {
 	at, ok := m.sound[id]
--- a/conductor/parts.go
+++ b/conductor/parts.go
@@ -75,11 +75,11 @@
 	})
 }
 
-// admitParts refuses a new request whose parts are isolated, unless this entry is to send it
-// to find out whether they are.
-func (cd *Conductor) admitParts(r *chainer.Request) error {
-	if g := cd.isolatedGroup(r); g != nil && cd.parts.try(cd.cfg.Now(), cd.cfg.Settings.Node, g) {
-		r.Trial = true
+// admitParts refuses a new request whose parts are isolated, unless the keepers grant this
+// entry to send it to find out whether they are.
+func (cd *Conductor) admitParts(ctx context.Context, r *chainer.Request) error {
+	if g := cd.claimableGroup(r); g != nil && cd.claimTrial(ctx, g) && cd.matchesOnly(r, g) {
+		r.Trial, r.TrialBy = true, cd.cfg.Now().Add(isolator.SendWait)
 		cd.meter.count("parts.trial")
 		cd.groupLog(g).WithFields(logrus.Fields{"request": r.CallerID, "id": r.ID}).Info("isolated parts tried once more")
 	}
@@ -89,7 +89,7 @@
 // checkParts returns the error to refuse a request with whose parts are isolated.
 func (cd *Conductor) checkParts(r *chainer.Request) error {
 	g := cd.isolatedGroup(r)
-	if g == nil || r.Trial {
+	if g == nil || r.Trial && !cd.cfg.Now().After(r.TrialBy) {
 		return nil
 	}
 	cd.meter.count("parts.refused")
--- a/conductor/partsbed_test.go
+++ b/conductor/partsbed_test.go
@@ -36,6 +36,8 @@
 	bad     []uint64
 	answer  func(ctx context.Context, a *Attempt) error // of requests without a bad part; nil for a success
 
+	keeperDelay time.Duration // of its answers
+
 	mu          sync.Mutex
 	view        atomic.Pointer[watcher.View]
 	keeper      applier.Applier
@@ -70,7 +72,7 @@
 }
 
 // call stands for the leading keeper.
-func (b *partsBed) call(_ context.Context, kind messenger.Kind, v, _ any) error {
+func (b *partsBed) call(ctx context.Context, kind messenger.Kind, v, out any) error {
 	var c *applier.Command
 	switch kind {
 	case messenger.KindSuspect:
@@ -83,19 +85,30 @@
 	default:
 		return fmt.Errorf("unexpected %s", kind)
 	}
-	b.apply(c)
+	answer := b.apply(c)
+	if b.keeperDelay > 0 {
+		select {
+		case <-time.After(b.keeperDelay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if p, ok := out.(*messenger.Proposed); ok {
+		p.Data = answer
+	}
 	time.AfterFunc(isolator.MinWait, func() {
 		b.apply(&applier.Command{Verb: applier.VerbParts, Parts: &applier.PartsChange{}})
 	})
 	return nil
 }
 
-func (b *partsBed) apply(c *applier.Command) {
+func (b *partsBed) apply(c *applier.Command) []byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.index++
-	b.keeper.Apply(b.index, c.Stamp(time.Now()))
+	answer := b.keeper.Apply(b.index, c.Stamp(time.Now()))
 	time.AfterFunc(publishDelay, b.publish)
+	return answer
 }
 
 // publish gives the entries the state of the keeper.
@@ -197,14 +210,15 @@
 	return nil
 }
 
-// isolate sends a request with parts each second, to the entries in turn, until one is refused.
+// isolate sends requests with parts to the entries in turn until one is refused, each less than
+// isolator.TrialDelay after the one before, so that none of them is a trial.
 func (b *partsBed) isolate(parts ...uint64) {
 	b.t.Helper()
 	for n := range 10 {
 		if isIsolated(b.send(n%len(b.entries), append(slices.Clone(parts), uint64(1000+n))...)) {
 			return
 		}
-		time.Sleep(time.Second)
+		time.Sleep(time.Second / 2)
 	}
 	b.t.Fatalf("requests with parts %v are not refused", parts)
 }
--- a/isolator/group.go
+++ b/isolator/group.go
@@ -32,6 +32,9 @@
 	}
 	out.Groups = slices.DeleteFunc(out.Groups, func(g messenger.PartGroup) bool { return g.Until <= now.UnixNano() })
 	slices.SortFunc(out.Groups, func(a, b messenger.PartGroup) int { return cmp.Compare(a.Parts[0], b.Parts[0]) })
+	for n := range out.Groups {
+		i.setClaim(&out.Groups[n])
+	}
 	i.limitSuspected(out)
 	return out
 }
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -11,8 +11,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"bramleyshunt/messenger"
 )
 
 const (
@@ -22,11 +20,11 @@
 	// MinWait is the shortest time from the crash that puts a part under suspicion to its
 	// isolation, in which entries can report that the part is answered.
 	MinWait = 500 * time.Millisecond
-	// TrialDelay is the time from the isolation of parts until the entry named in Trial sends
+	// TrialDelay is the time from the isolation of parts from which an entry may claim to send
 	// one more request with them.
 	TrialDelay = time.Second
 	// TrialEnd is the time from the isolation of parts that are not doubtful after which no such
-	// request is sent.
+	// request is granted.
 	TrialEnd = 3 * time.Second
 	// SecondTrialDelay is the time from the isolation of doubtful parts until the second one.
 	SecondTrialDelay = 6 * time.Second
@@ -74,6 +72,10 @@
 	Node    string  `msgpack:"node"`    // entry that last reported the part before its isolation
 	Until   int64   `msgpack:"until"`   // end of the isolation, nanoseconds since the Unix epoch; zero if the part was not isolated
 	Seq     uint64  `msgpack:"seq"`     // of the last report
+
+	Since   int64 `msgpack:"since,omitempty"`   // start of the isolation, nanoseconds since the Unix epoch
+	Trials  int   `msgpack:"trials,omitempty"`  // granted in this isolation
+	TrialAt int64 `msgpack:"trialat,omitempty"` // when the last one was granted, nanoseconds since the Unix epoch
 }
 
 // State is the whole state of an Isolator. Equal states are encoded equally.
@@ -167,7 +169,7 @@
 	changed := false
 	for _, p := range i.parts {
 		if p.Until == 0 && i.ripe(p, now) {
-			p.Until = now.Add(quarantine).UnixNano()
+			p.Until, p.Since = now.Add(quarantine).UnixNano(), now.UnixNano()
 			changed = true
 		}
 	}
@@ -240,7 +242,7 @@
 	if len(p.Crashes) == 0 {
 		delete(i.parts, id)
 	} else if len(p.Crashes) < before && !i.ripe(p, now) {
-		p.Until = 0
+		p.Until, p.Since, p.Trials, p.TrialAt = 0, 0, 0, 0
 	}
 	return len(p.Crashes) < before
 }
@@ -326,35 +328,6 @@
 	}
 }
 
-// IsTrialDue reports whether an entry that adopted the isolation of a group some time ago, and
-// has tried it so often, may send one more request with it, as the entry named in Trial. A
-// doubtful group is tried twice: the first trial may end with a target that another part
-// crashes.
-func IsTrialDue(g *messenger.PartGroup, entry string, ago time.Duration, trials int) bool {
-	if g.Trial != entry {
-		return false
-	}
-	if trials == 0 {
-		return ago >= TrialDelay && (g.Doubtful || ago < TrialEnd)
-	}
-	return trials == 1 && g.Doubtful && ago >= SecondTrialDelay
-}
-
-// Match returns the group that holds a request with the given parts back, nil if there is
-// none: a group whose parts the request all has.
-func Match(v *messenger.Isolated, parts []uint64) *messenger.PartGroup {
-	if v == nil || len(parts) == 0 {
-		return nil
-	}
-	for n := range v.Groups {
-		g := &v.Groups[n]
-		if !slices.ContainsFunc(g.Parts, func(id uint64) bool { return !slices.Contains(parts, id) }) {
-			return g
-		}
-	}
-	return nil
-}
-
 // FormatParts formats parts for the log.
 func FormatParts(parts []uint64) []string {
 	out := make([]string, len(parts))
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -257,7 +257,7 @@
 // step applies one random change to each of the Isolators.
 func step(t *rapid.T, now time.Time, all ...*isolator.Isolator) {
 	part := rapid.Uint64Range(1, 5)
-	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
 	case 0:
 		id, ago := part.Draw(t, "part"), time.Duration(rapid.IntRange(0, 3000).Draw(t, "ago"))*time.Millisecond
 		for _, i := range all {
@@ -268,6 +268,18 @@
 		for _, i := range all {
 			i.Seen(now, quarantine, id)
 		}
+	case 2:
+		groups := all[0].Isolated(now).Groups
+		if len(groups) == 0 {
+			return
+		}
+		g := rapid.SampledFrom(groups).Draw(t, "group")
+		granted := all[0].Claim(now, g.Parts)
+		for _, i := range all[1:] {
+			if i.Claim(now, g.Parts) != granted {
+				t.Fatalf("claims of %v differ", g.Parts)
+			}
+		}
 	default:
 		r := isolator.Report{
 			Service: "s", Parts: rapid.SliceOfN(part, 0, 4).Draw(t, "parts"), Request: rapid.Uint64Range(1, 4).Draw(t, "request"),
--- a/isolator/simulation_test.go
+++ b/isolator/simulation_test.go
@@ -57,8 +57,7 @@
 	list     *messenger.Isolated
 	listed   time.Duration // when list was published
 	reported map[uint64]time.Duration
-	adopted  map[uint64]time.Duration // when a part was first listed in a group
-	trials   map[uint64]int           // requests sent to try a group, by part
+	claiming map[uint64]bool // a request waits for the grant of a trial, by the first part of the group
 }
 
 type target struct {
@@ -119,7 +118,7 @@
 	for n := range entries {
 		f.entries = append(f.entries, &entry{
 			name: fmt.Sprint("entry-", n), sound: map[uint64]time.Duration{}, service: -1, reported: map[uint64]time.Duration{},
-			adopted: map[uint64]time.Duration{}, trials: map[uint64]int{},
+			claiming: map[uint64]bool{},
 		})
 	}
 	for i := range targets {
@@ -170,11 +169,58 @@
 }
 
 func (f *fleet) send(r *request) {
-	bad := f.badPart(r)
-	if g := isolator.Match(r.entry.list, r.parts); g != nil && !r.entry.try(g, f.now) {
-		f.refuse(bad)
+	if groups := isolator.MatchAll(r.entry.list, r.parts); len(groups) > 0 {
+		f.claim(r, groups)
+		return
+	}
+	f.place(r)
+}
+
+// trialClaim is a request that waits for the grant of a trial.
+type trialClaim struct {
+	f     *fleet
+	r     *request
+	parts []uint64
+	done  bool
+}
+
+// claim claims a trial of the group that holds a request back, and sends the request if the
+// trial is granted in time.
+func (f *fleet) claim(r *request, groups []*messenger.PartGroup) {
+	c := &trialClaim{f: f, r: r, parts: groups[0].Parts}
+	if len(groups) > 1 || r.entry.claiming[c.parts[0]] || !isolator.IsClaimable(groups[0], f.clock()) {
+		f.refuse(f.badPart(r))
+		return
+	}
+	r.entry.claiming[c.parts[0]] = true
+	f.after(isolator.ClaimWait, func() { c.end(false) })
+	f.after(f.message(), func() {
+		granted := f.isolator.Claim(f.clock(), c.parts)
+		if granted {
+			f.publish()
+		}
+		f.after(f.message(), func() { c.end(granted) })
+	})
+}
+
+// end sends the request, unless the claim was not granted or another group holds it back by now.
+func (c *trialClaim) end(granted bool) {
+	if c.done {
+		return
+	}
+	c.done = true
+	c.r.entry.claiming[c.parts[0]] = false
+	others := slices.ContainsFunc(isolator.MatchAll(c.r.entry.list, c.r.parts), func(g *messenger.PartGroup) bool { return !slices.Equal(g.Parts, c.parts) })
+	if !granted || others {
+		c.f.refuse(c.f.badPart(c.r))
 		return
 	}
+	c.f.place(c.r)
+}
+
+// place sends a request to a target.
+func (f *fleet) place(r *request) {
+	bad := f.badPart(r)
 	up := slices.DeleteFunc(slices.Clone(f.targets), func(t *target) bool { return !t.up })
 	if len(up) == 0 {
 		return
@@ -194,21 +240,6 @@
 	})
 }
 
-// try reports whether a request with an isolated group is sent once more.
-func (e *entry) try(g *messenger.PartGroup, now time.Duration) bool {
-	trials := 0
-	for _, id := range g.Parts {
-		trials = max(trials, e.trials[id])
-	}
-	if !isolator.IsTrialDue(g, e.name, now-e.adopted[g.Parts[0]], trials) {
-		return false
-	}
-	for _, id := range g.Parts {
-		e.trials[id] = trials + 1
-	}
-	return true
-}
-
 func (f *fleet) badPart(r *request) *badPart {
 	for _, id := range r.parts {
 		if b := f.bad[id]; b != nil {
@@ -335,11 +366,6 @@
 				return
 			}
 			e.list, e.listed = v, at
-			for _, id := range groupParts(v) {
-				if _, known := e.adopted[id]; !known {
-					e.adopted[id] = f.now
-				}
-			}
 			f.reportSound(e, append(slices.Clone(v.Suspected), groupParts(v)...))
 		})
 	}
--- a/messenger/keeper.go
+++ b/messenger/keeper.go
@@ -177,12 +177,17 @@
 	Parts   []uint64 `msgpack:"parts"` // sorted
 	Crashes int      `msgpack:"crashes"`
 	Until   int64    `msgpack:"until"` // nanoseconds since the Unix epoch
-	// Trial names the entry that sends one more request with these parts, which frees them
-	// if it is answered.
+	// Trial names the entry that last reported the parts. In builds that don't know Claim, it
+	// sends one more request with them.
 	Trial string `msgpack:"trial"`
 	// Doubtful reports that the parts may well be sound, as they were answered before their
 	// crashes or others share all of these.
 	Doubtful bool `msgpack:"doubtful"`
+	// Claim is the time from which an entry may claim to send one more request with these
+	// parts, which frees them if it is answered; ClaimEnd is the end of that time.
+	// Nanoseconds since the Unix epoch; zero for never.
+	Claim    int64 `msgpack:"claim,omitempty"`
+	ClaimEnd int64 `msgpack:"claimend,omitempty"`
 }
 
 // SoundPart reports that an answer to a request with a part went on.
--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -177,7 +177,7 @@
 	}
 	index, a, err := p.proposeCommand(ctx, c)
 	if err == nil && c.Parts != nil {
-		p.logPartsChange(c.Parts)
+		p.logPartsChange(c.Parts, a)
 	}
 	return proposedReply(index, a, err)
 }
--- a/publisher/isolated.go
+++ b/publisher/isolated.go
@@ -81,8 +81,16 @@
 	}).Info("crash counted for parts of a prompt")
 }
 
-// logPartsChange logs the parts that were found sound or are still requested.
-func (p *Publisher) logPartsChange(c *applier.PartsChange) {
+// logPartsChange logs the parts that were found sound or are still requested, and claims of
+// trials with their outcome.
+func (p *Publisher) logPartsChange(c *applier.PartsChange, a *applier.Answer) {
+	if len(c.Claim) > 0 {
+		p.count("publisher.parts.claims")
+		if a.Granted {
+			p.count("publisher.parts.granted")
+		}
+		p.cfg.Log.WithFields(logrus.Fields{"parts": isolator.FormatParts(c.Claim), "entry": c.Node, "granted": a.Granted}).Info("trial of isolated parts claimed")
+	}
 	for _, s := range c.Sound {
 		p.count("publisher.parts.sound")
 		p.cfg.Log.WithFields(logrus.Fields{
