Keep evacuated availability zones in the replicated state

Cause: operators order that nothing more is sent to the targets of an availability zone (docs/design/OVERVIEW.md, part 1); the order must be as durable as a configuration. A list carries the log index of the last order, as orders have no version: receivers can tell an older list from a newer one. messenger.Evacuated and the field of Update; checker.IsName, the name rule that zones share. A repeated order is accepted and leaves who ordered first and when. The 65th zone is refused with Conflict, names that break the rule with Malformed. Ruled out: a version in the order (the callers have none to give); the time of the last repetition as Since (a caller that repeats a lost call would move it).

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -1,7 +1,7 @@
 // Package applier is the replicated state machine of the keepers. It holds the
 // configuration in force with the answers to its changes, idempotency claims, fencing
-// tokens, quarantined requests, isolated parts of prompts and the targets that keepers
-// knew last. The state is a pure function of the log: time comes only from the commands,
+// tokens, quarantined requests, isolated parts of prompts, evacuated availability zones and
+// the targets that keepers knew last. The state is a pure function of the log: time comes only from the commands,
 // and no result depends on the iteration order of a map.
 package applier
 
@@ -31,11 +31,13 @@
 	parts    isolator.Isolator
 	targets  targets
 
+	evacuations evacuations
+
 	subscribers []func()
 }
 
 // Subscribe registers f to be called after each command that changed the
-// configuration, the quarantine or the isolated parts and after each Restore. It is called on the goroutine
+// configuration, the quarantine, the isolated parts or the evacuated zones and after each Restore. It is called on the goroutine
 // of Apply or Restore.
 func (a *Applier) Subscribe(f func()) {
 	a.mu.Lock()
@@ -85,6 +87,9 @@
 	case c.Verb == VerbTargets && c.Targets != nil:
 		a.targets.change(c.Targets)
 		return &Answer{}, false
+	case c.Verb == VerbEvacuate && c.Evacuation != nil:
+		answer := a.evacuations.order(ac, c.Evacuation)
+		return answer, answer.Code == coder.OK
 	default:
 		return &Answer{Code: coder.BadFrame, Text: "command without content"}, false
 	}
--- a/applier/command.go
+++ b/applier/command.go
@@ -24,6 +24,7 @@
 	VerbFence
 	VerbTargets
 	VerbParts
+	VerbEvacuate
 )
 
 // Change replaces the whole configuration folder.
@@ -51,6 +52,8 @@
 	Target  string             `msgpack:"target,omitempty"` // of a VerbFence
 	Targets *Targets           `msgpack:"targets,omitempty"`
 	Parts   *PartsChange       `msgpack:"parts,omitempty"`
+
+	Evacuation *EvacuationOrder `msgpack:"evacuation,omitempty"`
 }
 
 // Record describes one accepted Change.
@@ -72,6 +75,8 @@
 	Winner  *Record            `msgpack:"winner,omitempty"`
 	Claimed *messenger.Claimed `msgpack:"claimed,omitempty"`
 	Fence   uint64             `msgpack:"fence,omitempty"`
+
+	Evacuation *EvacuationResult `msgpack:"evacuation,omitempty"`
 }
 
 // Err returns the answer's code as an error, nil for OK.
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -36,6 +36,8 @@
 
 	Targets []messenger.Target `msgpack:"targets,omitempty"` // remembered
 	Parts   *isolator.State    `msgpack:"parts,omitempty"`
+
+	Evacuated *messenger.Evacuated `msgpack:"evacuated,omitempty"`
 }
 
 // namedNumber is one key and value of a map.
@@ -85,6 +87,7 @@
 	}
 	s.Targets = a.targets.sorted()
 	s.Parts = a.parts.State()
+	s.Evacuated = a.evacuations.state()
 	return encode(&s)
 }
 
@@ -111,6 +114,7 @@
 	a.suspects = s.suspects()
 	a.targets = s.targets()
 	a.parts.Restore(s.Parts)
+	a.evacuations.restore(s.Evacuated)
 	subscribers := a.subscribers
 	a.mu.Unlock()
 	for _, f := range subscribers {
--- a/applier/verb_string.go
+++ b/applier/verb_string.go
@@ -15,11 +15,12 @@
 	_ = x[VerbFence-4]
 	_ = x[VerbTargets-5]
 	_ = x[VerbParts-6]
+	_ = x[VerbEvacuate-7]
 }
 
-const _Verb_name = "VerbNoneVerbChangeVerbClaimVerbSuspectVerbFenceVerbTargetsVerbParts"
+const _Verb_name = "VerbNoneVerbChangeVerbClaimVerbSuspectVerbFenceVerbTargetsVerbPartsVerbEvacuate"
 
-var _Verb_index = [...]uint8{0, 8, 18, 27, 38, 47, 58, 67}
+var _Verb_index = [...]uint8{0, 8, 18, 27, 38, 47, 58, 67, 79}
 
 func (i Verb) String() string {
 	idx := int(i) - 0
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -35,6 +35,9 @@
 
 var nameRE = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
+// IsName reports whether s is a valid name of a service, an account or an availability zone.
+func IsName(s string) bool { return nameRE.MatchString(s) }
+
 // Check merges and validates the files of a folder. The configuration is nil if
 // there are faults.
 func Check(files []messenger.File) (*configurer.Configurer, decoder.Faults) {
--- a/messenger/keeper.go
+++ b/messenger/keeper.go
@@ -74,6 +74,9 @@
 	Loads []Digest `msgpack:"loads,omitempty"`
 	// Isolated replaces the parts of prompts that are isolated; nil if unchanged.
 	Isolated *Isolated `msgpack:"isolated,omitempty"`
+	// Evacuated replaces the evacuated availability zones; nil if unchanged, or if the keeper
+	// doesn't know of any.
+	Evacuated *Evacuated `msgpack:"evacuated,omitempty"`
 }
 
 // Digest is the load of one target without its total memory, which Target carries.
