Take orders to evacuate a zone and publish the zones to watchers

Cause: an order must reach every entry within seconds, also where the configuration's version doesn't change. A view is now published too when the configuration of an update is refused but its other parts have changed. Ruled out: dropping the list at the first update of a keeper that sends none, as is done for isolated parts: it would return evacuated zones during an upgrade.

--- a/publisher/handle.go
+++ b/publisher/handle.go
@@ -179,6 +179,9 @@
 	if err == nil && c.Parts != nil {
 		p.logPartsChange(c.Parts)
 	}
+	if err == nil && c.Evacuation != nil {
+		p.logEvacuationOrder(c.Evacuation, index, a)
+	}
 	return proposedReply(index, a, err)
 }
 
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -92,7 +92,7 @@
 		inbox:  make(chan func(), inboxSize), wake: make(chan struct{}, 1),
 	}
 	p.confirm.init()
-	p.state.Store(&state{view: p.cfg.Applier.View(), isolated: p.cfg.Applier.Isolated(p.cfg.Now()), replaced: make(chan struct{})})
+	p.state.Store(&state{view: p.cfg.Applier.View(), isolated: p.cfg.Applier.Isolated(p.cfg.Now()), evacuated: p.cfg.Applier.Evacuated(), replaced: make(chan struct{})})
 	p.cfg.Applier.Subscribe(p.requestPublish)
 	p.wg.Go(p.control)
 	p.wg.Go(func() { p.confirm.run(ctx, p.cfg.ConfirmInterval, p.cfg.Confirm, p.requestPublish) })
@@ -193,7 +193,7 @@
 		view: p.cfg.Applier.View(), blocked: p.cfg.Applier.Blocked(p.cfg.Now()),
 		live: old.live, ended: old.ended, leaseRev: p.leases.Rev(),
 		confirmed: ok, round: round, replaced: make(chan struct{}), members: p.cfg.Members(),
-		isolated: p.isolated(old.isolated),
+		isolated: p.isolated(old.isolated), evacuated: p.evacuated(old.evacuated),
 	}
 	if st.leaseRev != old.leaseRev {
 		st.live, st.ended = p.leases.Live(), p.leases.Ended()
--- a/publisher/state.go
+++ b/publisher/state.go
@@ -38,6 +38,7 @@
 	view      *applier.View
 	blocked   []uint64
 	isolated  *messenger.Isolated
+	evacuated *messenger.Evacuated
 	live      []registrar.Lease
 	ended     []registrar.EndedLease
 	leaseRev  uint64             // revision of the leases
@@ -60,6 +61,7 @@
 	leaseRev    uint64
 	blocked     []uint64
 	isolated    *messenger.Isolated
+	evacuated   *messenger.Evacuated
 	round       uint64
 	members     []messenger.Member
 	sentAt      time.Time
@@ -85,7 +87,7 @@
 	if !slices.Equal(c.members, st.members) {
 		u.Keepers, c.members = st.members, st.members
 	}
-	empty := !u.Full && len(u.Keepers) == 0 && len(u.Files)+len(u.Targets)+len(u.Gone)+len(u.Blocked)+len(u.Freed)+len(u.Loads) == 0 && u.Isolated == nil
+	empty := !u.Full && len(u.Keepers) == 0 && len(u.Files)+len(u.Targets)+len(u.Gone)+len(u.Blocked)+len(u.Freed)+len(u.Loads) == 0 && u.Isolated == nil && u.Evacuated == nil
 	urgent := now.Sub(c.confirmedAt) > maxConfirmationAge && st.confirmed && c.pending.ready(st.round)
 	if empty && c.started && !urgent && now.Sub(c.sentAt) < maxUpdateInterval {
 		return nil
@@ -198,6 +200,9 @@
 	if c.isolated != st.isolated {
 		u.Isolated, c.isolated = st.isolated, st.isolated
 	}
+	if c.evacuated != st.evacuated {
+		u.Evacuated, c.evacuated = st.evacuated, st.evacuated
+	}
 }
 
 // difference returns the numbers in a that are not in b. Both must be sorted.
--- a/watcher/follow.go
+++ b/watcher/follow.go
@@ -90,6 +90,9 @@
 	if err != nil {
 		metrics.GetOrRegisterCounter("watcher.refused", f.cfg.Metrics).Inc(1)
 		f.cfg.Log.WithError(err).Error("configuration of an update is invalid, keeping the former one")
+		if changed && f.View() != nil { // targets and evacuated zones are valid without it
+			f.publish(f.state.view())
+		}
 		return false
 	}
 	confirmed := f.recordConfirmation(u)
--- a/watcher/state.go
+++ b/watcher/state.go
@@ -33,6 +33,7 @@
 	expiry      map[string]time.Time // when targets that the current keeper has not listed are removed
 	blocked     map[uint64]bool
 	isolated    *messenger.Isolated
+	evacuated   *messenger.Evacuated
 	firstUpdate bool // the next update is the first of its stream
 	leaveKeeper bool // the watcher should change to another keeper
 }
@@ -51,6 +52,9 @@
 	if s.applyIsolated(u) {
 		changed = true
 	}
+	if s.applyEvacuated(u) {
+		changed = true
+	}
 	s.firstUpdate = false
 	if u.Version <= max(s.version, s.sentVersion) {
 		return changed, nil
@@ -209,7 +213,7 @@
 
 // view returns the state as a View, which later updates do not change.
 func (s *state) view() *View {
-	v := &View{Version: s.version, Config: s.config, Blocked: s.blocked, Isolated: s.isolated, ByService: map[string][]messenger.Target{}}
+	v := &View{Version: s.version, Config: s.config, Blocked: s.blocked, Isolated: s.isolated, Evacuated: s.evacuated, ByService: map[string][]messenger.Target{}}
 	v.Targets = slices.SortedFunc(maps.Values(s.targets), func(a, b messenger.Target) int { return strings.Compare(a.ID, b.ID) })
 	for _, t := range v.Targets {
 		v.ByService[t.Service] = append(v.ByService[t.Service], t)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -63,6 +63,10 @@
 	// Isolated lists the parts of prompts that crash targets. It is nil if the keeper
 	// doesn't know of such parts, and the same in successive views unless it changes.
 	Isolated *messenger.Isolated
+
+	// Evacuated lists the evacuated availability zones. It is nil before a keeper has told
+	// them, and the same in successive views unless it changes.
+	Evacuated *messenger.Evacuated
 }
 
 // Watcher follows one of the keepers at a time and publishes their updates as views.
