Send nothing more to the targets of evacuated zones

Cause: an entry must obey an evacuation from the moment at which its view has it, for everything that it has not sent yet. Change: conductor marks the targets of evacuated zones as leaving in the one function that hands the view to router and ganger, and adopts a view with other zones at once, also without a request and within the interval between two views of one version. Right before a request is sent, before memory is reserved for it, and between reservation or claim and start at an agent, the latest view is checked; such a request is placed again, which costs no retry. Members of a gang are checked the same way. If no target remains, the refusal names the zones. Measured drain rates of queues follow the capacity of the remaining targets at once. Figures: conductor and scheduler with -race pass.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -187,6 +187,9 @@
 		return err
 	}
 	out.Emit = func(c messenger.Chunk) error { return a.emit(c, started) }
+	if err := x.cd.checkEvacuated(pick); err != nil {
+		return err
+	}
 	release, err := x.reserveHelpers(a.ctx, out, pick.HelperMemory, func() bool {
 		if a.answering.Load() {
 			return false
@@ -213,6 +216,9 @@
 // checkSend returns the error to end an attempt with before its request is sent, if that
 // must not be sent any more: reserving memory at the helpers takes time.
 func (x *execution) checkSend(pick router.Pick) error {
+	if err := x.cd.checkEvacuated(pick); err != nil {
+		return err
+	}
 	if len(pick.Helpers) > 0 {
 		if err := x.cd.control.checkHolds(pick); err != nil {
 			return err
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -39,6 +39,7 @@
 	view          *watcher.View
 	viewRefreshed time.Time                 // when view was last replaced
 	isolated      *messenger.Isolated       // adopted last
+	evacuated     map[string][]string       // evacuated zones with targets in use, by service
 	adopt         func(*messenger.Isolated) // adopts the isolated parts of a new view
 	estimator     estimator.Estimator
 	limiter       limiter.Limiter
@@ -71,6 +72,7 @@
 			Disabled: cfg.Disabled.Scheduler(),
 		},
 	}
+	c.scheduler.WhyNoTarget = c.whyNoTarget
 	stop := make(chan struct{})
 	var wg conc.WaitGroup
 	wg.Go(func() { c.run(stop) })
@@ -96,6 +98,7 @@
 			f()
 		case <-parts.C:
 			c.adoptParts()
+			c.adoptEvacuated()
 		case <-due:
 			due = nil
 			c.refreshView()
@@ -126,7 +129,8 @@
 }
 
 // refreshView adopts the current view. Each load report of a target creates a view, so
-// views of the same configuration are adopted at most once per viewRefreshInterval.
+// views of the same configuration and evacuated zones are adopted at most once per
+// viewRefreshInterval.
 func (c *control) refreshView() {
 	v, now := c.cfg.View(), c.cfg.Now()
 	c.logEndedHolds(now)
@@ -134,11 +138,16 @@
 	if v == nil || v == c.view {
 		return
 	}
-	if c.view != nil && v.Version == c.view.Version && now.Sub(c.viewRefreshed) < viewRefreshInterval {
+	if c.view != nil && v.Version == c.view.Version && !c.needsEvacuation(v) && now.Sub(c.viewRefreshed) < viewRefreshInterval {
 		return
 	}
+	update := c.scheduler.Router.Update
+	if c.needsEvacuation(v) {
+		c.logEvacuated(c.view, v)
+		update = c.scheduler.UpdateTargets
+	}
 	c.view, c.viewRefreshed = v, now
-	c.scheduler.Router.Update(now, withDeclaredLoads(v))
+	update(now, c.withoutEvacuated(v, withDeclaredLoads(v)))
 	c.scheduler.Router.SetEntries(c.cfg.Settings.Node, c.entries())
 }
 
--- a/conductor/exchange.go
+++ b/conductor/exchange.go
@@ -49,7 +49,7 @@
 			Attempt: a.ID, Incarnation: a.Target.Incarnation, Remaining: a.Remaining,
 			Method: x.r.Method, Path: x.r.Path, Headers: x.r.Headers, Body: x.r.Body,
 		},
-		BeforeRun: func(ctx context.Context) error { return x.claim(ctx, a.Target.ID) },
+		BeforeRun: func(ctx context.Context) error { return x.beforeRun(ctx, a.Target) },
 		OnLoad:    a.ReportLoad,
 		OnChunk:   a.Emit,
 	}
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -32,6 +32,7 @@
 type segment struct {
 	attempt  string
 	address  string
+	zone     string
 	stream   *muxer.Stream
 	prefill  atomic.Bool // prefills only; the answer comes from another member
 	exported bool        // the prefill has ended; accessed only by the goroutine of runMember
@@ -139,7 +140,8 @@
 func (g *gang) perform(a ganger.Action) {
 	s := g.segments[a.Attempt]
 	if s == nil {
-		s = &segment{attempt: a.Attempt, address: g.cd.control.scheduler.Router.Target(a.Target).Address}
+		t := g.cd.control.scheduler.Router.Target(a.Target)
+		s = &segment{attempt: a.Attempt, address: t.Address, zone: t.Zone}
 		g.segments[a.Attempt] = s
 		g.cd.control.segments[a.Attempt] = s
 	}
--- a/conductor/segment.go
+++ b/conductor/segment.go
@@ -28,6 +28,10 @@
 		}
 		g.cd.control.sendGangEvent(ganger.Event{Kind: k, Attempt: a.Attempt, Err: err})
 	}
+	if err := g.checkMember(s); err != nil {
+		notify(ganger.Refused, err)
+		return
+	}
 	conn, err := g.cd.cfg.Pool.Get(ctx, s.address)
 	if err != nil {
 		notify(ganger.Refused, err)
@@ -82,7 +86,10 @@
 
 // runSegment sends the run message of a member's segment.
 func (g *gang) runSegment(s *segment, a ganger.Action) {
-	err := g.prepareAnswer(a)
+	err := g.checkMember(s)
+	if err == nil {
+		err = g.prepareAnswer(a)
+	}
 	if err == nil {
 		err = s.stream.Send(messenger.KindRun, &messenger.Run{
 			Attempt: a.Attempt, Incarnation: a.Incarnation, Remaining: a.Remaining,
--- a/conductor/suspect.go
+++ b/conductor/suspect.go
@@ -17,7 +17,7 @@
 	}
 	now := c.cfg.Now()
 	for _, t := range c.view.ByService[service] {
-		if !slices.Contains(all, t.ID) && !c.scheduler.Router.Held(now, t) {
+		if !slices.Contains(all, t.ID) && !c.scheduler.Router.Held(now, t) && c.view.Evacuated.Find(t.Zone) == nil {
 			return all
 		}
 	}
--- a/messenger/evacuated.go
+++ b/messenger/evacuated.go
@@ -1,7 +1,5 @@
 package messenger
 
-import "slices"
-
 // Evacuated lists the evacuated availability zones. Nothing more is sent to their targets.
 type Evacuated struct {
 	Zones []Evacuation `msgpack:"zones" json:"zones"` // sorted by zone
@@ -30,17 +28,16 @@
 	return nil
 }
 
-// Mark returns the targets with those of evacuated zones marked as leaving. Neither a
-// standby nor MayReturn ends that. It changes no target of the given slice.
+// Mark marks the targets of evacuated zones as leaving, and returns the slice. None of them
+// counts as on standby, from which a controller could activate it.
 func (e *Evacuated) Mark(targets []Target) []Target {
 	if e == nil || len(e.Zones) == 0 {
 		return targets
 	}
-	out := slices.Clone(targets)
-	for i := range out {
-		if e.Find(out[i].Zone) != nil {
-			out[i].Leaving, out[i].Standby = true, false
+	for i := range targets {
+		if t := &targets[i]; e.Find(t.Zone) != nil {
+			t.Leaving, t.Standby = true, false
 		}
 	}
-	return out
+	return targets
 }
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"bramleyshunt/messenger"
+)
 
 const (
 	minDrainTime = time.Second      // minimum measurement before the measured rate is used
@@ -42,3 +46,23 @@
 	}
 	return min(reported, max(1, int((d.tokens+float64(first))/elapsed.Seconds())))
 }
+
+// UpdateTargets replaces the known targets of the Router. Measured drain rates follow the
+// capacity of their service at once: they were measured with the former targets.
+func (s *Scheduler) UpdateTargets(now time.Time, targets []messenger.Target) {
+	before := make(map[queueKey]int, len(s.keys))
+	for _, k := range s.keys {
+		before[k] = s.prefillRate(k)
+	}
+	s.Router.Update(now, targets)
+	for _, k := range s.keys {
+		if after := s.prefillRate(k); before[k] > 0 && after > 0 {
+			s.drains[k].tokens *= float64(after) / float64(before[k])
+		}
+	}
+}
+
+// prefillRate returns the reported prefill rate of the targets that serve a queue.
+func (s *Scheduler) prefillRate(k queueKey) int {
+	return s.Router.Capacity(k.service, k.class > messenger.Medium).PrefillRate
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,6 +68,8 @@
 	Router   router.Router
 	Disabled Features // disabled for ablation benchmarks
 
+	WhyNoTarget func(service string) string // states why a service has no target; empty if unknown, nil if it always is
+
 	queues    map[queueKey]*queuer.Queuer
 	keys      []queueKey // keys of queues, shorter classes first
 	waiting   map[string]*Ticket
@@ -151,6 +153,11 @@
 // noTarget returns the error for a ticket that no target can serve.
 func (s *Scheduler) noTarget(t *Ticket) error {
 	e := coder.Errorf(coder.NoTarget, "service %q", t.Service)
+	if s.WhyNoTarget != nil {
+		if why := s.WhyNoTarget(t.Service); why != "" {
+			e.Text += ": " + why
+		}
+	}
 	e.Retry = s.Admitter.RetryAfter(0)
 	return e
 }
