Order evacuations over the platform, the administration API and the command line

Cause: operators and the platform need calls to start and end an evacuation and to see the evacuated zones. Change: POST /v1/evacuations/:zone/start and /end at keepers of the platform (200 once a quorum has synced the order, 400 for an invalid name, else 503) and on the administration listener (404 for a zone without known targets unless force=true); bramleyshunt evacuate ZONE [--end] [--force]; status and show list the zones with operator and time, and status shows their targets as evacuated. The controller gets the targets of evacuated zones as leaving, so that it counts the remaining ones and activates none there. The operator's client tries the other listeners after 404, as after "no target": another keeper may know the zone. Ruled out: a refusal of the end of an evacuation that is not in force (a repeated call can't be told from a typing error; the answer says repeated).

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -75,6 +75,8 @@
 		a.mux.GET("/v1/configuration", a.authenticated(a.show))
 		a.mux.GET("/v1/nodes", a.authenticated(a.nodes))
 		a.mux.POST("/v1/targets/:id/drain", a.authenticated(a.drain))
+		a.mux.POST("/v1/evacuations/:zone/start", a.authenticated(a.evacuate(false)))
+		a.mux.POST("/v1/evacuations/:zone/end", a.authenticated(a.evacuate(true)))
 	}
 	a.mux.NotFound = errorHandler(coder.NotFound)
 	a.mux.MethodNotAllowed = errorHandler(coder.MethodNotAllowed)
--- a/administrator/configuration.go
+++ b/administrator/configuration.go
@@ -64,6 +64,7 @@
 	Merged    *configurer.Configurer `json:"merged"`
 	Files     []File                 `json:"files"`
 	History   []Change               `json:"history"` // oldest first
+	Evacuated []Evacuation           `json:"evacuated,omitempty"`
 }
 
 func (a *Administrator) apply(r *request) (any, error) {
@@ -150,6 +151,9 @@
 	for _, r := range a.cfg.Applier.History(historyLength) {
 		out.History = append(out.History, *newChange(&r))
 	}
+	for _, z := range a.cfg.Applier.Evacuated().Zones {
+		out.Evacuated = append(out.Evacuated, newEvacuation(z))
+	}
 	return out, nil
 }
 
--- a/administrator/fleet.go
+++ b/administrator/fleet.go
@@ -99,6 +99,7 @@
 	}
 	if a.cfg.Applier != nil {
 		out.Claims = a.cfg.Applier.Claims()
+		out.Evacuated = a.cfg.Applier.Evacuated().Zones
 	}
 	return out, nil
 }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -79,7 +79,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return invalid(err) })
 	root.AddCommand(
 		runCommand(), platformCommand(), benchCommand(), checkCommand(), applyCommand(), showCommand(), statusCommand(),
-		drainCommand(), lossesCommand(), engineCommand(), loadCommand(), demoCommand(),
+		drainCommand(), evacuateCommand(), lossesCommand(), engineCommand(), loadCommand(), demoCommand(),
 	)
 	return root
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -166,13 +166,13 @@
 	return err
 }
 
-// retryable reports whether repeating the request may succeed. NoTarget is final once
-// every listener has returned it; more reports whether listeners are left.
+// retryable reports whether repeating the request may succeed. NoTarget and NotFound are
+// final once every listener has returned them; more reports whether listeners are left.
 func retryable(err error, more bool) bool {
 	switch coder.Of(err).Code {
 	case coder.NoQuorum, coder.Unconfirmed, coder.NotLeader, coder.NotReady, coder.TargetLost:
 		return true
-	case coder.NoTarget:
+	case coder.NoTarget, coder.NotFound: // another listener may know the target or zone, or be a keeper
 		return more
 	default:
 		return false
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -31,6 +31,8 @@
 	Process *Process           `json:"process"`
 	Targets []messenger.Target `json:"targets"` // announced to the process
 	Claims  int                `json:"claims"`  // number of idempotency claims stored
+
+	Evacuated []messenger.Evacuation `json:"evacuated,omitempty"` // availability zones
 }
 
 // WriteTable writes a table of processes and a table of targets. Elements i of urls,
@@ -49,9 +51,11 @@
 			keeperCells(p.Keeper), entryCells(p.Entry), reports[i].Claims)
 	}
 	_, _ = fmt.Fprintln(t, "\nTARGET\tSERVICE\tZONE\tLANE\tMODEL\tSTATE\tRUNNING\tWAITING\tUSED\tMEMORY\tFENCE\tINCARNATION")
+	evacuated := latestEvacuated(reports)
 	for _, target := range firstTargets(reports) {
-		writeTarget(t, target)
+		writeTarget(t, target, evacuated)
 	}
+	writeEvacuated(t, evacuated)
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("write status: %w", err)
 	}
@@ -88,13 +92,15 @@
 	return fmt.Sprintf("%t\t%d\t%d", e.Ready, e.Active, e.Queued)
 }
 
-func writeTarget(w io.Writer, t messenger.Target) {
+func writeTarget(w io.Writer, t messenger.Target, evacuated messenger.Evacuated) {
 	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", t.ID, t.Service, t.Zone, orDash(t.Lane),
-		orDash(strings.Trim(t.Model+" "+t.Version, " ")), stateOf(t), t.Load.Running, t.Load.Waiting, t.Load.Used, t.Load.Memory, t.Fence, t.Incarnation)
+		orDash(strings.Trim(t.Model+" "+t.Version, " ")), stateOf(t, evacuated), t.Load.Running, t.Load.Waiting, t.Load.Used, t.Load.Memory, t.Fence, t.Incarnation)
 }
 
-func stateOf(t messenger.Target) string {
+func stateOf(t messenger.Target, evacuated messenger.Evacuated) string {
 	switch {
+	case evacuated.Find(t.Zone) != nil:
+		return "evacuated"
 	case t.Standby:
 		return "standby"
 	case t.Leaving:
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -15,6 +15,7 @@
 	"bramleyshunt/configurer"
 	"bramleyshunt/controller"
 	"bramleyshunt/entry"
+	"bramleyshunt/evacuator"
 	"bramleyshunt/keeper"
 	"bramleyshunt/locator"
 	"bramleyshunt/messenger"
@@ -75,6 +76,7 @@
 	}
 	r.Publisher = p
 	r.onClose(closer)
+	r.Evacuator = &evacuator.Evacuator{Call: r.proposer.Call, Evacuated: a.Evacuated, Targets: p.Targets, Log: r.cfg.Log}
 	r.handlers = append(r.handlers, k.Handle, p.Handle)
 	if !s.Direct {
 		r.startController()
@@ -99,7 +101,7 @@
 func (r *Runner) startController() {
 	o := &orderer.Orderer{Call: r.proposer.Call, Pool: r.pool}
 	_, closer := controller.New(controller.Config{
-		Targets: r.Publisher.Targets, Leading: r.leading,
+		Targets: func() []messenger.Target { return r.Applier.Evacuated().Mark(r.Publisher.Targets()) }, Leading: r.leading,
 		View:  func() *configurer.Configurer { return r.Applier.View().Config },
 		Fence: o.IssueFence, Send: o.Send, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -23,6 +23,7 @@
 	"bramleyshunt/coder"
 	"bramleyshunt/conductor"
 	"bramleyshunt/entry"
+	"bramleyshunt/evacuator"
 	"bramleyshunt/keeper"
 	"bramleyshunt/locator"
 	"bramleyshunt/merger"
@@ -76,6 +77,7 @@
 
 	Publisher *publisher.Publisher // nil without a Keeper
 	Applier   *applier.Applier     // nil without a Keeper
+	Evacuator *evacuator.Evacuator // nil without a Keeper
 
 	cfg      Config
 	pool     *pooler.Pooler
