--- a/watcher/evacuated_test.go
+++ b/watcher/evacuated_test.go
@@ -1,9 +1,12 @@
 package watcher
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"bramleyshunt/messenger"
 )
 
@@ -67,3 +70,37 @@
 		t.Errorf("changed %t, error %v, evacuated %v", changed, err, s.view().Evacuated)
 	}
 }
+
+// drawLog returns the evacuated zones as of each of some orders.
+func drawLog(t *rapid.T) []*messenger.Evacuated {
+	out := []*messenger.Evacuated{evacuatedAt(0)}
+	for _, zones := range rapid.SliceOfN(rapid.SampledFrom([][]string{nil, {"a"}, {"b"}, {"a", "b"}}), 1, 20).Draw(t, "zones") {
+		out = append(out, evacuatedAt(uint64(len(out)), zones...))
+	}
+	return out
+}
+
+// TestEvacuatedZonesNeverRevert moves a watcher between keepers that lag by a random number of
+// orders, or that are of a build without evacuations. It guards against a list older than one
+// that was adopted before.
+func TestEvacuatedZonesNeverRevert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s state
+		log, adopted := drawLog(t), 0
+		for range 40 {
+			if rapid.Bool().Draw(t, "move") {
+				s.begin()
+			}
+			u := &messenger.Update{}
+			if at := rapid.IntRange(-1, len(log)-1).Draw(t, "applied"); at >= 0 {
+				u.Evacuated, adopted = log[at], max(adopted, at)
+			}
+			if _, err := s.apply(u, time.Unix(1000, 0)); err != nil {
+				t.Fatal(err)
+			}
+			if v := s.view().Evacuated; v != nil && !reflect.DeepEqual(v, log[adopted]) {
+				t.Fatalf("evacuated %v, want %v", v, log[adopted])
+			}
+		}
+	})
+}
