Restrict paths and client accounts to regions

The router decides on an index of the targets in these regions, so that picks, capacity, pauses, rate limits and heavy prompts all use the same targets; the cached prefix, the relay's choice and the members of gangs are checked one by one. Queues are kept by set of regions. Queued requests follow a change of the configuration, and each attempt is checked again before it is sent. A target's region comes from its agent's settings, or from `zones` in the settings of the keeper that takes a heartbeat; an unknown region is outside. New code 2015. checker.Rules is 3, as region names are checked.

Ruled out: a condition at each place where targets are examined (capacity and waits would each be a way out); one queue with passing (the wait would be predicted by tokens for other regions); 403 where no region is left.

The property test fails within 2 cases if the check of the cached prefix is removed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -220,7 +220,7 @@
 	s := a.cfg.Settings
 	t := messenger.Target{
 		ID: a.targetID(), Service: s.Target.Service, Model: s.Target.Model,
-		Address: s.Listen, Zone: s.Zone, MayReturn: true,
+		Address: s.Listen, Zone: s.Zone, Region: s.OwnRegion(), MayReturn: true,
 	}
 	if a.cfg.Version != nil {
 		t.Config = a.cfg.Version()
--- a/aggregator/groups.go
+++ b/aggregator/groups.go
@@ -13,7 +13,7 @@
 // divide divides the entries into groups.
 func (a *Aggregator) divide(peers []messenger.Target) {
 	if slices.EqualFunc(a.peers, peers, func(x, y messenger.Target) bool {
-		return x.ID == y.ID && x.Zone == y.Zone && x.Aggregates == y.Aggregates && x.Address == y.Address
+		return x.ID == y.ID && x.Zone == y.Zone && x.Region == y.Region && x.Aggregates == y.Aggregates && x.Address == y.Address
 	}) {
 		return
 	}
--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -53,6 +53,8 @@
 	Trial       bool // sent although its parts are isolated, to find out whether they crash targets
 	Gang        bool // exceeds the memory of any single target
 
+	Regions []string // where its path and account allow it to be served, sorted; empty for anywhere
+
 	Answer Answer
 	Trace  Trace
 }
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -21,7 +21,7 @@
 // Rules is the version of the validation rules of this package, decoder and merger.
 // It is incremented with every change by which a folder could be accepted or rejected
 // differently.
-const Rules = 2
+const Rules = 3
 
 const (
 	tokenBytes   = 32
@@ -174,6 +174,7 @@
 		c.checkRange(a.Rate, 0, 1e12, "accounts", name, "rate")
 		c.checkRange(a.Burst, 0, 1e12, "accounts", name, "burst")
 		c.checkRange(float64(a.Conc), 0, 1e6, "accounts", name, "conc")
+		c.checkRegions(a.Regions, "accounts", name, "regions")
 		for i, s := range a.Services {
 			if _, known := c.merged.Config.Services[s]; !known {
 				c.fault([]string{"accounts", name, "services", strconv.Itoa(i)}, "service %q is not in services", s)
--- a/checker/paths.go
+++ b/checker/paths.go
@@ -45,6 +45,7 @@
 	c.checkRange(p.Gap, 0, maxSeconds, subpath("gap")...)
 	c.checkRange(float64(p.MaxAttempts), 0, maxAttempts, subpath("tries")...)
 	c.checkRange(float64(p.Priority), -maxPriority, maxPriority, subpath("priority")...)
+	c.checkRegions(p.Regions, subpath("regions")...)
 	totalWeight := 0
 	for i, split := range p.Split {
 		c.checkRange(float64(split.Weight), 0, maxWeight, subpath("split", strconv.Itoa(i), "weight")...)
--- a/coder/coder.go
+++ b/coder/coder.go
@@ -54,6 +54,7 @@
 	NotReady
 	ClaimHeld
 	RetryBudget
+	NoRegion
 )
 
 // Codes 3xxx: the request failed and may have run.
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -123,6 +123,11 @@
 	suspect := x.targetsLost > 0
 	x.mu.Unlock()
 	a.ticket = newTicket(x.r, a.exclude)
+	var err error
+	reconfigured := x.cd.control.reconf.next()
+	if a.ticket.Regions, err = x.cd.regionsInForce(x.r); err != nil {
+		return err
+	}
 	a.ticket.ID = a.id // an earlier attempt that has been cancelled may still be queued
 	need := x.cd.control.serviceTime(a.ticket)
 	bound, stop := context.WithTimeoutCause(a.ctx, x.remaining()-need, errNotPlaced)
@@ -150,6 +155,11 @@
 			}
 			placed = x.cd.control.enqueue(a.ticket, suspect)
 		case <-changed:
+		case <-reconfigured:
+			reconfigured = x.cd.control.reconf.next()
+			if placed, err = a.followRegions(placed, suspect); err != nil {
+				return err
+			}
 		case <-bound.Done():
 			x.cd.control.abandon(a.ticket, placed)
 			return x.placementError(bound, a.ticket)
@@ -218,6 +228,9 @@
 			return err
 		}
 	}
+	if err := x.cd.checkRegions(x.r, pick); err != nil {
+		return err
+	}
 	return x.cd.checkParts(x.r)
 }
 
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -51,6 +51,8 @@
 	gangs    map[string]*gang            // by request ID
 	segments map[string]*segment         // by attempt ID, until freed
 	offered  map[string]*watcher.View    // view last offered to the ganger, by model
+	regions  map[string]int              // targets by region, as last logged
+	reconf   reconfigured                // tells queued requests of another configuration
 	spawn    func(func(context.Context)) // runs background work that the Conductor waits for when it stops
 }
 
@@ -137,9 +139,13 @@
 	if c.view != nil && v.Version == c.view.Version && now.Sub(c.viewRefreshed) < viewRefreshInterval {
 		return
 	}
+	if c.view != nil && v.Version != c.view.Version {
+		c.reconf.notify()
+	}
 	c.view, c.viewRefreshed = v, now
 	c.scheduler.Router.Update(now, withDeclaredLoads(v))
 	c.scheduler.Router.SetEntries(c.cfg.Settings.Node, c.entries())
+	c.observeRegions(v)
 }
 
 // adoptParts adopts the isolated parts of prompts if they have changed.
@@ -212,6 +218,7 @@
 	t := &scheduler.Ticket{
 		ID: r.ID, Service: r.Service, Account: r.Account, Share: r.Config.Accounts[r.Account].Share,
 		Priority: r.Priority, Prompt: r.Prompt, Output: r.Output, PromptBytes: r.PromptBytes, PrefixHashes: r.PrefixHashes,
+		Regions:  r.Regions,
 		Deadline: r.Deadline, Exclude: exclude, Objective: ttftObjective(r), MaxGap: gapObjective(r),
 	}
 	t.Predict(r.Spec.Engine)
@@ -244,7 +251,7 @@
 	c.do(func() {
 		c.refreshView()
 		if suspect {
-			t.Exclude = c.excludeSuspectTargets(t.Service, t.Exclude)
+			t.Exclude = c.excludeSuspectTargets(t.Service, t.Exclude, t.Regions...)
 			c.suspects[t.ID] = ""
 		}
 		c.placements[t.ID] = placed
--- a/conductor/filters.go
+++ b/conductor/filters.go
@@ -52,6 +52,9 @@
 		if r.PathConfig != nil {
 			cd.applyPathConfig(r, a)
 		}
+		if err := cd.restrict(r); err != nil {
+			return err
+		}
 		cd.setCancelKeys(r)
 		return next(ctx, r)
 	}
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -77,6 +77,7 @@
 	c.offerCandidates(g.r.Service, g.r.Model)
 	c.stepGanger(ganger.Event{Kind: ganger.Begin, Job: ganger.Job{
 		ID: g.r.ID, Model: g.r.Model, TextBytes: len(g.r.PromptText), Prompt: g.r.Prompt, Output: g.r.Output, Deadline: g.r.Deadline,
+		Regions: g.r.Regions,
 	}})
 }
 
@@ -93,6 +94,7 @@
 		l := t.Load
 		out = append(out, ganger.Candidate{
 			ID: t.ID, Incarnation: t.Incarnation, Memory: l.Memory, Free: max(0, l.Memory-l.Used), PrefillRate: l.Speed, DecodeRate: l.Pace,
+			Region: t.Region,
 		})
 	}
 	c.stepGanger(ganger.Event{Kind: ganger.Offer, Model: model, Candidates: out})
--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -43,7 +43,7 @@
 	out, err := cd.cfg.Place(bound, &messenger.Place{
 		Node: cd.cfg.Settings.Node, Service: t.Service, Prompt: t.Prompt, Output: t.Output, Exclude: t.Exclude,
 		Prefill: t.Prefill, PrefillTargets: t.PrefillTargets, Objective: t.Objective, MaxGap: t.MaxGap, PassTime: t.PassTime,
-		Queued: t.QueueTime(now),
+		Queued: t.QueueTime(now), Regions: t.Regions,
 	})
 	log := cd.cfg.Log.WithFields(logrus.Fields{"id": t.ID, "target": pick.Target.ID})
 	switch {
@@ -114,7 +114,7 @@
 	}
 	t := &scheduler.Ticket{
 		Service: m.Service, Prompt: m.Prompt, Output: m.Output, Exclude: m.Exclude, Prefill: m.Prefill, PrefillTargets: m.PrefillTargets,
-		Objective: m.Objective, MaxGap: m.MaxGap, PassTime: m.PassTime,
+		Objective: m.Objective, MaxGap: m.MaxGap, PassTime: m.PassTime, Regions: m.Regions,
 	}
 	out := &messenger.Placed{}
 	var err error
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -153,7 +153,7 @@
 	if x.lastFailure == nil || coder.Of(err).Run != coder.NotRun {
 		return err
 	}
-	if coder.Of(err).Code == coder.NoTarget {
+	if c := coder.Of(err).Code; c == coder.NoTarget || c == coder.NoRegion {
 		return x.lastFailure
 	}
 	e := *coder.Of(err)
--- a/conductor/segment.go
+++ b/conductor/segment.go
@@ -82,7 +82,10 @@
 
 // runSegment sends the run message of a member's segment.
 func (g *gang) runSegment(s *segment, a ganger.Action) {
-	err := g.prepareAnswer(a)
+	err := g.cd.checkMember(g.r, a.Target)
+	if err == nil {
+		err = g.prepareAnswer(a)
+	}
 	if err == nil {
 		err = s.stream.Send(messenger.KindRun, &messenger.Run{
 			Attempt: a.Attempt, Incarnation: a.Incarnation, Remaining: a.Remaining,
--- a/conductor/suspect.go
+++ b/conductor/suspect.go
@@ -1,11 +1,15 @@
 package conductor
 
-import "slices"
+import (
+	"slices"
+
+	"bramleyshunt/router"
+)
 
 // excludeSuspectTargets adds to the excluded targets those that run a suspect request,
 // so that one suspect cannot take down the others with its target. It returns exclude
-// unchanged if no target of the service would be left.
-func (c *control) excludeSuspectTargets(service string, exclude []string) []string {
+// unchanged if no target of the service, in the regions if there are any, would be left.
+func (c *control) excludeSuspectTargets(service string, exclude []string, regions ...string) []string {
 	if c.view == nil {
 		return exclude
 	}
@@ -17,7 +21,7 @@
 	}
 	now := c.cfg.Now()
 	for _, t := range c.view.ByService[service] {
-		if !slices.Contains(all, t.ID) && !c.scheduler.Router.Held(now, t) {
+		if router.InRegions(t, regions) && !slices.Contains(all, t.ID) && !c.scheduler.Router.Held(now, t) {
 			return all
 		}
 	}
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -71,6 +71,8 @@
 	Open        bool    `json:"open"`     // callers need no account
 	Resume      bool    `json:"resume"`   // another target can resume the stream after Last-Event-Id
 	Tokens      bool    `json:"tokens"`   // callers send the token counts in a header
+
+	Regions []string `json:"regions,omitempty"` // where its requests may be served; empty for anywhere
 }
 
 // Split assigns a share of a Path's requests to one service, in proportion to Weight.
@@ -105,6 +107,8 @@
 	Rate     float64  `json:"rate"`           // tokens per second; zero for no limit
 	Burst    float64  `json:"burst"`          // token bucket size; zero for ten seconds of Rate
 	Conc     int      `json:"conc"`           // maximum requests in flight; zero for no limit
+
+	Regions []string `json:"regions,omitempty"` // where its requests may be served; empty for anywhere
 }
 
 // Operator is an account of the administration API.
--- a/entry/failure.go
+++ b/entry/failure.go
@@ -53,9 +53,10 @@
 }
 
 // retryAfter returns the value of the Retry-After header in seconds, zero for no header.
-// Every temporary refusal (codes 2xxx) has at least one second.
+// Every temporary refusal (codes 2xxx) has at least one second. NoRegion without a delay is
+// permanent: the configuration allows no region.
 func retryAfter(c *coder.Error) int {
-	if c.Retry == 0 && c.Code >= coder.RateLimited && c.Code < coder.DeadlineExceeded {
+	if c.Retry == 0 && c.Code != coder.NoRegion && c.Code >= coder.RateLimited && c.Code < coder.DeadlineExceeded {
 		return 1
 	}
 	return int(math.Ceil(c.Retry.Seconds()))
--- a/ganger/gang.go
+++ b/ganger/gang.go
@@ -78,7 +78,11 @@
 
 // failUnservable fails a waiting gang that no candidate can serve before its deadline.
 func (g *Ganger) failUnservable(x *gang) bool {
-	candidates := g.offers[x.Model]
+	candidates := g.candidates(x)
+	if len(candidates) == 0 && len(x.Regions) > 0 {
+		g.fail(x, &coder.Error{Code: coder.NoRegion, Text: x.Model, Retry: retryAfter})
+		return true
+	}
 	if len(candidates) == 0 {
 		g.fail(x, &coder.Error{Code: coder.NoTarget, Text: x.Model, Retry: retryAfter})
 		return true
@@ -96,7 +100,7 @@
 	if g.now.Before(x.notBefore) || g.awaitsFree(x) {
 		return false
 	}
-	members, err := plan(x, g.offers[x.Model], g.now)
+	members, err := plan(x, g.candidates(x), g.now)
 	if err != nil {
 		g.fail(x, err)
 		return false
--- a/ganger/ganger.go
+++ b/ganger/ganger.go
@@ -54,6 +54,8 @@
 	Output     int // tokens
 	Deadline   time.Time
 	AtMostOnce bool // the last segment is started at most once
+
+	Regions []string // that the members must lie in; empty for any
 }
 
 // Candidate is a target that may become a member. Its figures are hints and may be out
@@ -65,6 +67,8 @@
 	Free        int // tokens believed to be free
 	PrefillRate int // prefill tokens per second
 	DecodeRate  int // decode tokens per second
+
+	Region string // empty if unknown
 }
 
 // EventKind is the type of an event.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -155,6 +155,9 @@
 	Empty bool `msgpack:"empty,omitempty"`
 	// Aggregates reports, of an entry, that it adds up the counts of others.
 	Aggregates bool `msgpack:"aggregates,omitempty"`
+	// Region is the region of Zone, as known to the process that received the announcement;
+	// empty if unknown.
+	Region string `msgpack:"region,omitempty" json:"region,omitempty"`
 }
 
 // Failed ends an exchange with an error.
--- a/messenger/place.go
+++ b/messenger/place.go
@@ -16,6 +16,8 @@
 	MaxGap         time.Duration `msgpack:"gap"`
 	PassTime       time.Duration `msgpack:"pass"`
 	Queued         time.Duration `msgpack:"queued"` // so far
+
+	Regions []string `msgpack:"regions,omitempty"` // that the targets must lie in; empty for any
 }
 
 // Placed answers a Place. Without a target, none accepts the request now.
--- a/router/gang.go
+++ b/router/gang.go
@@ -54,7 +54,7 @@
 // streams that its prefill would delay, and has waited for eligible targets for the
 // maximum time.
 func (r *Router) ShouldRefuse(req Request) bool {
-	x := r.byName[req.Service]
+	x := r.index(req.Service, req.Regions)
 	return x != nil && x.bySlots && !r.Disabled.Heavy && req.heavy(len(x.ranked)) && !r.mayWait(req, len(x.ranked))
 }
 
--- a/router/hold.go
+++ b/router/hold.go
@@ -156,8 +156,8 @@
 }
 
 // PromptPauseWait is like PauseWait for the targets that accept long or short prompts.
-func (r *Router) PromptPauseWait(now time.Time, service string, long bool, exclude []string) (wait time.Duration, ok bool) {
-	x := r.byName[service]
+func (r *Router) PromptPauseWait(now time.Time, service string, long bool, exclude []string, regions ...string) (wait time.Duration, ok bool) {
+	x := r.index(service, regions)
 	if x == nil || !r.HasPauses(now) {
 		return 0, false
 	}
--- a/router/limit.go
+++ b/router/limit.go
@@ -146,8 +146,8 @@
 // LimitWait returns how long the limits of a service's targets delay a request behind a
 // number of others at this entry: zero if a target has no limit and doesn't pause. It
 // returns false if only other entries may send to the targets.
-func (r *Router) LimitWait(now time.Time, service string, ahead int) (time.Duration, bool) {
-	x := r.byName[service]
+func (r *Router) LimitWait(now time.Time, service string, ahead int, regions ...string) (time.Duration, bool) {
+	x := r.index(service, regions)
 	if x == nil {
 		return 0, true
 	}
--- a/router/peers.go
+++ b/router/peers.go
@@ -98,8 +98,8 @@
 // Restricted reports whether this entry sends nothing to some target of a service for a reason
 // that other entries may not share: a refusal, a pause or a rate limit. It also does if it
 // knows no target.
-func (r *Router) Restricted(now time.Time, service string) bool {
-	x := r.byName[service]
+func (r *Router) Restricted(now time.Time, service string, regions ...string) bool {
+	x := r.index(service, regions)
 	return x == nil || slices.ContainsFunc(x.all, func(s *targetState) bool { return now.Before(s.refusedUntil) || !s.limit.allows(now) })
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -44,6 +44,7 @@
 	PrefixHashes []uint64 // hashes of the prompt's prefixes, shortest first
 	PromptBytes  int      // bytes of prompt text
 	Exclude      []string // targets that failed or refused it
+	Regions      []string // that its targets must lie in; empty for any
 
 	Prefill        time.Duration // predicted prefill time on one target; zero if unknown
 	PrefillTargets int           // number of targets that should share the prefill
@@ -167,16 +168,18 @@
 	}
 }
 
-// HasTargets reports whether a service has a target that is not leaving.
-func (r *Router) HasTargets(service string) bool {
-	x := r.byName[service]
+// HasTargets reports whether a service has a target that is not leaving. Like those of the
+// other methods, the regions restrict it to their targets; without any there is no
+// restriction.
+func (r *Router) HasTargets(service string, regions ...string) bool {
+	x := r.index(service, regions)
 	return x != nil && len(x.all) > 0
 }
 
 // HasTargetsBesides reports whether a service has a target that accepts long or short
 // prompts and that is neither leaving nor excluded.
-func (r *Router) HasTargetsBesides(service string, long bool, exclude []string) bool {
-	x := r.byName[service]
+func (r *Router) HasTargetsBesides(service string, long bool, exclude []string, regions ...string) bool {
+	x := r.index(service, regions)
 	return x != nil && slices.ContainsFunc(x.accepting(long && !r.Disabled.Lanes), func(s *targetState) bool { return !slices.Contains(exclude, s.target.ID) })
 }
 
@@ -207,7 +210,7 @@
 // replicas, except for services whose targets all report their slots: there it
 // examines every target.
 func (r *Router) Pick(now time.Time, req Request) (Pick, bool) {
-	x := r.byName[req.Service]
+	x := r.index(req.Service, req.Regions)
 	if x == nil {
 		return Pick{}, false
 	}
@@ -289,7 +292,7 @@
 	}
 	id, _ := r.history.find(now, req.PrefixHashes, r.byID)
 	s := r.byID[id]
-	if s == nil || s.target.Leaving || s.target.Service != req.Service {
+	if s == nil || s.target.Leaving || s.target.Service != req.Service || !InRegions(s.target, req.Regions) {
 		return Pick{}, false
 	}
 	if !r.Disabled.Lanes && !s.acceptsLength(req.Prompt > r.longPrompt()) {
--- a/router/state.go
+++ b/router/state.go
@@ -20,6 +20,8 @@
 
 	bySlots bool           // whether every target reports its slots
 	ranked  []*targetState // set if bySlots: all targets, in the order that every entry uses
+
+	byRegions map[string]*serviceIndex // indexes of the targets in some regions, see Router.index
 }
 
 // Capacity is the total capacity of the targets that a request may be sent to.
@@ -112,8 +114,8 @@
 
 // Capacity returns the capacity of the targets of a service that accept short or long
 // prompts.
-func (r *Router) Capacity(service string, long bool) Capacity {
-	x := r.byName[service]
+func (r *Router) Capacity(service string, long bool, regions ...string) Capacity {
+	x := r.index(service, regions)
 	switch {
 	case x == nil:
 		return Capacity{}
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -177,7 +177,7 @@
 // flight to the other entries.
 func (r *Runner) startSharer() {
 	cfg := sharer.Config{
-		Node: r.cfg.Settings.Node, Address: r.cfg.Settings.Listen, Zone: r.cfg.Settings.Zone, Pool: r.pool, Peers: r.liveEntries,
+		Node: r.cfg.Settings.Node, Address: r.cfg.Settings.Listen, Zone: r.cfg.Settings.Zone, Region: r.cfg.Settings.OwnRegion(), Pool: r.pool, Peers: r.liveEntries,
 		Report: func() messenger.Share { return messenger.Share{Sends: r.Entry.Sends(), Limits: r.Entry.Limits()} },
 		Record: func(m messenger.Share) {
 			r.Entry.RecordSends(router.Peers{Sends: m.Sends, Entries: m.Entries, Oldest: time.Duration(m.Oldest) * time.Millisecond})
--- a/scheduler/pause.go
+++ b/scheduler/pause.go
@@ -17,15 +17,15 @@
 		return nil
 	}
 	long, exclude := s.Router.IsLong(t.Prompt), t.Exclude
-	if !s.Router.HasTargetsBesides(t.Service, long, exclude) {
+	if !s.Router.HasTargetsBesides(t.Service, long, exclude, t.Regions...) {
 		exclude = nil
 	}
-	wait, ok := s.Router.PromptPauseWait(now, t.Service, long, exclude)
+	wait, ok := s.Router.PromptPauseWait(now, t.Service, long, exclude, t.Regions...)
 	if !ok {
 		return nil
 	}
 	e := coder.Errorf(coder.Overloaded, "no target to be tried accepts requests for %s", wait.Round(time.Millisecond))
-	if e.Retry, ok = s.Router.PromptPauseWait(now, t.Service, long, nil); !ok {
+	if e.Retry, ok = s.Router.PromptPauseWait(now, t.Service, long, nil, t.Regions...); !ok {
 		e.Retry = min(wait, s.Admitter.RetryAfter(0))
 	}
 	return e
--- a/scheduler/relay.go
+++ b/scheduler/relay.go
@@ -21,7 +21,7 @@
 		counts := s.Router.Counts(pick, req)
 		reserve(counts)
 		s.Router.AddPeer(now, counts)
-	case s.Router.Restricted(now, t.Service):
+	case s.Router.Restricted(now, t.Service, t.Regions...):
 		return pick, false, coder.Errorf(coder.NotReady, "the entry asked may not send to some targets")
 	}
 	return pick, ok, nil
@@ -38,7 +38,7 @@
 // Move replaces the targets of a ticket that was placed but not sent. It returns false if
 // this entry may not send to the new ones.
 func (s *Scheduler) Move(now time.Time, t *Ticket, from, to router.Pick) bool {
-	if !s.Router.Accepts(now, to) {
+	if !s.Router.Accepts(now, to) || !to.InRegions(t.Regions) {
 		return false
 	}
 	s.Router.PrefillDone(from, toRequest(t))
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,6 +38,7 @@
 	PrefixHashes []uint64 // hashes of the prompt's prefixes, shortest first
 	Deadline     time.Time
 	Exclude      []string // targets that failed the request
+	Regions      []string // that its targets must lie in, sorted; empty for any
 
 	Prefill        time.Duration // predicted prefill time on one target; zero if unknown
 	PrefillTargets int           // number of targets that should share the prefill
@@ -68,11 +69,12 @@
 	Router   router.Router
 	Disabled Features // disabled for ablation benchmarks
 
-	queues    map[queueKey]*queuer.Queuer
-	keys      []queueKey // keys of queues, shorter classes first
-	waiting   map[string]*Ticket
-	slowdowns map[queueKey]*slowdown
-	drains    map[queueKey]*drainMeter
+	queues     map[queueKey]*queuer.Queuer
+	keys       []queueKey // keys of queues, shorter classes first
+	waiting    map[string]*Ticket
+	slowdowns  map[queueKey]*slowdown
+	drains     map[queueKey]*drainMeter
+	restricted bool // a ticket with regions may be waiting
 }
 
 // Features selects parts of the scheduler that a benchmark disables.
@@ -83,10 +85,12 @@
 
 // queueKey identifies one queue. Length classes have separate queues, so that a longer
 // prompt that waits for memory does not block shorter ones. Long and Huge share a queue,
-// as Long prompts would otherwise starve Huge ones.
+// as Long prompts would otherwise starve Huge ones. Sets of regions have separate queues, so
+// that requests that wait for one region do not block those that may use another.
 type queueKey struct {
 	service string
 	class   messenger.Class
+	regions string // router.RegionKey
 }
 
 // Queued returns the number of waiting tickets.
@@ -99,7 +103,7 @@
 }
 
 // Admit returns nil if a request can finish before its deadline. Otherwise it returns the
-// error to refuse the request with: NoTarget, PromptTooLong, Overloaded or
+// error to refuse the request with: NoTarget, NoRegion, PromptTooLong, Overloaded or
 // DeadlineExceeded.
 func (s *Scheduler) Admit(now time.Time, t *Ticket) error {
 	k := s.key(t)
@@ -131,7 +135,7 @@
 // checkLimits returns an error if the rate limits of the service's targets let the ticket,
 // behind a number of others, start too late to finish before its deadline.
 func (s *Scheduler) checkLimits(now time.Time, t *Ticket, ahead int) error {
-	wait, ok := s.Router.LimitWait(now, t.Service, ahead)
+	wait, ok := s.Router.LimitWait(now, t.Service, ahead, t.Regions...)
 	if ok && (wait == 0 || wait+s.PredictDuration(t) < t.Deadline.Sub(now)) {
 		return nil
 	}
@@ -150,6 +154,9 @@
 
 // noTarget returns the error for a ticket that no target can serve.
 func (s *Scheduler) noTarget(t *Ticket) error {
+	if len(t.Regions) > 0 && !s.Router.HasTargets(t.Service, t.Regions...) {
+		return s.noRegion(t)
+	}
 	e := coder.Errorf(coder.NoTarget, "service %q", t.Service)
 	e.Retry = s.Admitter.RetryAfter(0)
 	return e
@@ -212,6 +219,7 @@
 		s.drains = map[queueKey]*drainMeter{}
 	}
 	s.waiting[t.ID] = t
+	s.restricted = s.restricted || len(t.Regions) > 0
 	k := s.key(t)
 	q := s.queues[k]
 	if q == nil {
@@ -226,9 +234,9 @@
 	})
 }
 
-// compareKeys orders queues by length class, then by service.
+// compareKeys orders queues by length class, then by service and regions.
 func compareKeys(a, b queueKey) int {
-	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.service, b.service))
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.service, b.service), cmp.Compare(a.regions, b.regions))
 }
 
 // Abandon removes a ticket from its queue and reports whether it was queued.
@@ -245,8 +253,8 @@
 // Tickets with a predicted prefill time may pass each other: their wait ends by time, and
 // a heavy one may wait for seconds.
 func (s *Scheduler) Dispatch(now time.Time) []Placement {
-	out := s.refusePaused(now)
-	for _, k := range s.keys {
+	out := append(s.refusePaused(now), s.refuseOutside()...)
+	for _, k := range s.dispatchOrder() {
 		placed := s.dispatchQueue(now, k)
 		s.recordDrain(now, k, placed)
 		out = append(out, placed...)
@@ -313,7 +321,7 @@
 	if err := s.checkLimits(now, t, 0); err != nil {
 		return Placement{Ticket: t, Err: err}, true
 	}
-	if s.Router.HasTargetsBesides(t.Service, s.Router.IsLong(t.Prompt), t.Exclude) {
+	if s.Router.HasTargetsBesides(t.Service, s.Router.IsLong(t.Prompt), t.Exclude, t.Regions...) {
 		return Placement{}, false
 	}
 	return Placement{Ticket: t, Err: s.noTarget(t)}, true
@@ -361,17 +369,18 @@
 
 // capacity returns the capacity of the targets that may accept a ticket.
 func (s *Scheduler) capacity(t *Ticket) router.Capacity {
-	return s.Router.Capacity(t.Service, s.Router.IsLong(t.Prompt))
+	return s.Router.Capacity(t.Service, s.Router.IsLong(t.Prompt), t.Regions...)
 }
 
 func (s *Scheduler) key(t *Ticket) queueKey {
-	return queueKey{service: t.Service, class: min(messenger.ClassOf(t.Prompt), messenger.Long)}
+	return queueKey{service: t.Service, class: min(messenger.ClassOf(t.Prompt), messenger.Long), regions: router.RegionKey(t.Regions)}
 }
 
 // toRequest describes a ticket to the router.
 func toRequest(t *Ticket) router.Request {
 	return router.Request{
 		Service: t.Service, Prompt: t.Prompt, Output: t.Output,
+		Regions:      t.Regions,
 		PrefixHashes: t.PrefixHashes, PromptBytes: t.PromptBytes, Exclude: t.Exclude, Prefill: t.Prefill, PrefillTargets: t.PrefillTargets, Objective: t.Objective, MaxGap: t.MaxGap, PassTime: t.PassTime,
 	}
 }
--- a/setter/setter.go
+++ b/setter/setter.go
@@ -3,7 +3,10 @@
 // run time is in package configurer.
 package setter
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Roles of a process. A process can have several.
 const (
@@ -30,6 +33,8 @@
 	Direct      bool     `json:"direct"`  // targets have no agents; each announces itself to one keeper, which informs the others
 	GracePeriod float64  `json:"grace"`   // seconds between reporting not ready and closing the listener
 	Log         string   `json:"log"`     // panic, fatal, error, warn, info (default), debug
+
+	Zones map[string]string `json:"zones"` // region by availability zone
 }
 
 // Keeper names one keeper and its address.
@@ -50,5 +55,8 @@
 	Fences  bool   `json:"fences"` // the engine itself rejects orders with an outdated fencing token
 }
 
+// OwnRegion returns the region of the process, empty if it is unknown.
+func (s *Setter) OwnRegion() string { return cmp.Or(s.Region, s.Zones[s.Zone]) }
+
 // Has reports whether the process has a role.
 func (s *Setter) Has(role string) bool { return slices.Contains(s.Roles, role) }
--- a/sharer/place.go
+++ b/sharer/place.go
@@ -4,16 +4,21 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
+	"bramleyshunt/router"
 )
 
 // errNotRelaying refuses to place requests by counts that are not complete.
 var errNotRelaying = coder.Errorf(coder.NotReady, "the counts of the other entries have not all arrived")
 
 // Ask asks the entry that places requests for this one for the targets of a request. It
-// returns nil if there is no such entry.
+// returns nil if there is no such entry, or if it lies outside the regions of the request and
+// this entry's own, so that it must not get to know the request.
 func (s *Sharer) Ask(ctx context.Context, m *messenger.Place) (*messenger.Placed, error) {
 	s.mu.Lock()
 	relay, ok := s.aggregator.Relay()
@@ -21,6 +26,11 @@
 	if !ok {
 		return nil, nil
 	}
+	if !s.mayAsk(relay, m) {
+		metrics.GetOrRegisterCounter("share.place.outside", s.cfg.Metrics).Inc(1)
+		s.cfg.Log.WithFields(logrus.Fields{"relay": relay.ID, "region": relay.Region, "regions": m.Regions}).Debug("relay lies outside the regions of the request, placing without it")
+		return nil, nil
+	}
 	conn, err := s.cfg.Pool.Get(ctx, relay.Address)
 	if err != nil {
 		return nil, err
@@ -29,6 +39,13 @@
 	return out, conn.Call(ctx, messenger.KindPlace, m, out)
 }
 
+// mayAsk reports whether a relay may be asked for the targets of a request: it lies in one of
+// the regions where the request may be served, or in this entry's own, to which the caller has
+// sent the request.
+func (s *Sharer) mayAsk(relay messenger.Target, m *messenger.Place) bool {
+	return router.InRegions(relay, m.Regions) || relay.Region != "" && relay.Region == s.cfg.Region
+}
+
 // place answers a request of another entry for targets.
 func (s *Sharer) place(stream *muxer.Stream, first muxer.Message) {
 	var m messenger.Place
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -38,6 +38,7 @@
 	Node    string
 	Address string // at which other entries reach this one
 	Zone    string // availability zone of this entry
+	Region  string // of the zone; empty if unknown
 	Pool    *pooler.Pooler
 	Peers   func() []messenger.Target                                                           // live entries, including this one
 	Report  func() messenger.Share                                                              // counts and limits of this entry; Node is filled in
@@ -92,7 +93,7 @@
 func (s *Sharer) announce() {
 	a := &messenger.Announce{Spread: true, Target: messenger.Target{
 		ID: s.cfg.Node, Service: ServiceEntries, Address: s.cfg.Address, Zone: s.cfg.Zone, Incarnation: uint64(time.Now().UnixNano()),
-		Aggregates: true,
+		Aggregates: true, Region: s.cfg.Region,
 	}}
 	for i := 0; s.ctx.Err() == nil; i++ {
 		if keepers := s.cfg.Keepers(); len(keepers) > 0 {
