Bound the wait of queued requests that no region is left for

Cause: the test of such requests passed without their being queued again, as they were refused at the end of others.

What changed: it bounds the wait in the time of the synctest bubble.

Run: go test ./conductor -run 'Region|QueuedRequest'; it fails if queued requests don't follow the configuration.

--- a/conductor/regions_test.go
+++ b/conductor/regions_test.go
@@ -235,7 +235,9 @@
 	withHolds(t, Config{}, twoRegions(), func(b *holdBed) {
 		running, queued, ends := b.queueBehindTwo()
 		b.restrictTo("c")
+		since := time.Now()
 		err := <-queued
+		b.Expect(time.Since(since)).To(BeNumerically("<=", 2*pollInterval))
 		b.Expect(coder.Of(err)).To(And(HaveField("Code", coder.NoRegion), HaveField("Run", coder.NotRun)))
 		close(ends["t1"])
 		close(ends["t2"])
