Warn of what can't take effect, and show what differs, before a change

Cause: `check` reported errors only. Paths that never match, accounts without keys, contradicting limits and regions that leave none were accepted in silence, and operators compared versions by hand.

Without flags both print on standard output what they did before. Keepers use neither package, so what they accept is unchanged.

Ruled out: warnings in checker, which keepers run for each change; comparing texts, which differ without a difference for callers.

--- a/commander/folder.go
+++ b/commander/folder.go
@@ -10,36 +10,28 @@
 
 	"github.com/spf13/cobra"
 
-	"bramleyshunt/checker"
-	"bramleyshunt/merger"
 	"bramleyshunt/operator"
 )
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{
+	f := &checkFlags{}
+	cmd := &cobra.Command{
 		Use:   "check FOLDER",
 		Short: "Check a configuration folder and print it merged",
 		Long: `Merges the files of the folder in byte order of their names, checks the result
 and prints it on standard output. Faults go to standard error, one a line, as
-file:line:column: message, and give exit status 2.`,
-		Example: "  bramleyshunt check examples/laufspur",
+file:line:column: message, and give exit status 2. Warnings about entries that
+can't take effect and limits that contradict each other go there too; they change
+the exit status with --strict only. With --against, what differs from the folder
+in force is printed in place of the merged folder.`,
+		Example: "  bramleyshunt check examples/laufspur\n  bramleyshunt check --against in-force new",
 		Args:    exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return check(cmd.OutOrStdout(), args[0])
+			return f.check(cmd.OutOrStdout(), cmd.ErrOrStderr(), args[0])
 		},
 	}
-}
-
-func check(w io.Writer, folder string) error {
-	files, err := merger.ReadFolder(folder)
-	if err != nil {
-		return invalid(fmt.Errorf("%s: %w", folder, err))
-	}
-	cfg, faults := checker.Check(files)
-	if len(faults) > 0 {
-		return invalid(faults)
-	}
-	return printJSON(w, cfg)
+	f.add(cmd, "folder")
+	return cmd
 }
 
 // fleetFlags holds the flags of commands that call the administration API.
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -1,8 +1,6 @@
 package commander
 
 import (
-	"os"
-
 	"github.com/spf13/cobra"
 
 	"bramleyshunt/platform"
@@ -29,22 +27,24 @@
 		},
 	}
 	cmd.Flags().StringSliceVar(&without, "without", nil, "parts of the policy to switch off, to measure what they are worth")
-	cmd.AddCommand(&cobra.Command{
+	cmd.AddCommand(platformCheckCommand())
+	return cmd
+}
+
+func platformCheckCommand() *cobra.Command {
+	f := &checkFlags{}
+	cmd := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a settings file or a configuration of the users' platform",
 		Long: `Faults go to standard error, one a line, as file:line:column: message, and give
-exit status 2.`,
+exit status 2. Warnings about entries that can't take effect and limits that
+contradict each other go there too; they change the exit status with --strict only.
+With --against, what differs from the configuration in force is printed.`,
 		Args: exactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
-			data, err := os.ReadFile(args[0])
-			if err != nil {
-				return invalid(err)
-			}
-			if faults := platform.Check(args[0], data); len(faults) > 0 {
-				return invalid(faults)
-			}
-			return nil
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return f.checkPlatform(cmd.OutOrStdout(), cmd.ErrOrStderr(), args[0])
 		},
-	})
+	}
+	f.add(cmd, "file")
 	return cmd
 }
--- /dev/null
+++ b/linter/linter_test.go
@@ -0,0 +1,40 @@
+package linter_test
+
+import (
+	"os"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"bramleyshunt/checker"
+	"bramleyshunt/decoder"
+	"bramleyshunt/linter"
+	"bramleyshunt/merger"
+	"bramleyshunt/messenger"
+)
+
+// lint returns the warnings about a file that package checker accepts.
+func lint(g *WithT, name string, regions ...string) decoder.Faults {
+	data, err := os.ReadFile("testdata/" + name)
+	g.Expect(err).NotTo(HaveOccurred())
+	m, faults := merger.Merge([]messenger.File{{Name: name, Data: data}})
+	g.Expect(faults).To(BeEmpty())
+	g.Expect(checker.CheckMerged(m)).To(BeEmpty(), "warnings are about configurations that keepers accept")
+	return (&linter.Linter{Regions: regions}).Lint(m)
+}
+
+// Guards against entries that can't take effect and contradicting limits that nobody is told of,
+// or at the wrong place.
+func TestWarnings(t *testing.T) {
+	g := NewWithT(t)
+	goldie.New(t).Assert(t, "warnings", []byte(lint(g, "warnings.jsonc", "eu", "us").Error()+"\n"))
+}
+
+// Guards against warnings that operators learn to overlook, as a sound configuration has some, and
+// against regions called unknown although no settings were given.
+func TestSoundConfigurationHasNoWarnings(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(lint(g, "sound.jsonc", "eu", "us")).To(BeEmpty())
+	g.Expect(lint(g, "sound.jsonc")).To(BeEmpty())
+}
