--- a/conductor/regions_test.go
+++ b/conductor/regions_test.go
@@ -355,3 +355,21 @@
 		b.Expect(b.lines("regions of targets changed")).To(BeEmpty())
 	})
 }
+
+// Guards against a segment of a gang that is sent to a member that a configuration has excluded
+// since the gang was planned.
+func TestSegmentsAreCheckedByTheConfigurationInForce(t *testing.T) {
+	withHolds(t, Config{}, regionView([]string{"a", "b"}, nil), func(b *holdBed) {
+		r, err := b.sendRestricted(nil) // adopts the view
+		b.Expect(err).NotTo(HaveOccurred())
+		segment := func(target string) error { return b.cd.checkMember(r, target) }
+		b.Expect(segment("t1")).To(Succeed())
+		b.Expect(segment("t2")).To(Succeed())
+		b.Expect(coder.Of(segment("t4"))).To(HaveField("Code", coder.NoRegion), "of unknown region")
+		b.restrictTo("b")
+		b.Expect(coder.Of(segment("t1"))).To(HaveField("Code", coder.NoRegion))
+		b.Expect(segment("t2")).To(Succeed())
+		b.restrictTo("c")
+		b.Expect(coder.Of(segment("t2"))).To(HaveField("Code", coder.NoRegion))
+	})
+}
--- a/sharer/regions_test.go
+++ b/sharer/regions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -69,3 +70,36 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(relay.Region).To(Equal("a"))
 }
+
+// Guards against an entry whose region others don't know, so that they ask it for no restricted
+// request.
+func TestEntryAnnouncesItsRegion(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	announced := make(chan messenger.Announce, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = muxer.Serve(ctx, l, muxer.Config{Node: "keeper"}, func(ctx context.Context, st *muxer.Stream) {
+			var a messenger.Announce
+			if msg, err := st.Receive(ctx); err == nil && msg.Decode(&a) == nil {
+				announced <- a
+				_ = st.Send(messenger.KindAnnounced, &messenger.Announced{})
+			}
+		})
+	}()
+	pool, closePool := pooler.New(muxer.Config{Node: "self"})
+	_, stop := New(Config{
+		Node: "self", Zone: "z", Region: "eu", Pool: pool, Peers: func() []messenger.Target { return nil },
+		Report: func() messenger.Share { return messenger.Share{} }, Record: func(messenger.Share) {},
+		Keepers: func() []string { return []string{l.Addr().String()} },
+	})
+	a := <-announced
+	stop()
+	closePool()
+	cancel()
+	<-served
+	g.Expect(a.Target).To(And(HaveField("Zone", "z"), HaveField("Region", "eu")))
+}
