--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -54,6 +54,8 @@
 	TrialBy     time.Time // latest time at which it may be sent so
 	Gang        bool      // exceeds the memory of any single target
 
+	Regions []string // where its path and account allow it to be served, sorted; empty for anywhere
+
 	Answer Answer
 	Trace  Trace
 }
--- a/conductor/segment.go
+++ b/conductor/segment.go
@@ -87,6 +87,9 @@
 // runSegment sends the run message of a member's segment.
 func (g *gang) runSegment(s *segment, a ganger.Action) {
 	err := g.checkMember(s)
+	if err == nil {
+		err = g.cd.checkMemberRegions(g.r, a.Target)
+	}
 	if err == nil {
 		err = g.prepareAnswer(a)
 	}
--- a/sharer/announce.go
+++ b/sharer/announce.go
@@ -24,7 +24,7 @@
 func (s *Sharer) announce(sleep func(context.Context, time.Duration) error) {
 	a := &messenger.Announce{Spread: true, Lease: announceLease, Target: messenger.Target{
 		ID: s.cfg.Node, Service: ServiceEntries, Address: s.cfg.Address, Zone: s.cfg.Zone, Incarnation: uint64(time.Now().UnixNano()),
-		Aggregates: true,
+		Aggregates: true, Region: s.cfg.Region,
 	}}
 	for next := xxhash.Sum64String(s.cfg.Node); s.ctx.Err() == nil; {
 		keepers := s.cfg.Keepers()
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -36,6 +36,7 @@
 	Node     string
 	Address  string // at which other entries reach this one
 	Zone     string // availability zone of this entry
+	Region   string // of the zone; empty if unknown
 	Pool     *pooler.Pooler
 	Peers    func() []messenger.Target                                                           // live entries, including this one
 	Report   func() messenger.Share                                                              // counts and limits of this entry; Node is filled in
