Keep the bound on requests to each target of a service that declares what cold targets bear

Change: router asks package ramper in one function, mayGet, wherever a target is examined; a placed request holds a share until it has been written or is given up, and is checked again right before its send. Relays apply the sender's share. Ruled out: counting a request when it is placed, as one whose connection takes long would go out in a later second; shares by the view that requests happen to refresh, as an idle entry would begin its wait with its first request.

--- a/applier/targets.go
+++ b/applier/targets.go
@@ -68,7 +68,7 @@
 // withoutLoad returns what rarely changes of a target.
 func withoutLoad(t messenger.Target) messenger.Target {
 	t.Load = messenger.Load{Memory: t.Load.Memory}
-	t.Config, t.Seq = 0, 0
+	t.Config, t.Seq, t.Cold = 0, 0, 0
 	return t
 }
 
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -21,13 +21,15 @@
 // Rules is the version of the validation rules of this package, decoder and merger.
 // It is incremented with every change by which a folder could be accepted or rejected
 // differently.
-const Rules = 2
+const Rules = 3
 
 const (
 	tokenBytes   = 32
 	maxSeconds   = 7 * 24 * 3600.0
 	maxBodyBytes = 15 << 20 // bytes; a request with its headers must fit into one frame
 	maxPriority  = 1000
+	maxCold      = 1e6   // requests per second
+	maxColdTime  = 600.0 // seconds; see ramper.MaxCold
 	maxShare     = 10000
 	maxWindow    = 16 << 20 // tokens
 	maxReplicas  = 10000
@@ -126,6 +128,8 @@
 	c.checkRange(float64(s.Priority), -maxPriority, maxPriority, "services", name, "priority")
 	c.checkRange(float64(s.MinReplicas), 0, maxReplicas, "services", name, "least")
 	c.checkRange(float64(s.MaxReplicas), 0, maxReplicas, "services", name, "most")
+	c.checkRange(s.Cold, 0, maxCold, "services", name, "cold")
+	c.checkRange(s.ColdTime, 0, maxColdTime, "services", name, "coldtime")
 	if s.MaxTimeout > 0 && s.Timeout > s.MaxTimeout {
 		c.fault([]string{"services", name, "timeout"}, "%v exceeds longest, %v", s.Timeout, s.MaxTimeout)
 	}
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -49,6 +49,8 @@
 	ReportLeaving  func()               // called if the target said in its answer that it leaves
 	ReportPause    func(time.Duration)  // receives how long the target wants no requests from this process, as its refusal asked
 	ReportSilence  func()               // called repeatedly while the target is silent; the attempt goes on
+	ReportSent     func()               // called once the request was sent, and at most for that; may be called again; nil if that is not needed
+	ReportCold     func(time.Duration)  // receives how long the target stays cold by its answer; nil if that is not needed
 
 	HeadReceived bool   // set once the target's answer has begun
 	BodyReceived bool   // set once a byte of the answer's body was received
@@ -201,6 +203,9 @@
 	if err := x.checkSend(pick); err != nil {
 		return err
 	}
+	if err := a.checkShare(); err != nil {
+		return err
+	}
 	a.sentAt = x.cd.cfg.Now()
 	end, err := x.exchange(a.ctx, out)
 	a.blamedHelper, a.targetAlive = out.BlamedHelper(), out.TargetAlive
@@ -247,6 +252,7 @@
 		ReportSilence: a.reportSilence, CheckEnd: a.checkEnd,
 	}
 	x.addresses = append(x.addresses, pick.Target.Address)
+	a.reportCold(out)
 	out.FirstTimeout, out.IdleTimeout = x.timeouts()
 	if x.r.Answer.LastEventID != nil && x.r.Answer.LastEventID() != "" {
 		out.LastEventID = x.r.Answer.LastEventID()
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -52,6 +52,8 @@
 	Allocator      *allocator.Allocator                                               // reserves memory at helpers; required with Exchange
 	Disabled       switcher.Switcher                                                  // parts of the policy that are switched off
 	IDPerStart     bool                                                               // targets use a new id at each start
+	ColdOverage    float64                                                            // factor of configurer.Service.Cold that a target gets in any one second at most; 1 if lower
+	ColdSlack      float64                                                            // requests that it may get beyond that
 	SendsChanged   func()                                                             // called when the result of Sends or Limits has changed; may be nil
 	Place          func(context.Context, *messenger.Place) (*messenger.Placed, error) // asks the entry that places requests for this one; nil without an error if there is none, nil if there never is
 	Log            *logrus.Entry
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -96,6 +96,7 @@
 			f()
 		case <-parts.C:
 			c.adoptParts()
+			c.updateShares(c.cfg.Now())
 		case <-due:
 			due = nil
 			c.refreshView()
@@ -130,6 +131,7 @@
 func (c *control) refreshView() {
 	v, now := c.cfg.View(), c.cfg.Now()
 	c.logEndedHolds(now)
+	c.logColdChanges(now)
 	c.adoptParts()
 	if v == nil || v == c.view {
 		return
@@ -138,8 +140,10 @@
 		return
 	}
 	c.view, c.viewRefreshed = v, now
+	c.scheduler.Router.ColdBound = c.coldBounds(v.Config)
 	c.scheduler.Router.Update(now, withDeclaredLoads(v))
 	c.scheduler.Router.SetEntries(c.cfg.Settings.Node, c.entries())
+	c.updateShares(now)
 }
 
 // adoptParts adopts the isolated parts of prompts if they have changed.
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -36,6 +36,7 @@
 	prefill  atomic.Bool // prefills only; the answer comes from another member
 	exported bool        // the prefill has ended; accessed only by the goroutine of runMember
 	received uint64      // chunks of the answer
+	share    segmentShare
 	cancel   context.CancelFunc
 }
 
--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -38,10 +39,14 @@
 	if cd.cfg.Place == nil || t.Prefill == 0 || now.UnixNano() < cd.placeAfter.Load() || cd.cfg.Disabled.Off(switcher.AskRelay) {
 		return pick, nil
 	}
+	unavailable, ok := cd.control.unavailable(t, pick)
+	if !ok {
+		return pick, nil
+	}
 	bound, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	out, err := cd.cfg.Place(bound, &messenger.Place{
-		Node: cd.cfg.Settings.Node, Service: t.Service, Prompt: t.Prompt, Output: t.Output, Exclude: t.Exclude,
+		Node: cd.cfg.Settings.Node, Service: t.Service, Prompt: t.Prompt, Output: t.Output, Exclude: slices.Concat(t.Exclude, unavailable),
 		Prefill: t.Prefill, PrefillTargets: t.PrefillTargets, Objective: t.Objective, MaxGap: t.MaxGap, PassTime: t.PassTime,
 		Queued: t.QueueTime(now),
 	})
@@ -113,7 +118,7 @@
 		return nil, err
 	}
 	t := &scheduler.Ticket{
-		Service: m.Service, Prompt: m.Prompt, Output: m.Output, Exclude: m.Exclude, Prefill: m.Prefill, PrefillTargets: m.PrefillTargets,
+		Sender: m.Node, Service: m.Service, Prompt: m.Prompt, Output: m.Output, Exclude: m.Exclude, Prefill: m.Prefill, PrefillTargets: m.PrefillTargets,
 		Objective: m.Objective, MaxGap: m.MaxGap, PassTime: m.PassTime,
 	}
 	out := &messenger.Placed{}
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -122,6 +122,9 @@
 			x.r.Trial = false
 		}
 	}
+	if c.Code == coder.TargetLost {
+		x.cd.control.recordLoss(a.pick)
+	}
 	if err := x.recordTargetLoss(a, c); err != nil {
 		return err
 	}
--- a/conductor/segment.go
+++ b/conductor/segment.go
@@ -28,6 +28,11 @@
 		}
 		g.cd.control.sendGangEvent(ganger.Event{Kind: k, Attempt: a.Attempt, Err: err})
 	}
+	if err := g.reserveShare(s, a); err != nil {
+		notify(ganger.Refused, err)
+		return
+	}
+	defer g.releaseShare(s)
 	conn, err := g.cd.cfg.Pool.Get(ctx, s.address)
 	if err != nil {
 		notify(ganger.Refused, err)
@@ -84,6 +89,7 @@
 func (g *gang) runSegment(s *segment, a ganger.Action) {
 	err := g.prepareAnswer(a)
 	if err == nil {
+		g.spendShare(s)
 		err = s.stream.Send(messenger.KindRun, &messenger.Run{
 			Attempt: a.Attempt, Incarnation: a.Incarnation, Remaining: a.Remaining,
 			Body: g.segmentBody(a), Import: a.Import, Prefill: a.Prefill,
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -28,6 +28,9 @@
 	MaxReplicas int     `json:"most"`            // maximum number of replicas
 	Conns       int     `json:"conns,omitempty"` // maximum connections to one replica; zero for no limit
 	Engine      Engine  `json:"engine,omitzero"` // declared performance; zero if unknown
+
+	Cold     float64 `json:"cold,omitempty"`     // requests per second that a cold target tolerates; zero for no bound
+	ColdTime float64 `json:"coldtime,omitempty"` // seconds that a target stays cold after a start
 }
 
 // Engine is the declared performance of one replica of an engine service. The engine
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -155,6 +155,8 @@
 	Empty bool `msgpack:"empty,omitempty"`
 	// Aggregates reports, of an entry, that it adds up the counts of others.
 	Aggregates bool `msgpack:"aggregates,omitempty"`
+	// Cold is how long the target stays cold, as of its announcement.
+	Cold time.Duration `msgpack:"cold,omitempty" json:"cold,omitempty"`
 }
 
 // Failed ends an exchange with an error.
--- a/messenger/place.go
+++ b/messenger/place.go
@@ -9,7 +9,7 @@
 	Service        string        `msgpack:"service"`
 	Prompt         int           `msgpack:"prompt"`  // tokens
 	Output         int           `msgpack:"output"`  // tokens
-	Exclude        []string      `msgpack:"exclude"` // targets that failed or refused it
+	Exclude        []string      `msgpack:"exclude"` // targets that failed or refused it, and those that the sender may not send to now
 	Prefill        time.Duration `msgpack:"prefill"` // on one target
 	PrefillTargets int           `msgpack:"targets"` // that should share the prefill
 	Objective      time.Duration `msgpack:"objective"`
--- a/ramper/ramper.go
+++ b/ramper/ramper.go
@@ -27,9 +27,9 @@
 	Never = time.Duration(math.MaxInt64)
 
 	// unsettledScale divides the bound to get the fraction of the targets to which an entry
-	// sends that has just started. With about a hundred entries that all start at once the
-	// expected sum is less than half of the bound, even if none of them knows another.
-	unsettledScale = 256
+	// sends that has just started. If 103 entries start at once and none of them knows another,
+	// 28 of them send to a target on average (standard deviation 4.5) where the bound is 44.
+	unsettledScale = 160
 )
 
 // Limit bounds the requests to each target of a service. Without Cold there is no bound.
@@ -45,8 +45,8 @@
 	hash     uint64
 	sent     []time.Time // sends within Window, oldest first
 	reserved int         // requests that will be sent, or withdrawn
-	ranks    []uint16    // of the known entries, in their order
-	ranksOf  uint64      // Ramper.generation that ranks belong to
+	orders   []uint64    // of the known entries, sorted
+	orderOf  uint64      // Ramper.generation that orders belong to
 	state
 }
 
@@ -57,6 +57,7 @@
 	live       []string             // in the last view
 	known      []string             // sorted, this entry included
 	hashes     []uint64             // of known
+	own        uint64               // hash of this entry's name
 	lastSeen   map[string]time.Time // of entries, when they were last in the view
 	generation uint64               // incremented with each change of known
 	inViewAt   time.Time            // since when this entry has been in its own view; zero if it is not
@@ -128,7 +129,7 @@
 	if slices.Equal(next, r.known) {
 		return
 	}
-	r.known, r.hashes = next, make([]uint64, len(next))
+	r.known, r.hashes, r.own = next, make([]uint64, len(next)), xxhash.Sum64String(self)
 	for i, e := range next {
 		r.hashes[i] = xxhash.Sum64String(e)
 	}
@@ -151,44 +152,34 @@
 	return h ^ h>>32
 }
 
-// rank returns the rank of the i-th known entry at a target.
-func (r *Ramper) rank(t *Target, i int) int {
-	if t.ranks == nil || t.ranksOf != r.generation {
-		byOrder := make([]int, len(r.known))
-		for i := range byOrder {
-			byOrder[i] = i
-		}
-		slices.SortStableFunc(byOrder, func(a, b int) int {
-			x, y := order(t.hash, r.hashes[a]), order(t.hash, r.hashes[b])
-			switch {
-			case x < y:
-				return -1
-			case x > y:
-				return 1
-			default:
-				return a - b // of names
-			}
-		})
-		t.ranks, t.ranksOf = make([]uint16, len(r.known)), r.generation
-		for rank, i := range byOrder {
-			t.ranks[i] = uint16(min(rank, math.MaxUint16))
+// rank returns the rank of a known entry at a target, by the hash of its name.
+func (r *Ramper) rank(t *Target, entry uint64) int {
+	if t.orderOf != r.generation {
+		t.orders, t.orderOf = slices.Grow(t.orders[:0], len(r.hashes)), r.generation
+		for _, h := range r.hashes {
+			t.orders = append(t.orders, order(t.hash, h))
 		}
+		slices.Sort(t.orders)
 	}
-	return int(t.ranks[i])
+	i, _ := slices.BinarySearch(t.orders, order(t.hash, entry))
+	return i
 }
 
 // share returns how many requests an entry may send to a target in Window, given the bound
 // for all entries.
 func (r *Ramper) share(t *Target, entry string, bound float64) int {
-	n := len(r.known)
+	n, hash := len(r.known), r.own
 	if n <= int(max(1, bound)) {
 		return Share(bound, n, 0)
 	}
-	i, ok := slices.BinarySearch(r.known, entry)
-	if !ok { // of a sender that this entry does not know
-		return 0
+	if entry != r.self {
+		i, ok := slices.BinarySearch(r.known, entry)
+		if !ok { // of a sender that this entry does not know
+			return 0
+		}
+		hash = r.hashes[i]
 	}
-	return Share(bound, n, r.rank(t, i))
+	return Share(bound, n, r.rank(t, hash))
 }
 
 // ownShare returns the share of this entry now.
@@ -215,7 +206,7 @@
 		return false
 	}
 	fraction := l.Bound / unsettledScale
-	return fraction >= 1 || float64(order(t.hash, xxhash.Sum64String(r.self))) < fraction*math.MaxUint64
+	return fraction >= 1 || float64(order(t.hash, r.own)) < fraction*math.MaxUint64
 }
 
 // bound returns the bound that the entries divide now.
@@ -241,7 +232,11 @@
 // Free returns how many requests this entry may send to a target now, besides those that are
 // reserved.
 func (r *Ramper) Free(now time.Time, t *Target, l Limit) int {
-	n := r.ownShare(now, t, l) - t.recent(now) - t.reserved
+	n := r.ownShare(now, t, l)
+	if n == 0 {
+		return 0
+	}
+	n -= t.recent(now) + t.reserved
 	return max(0, min(n, t.rampRoom(now)))
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -30,6 +30,11 @@
 	maxExpireGap = 2 * time.Second
 
 	loadStepsPerDoubling = 8 // steps of a load value between two powers of two
+
+	// coldTolerance is the difference between the announced and the expected remaining cold
+	// time that watchers are told of. They count down themselves, so that a target that
+	// becomes warm as announced causes one update.
+	coldTolerance = 500 * time.Millisecond
 )
 
 // Lease is the lease of one live target.
@@ -39,6 +44,8 @@
 	Until   time.Time // end of the lease
 	Rev     uint64    // revision of the last change, other than of the load
 	LoadRev uint64    // revision of the last change of the load that watchers need
+
+	coldUntil time.Time // end of the cold time that watchers were told of
 }
 
 // EndedLease is a target whose lease ended at At.
@@ -98,7 +105,7 @@
 	if l == nil || l.Target.Incarnation < t.Incarnation {
 		l = r.addLease(now, t.ID)
 	}
-	r.update(l, t)
+	r.update(now, l, t)
 	l.Until = now.Add(leaseDuration(a.Lease))
 	return *l, nil
 }
@@ -123,16 +130,17 @@
 }
 
 // update stores the announced target and raises the revisions if it changed.
-func (r *Registrar) update(l *Lease, t messenger.Target) {
-	if l.Rev == 0 || targetChanged(l.Target, t) {
+func (r *Registrar) update(now time.Time, l *Lease, t messenger.Target) {
+	if l.Rev == 0 || targetChanged(l.Target, t) || coldChanged(l, now, t.Cold) {
 		r.rev++
 		l.Rev, l.LoadRev, l.Target = r.rev, r.rev, t
+		l.coldUntil = now.Add(t.Cold)
 	}
 	if quantizeLoad(l.Target.Load) != quantizeLoad(t.Load) {
 		r.rev++
 		l.LoadRev, l.Target = r.rev, t
 	}
-	l.Target.Seq = t.Seq
+	l.Target.Seq, l.Target.Cold = t.Seq, t.Cold
 }
 
 // AssignIncarnation returns the incarnation of a target that doesn't report when it
@@ -246,7 +254,7 @@
 }
 
 // targetChanged reports whether the target differs in anything but its load (other
-// than memory), configuration version and sequence number.
+// than memory), configuration version, sequence number and remaining cold time.
 func targetChanged(old, t messenger.Target) bool {
 	if old.Load.Memory != t.Load.Memory {
 		return true
@@ -254,9 +262,15 @@
 	old.Load, t.Load = messenger.Load{}, messenger.Load{}
 	old.Config, t.Config = 0, 0
 	old.Seq, t.Seq = 0, 0
+	old.Cold, t.Cold = 0, 0
 	return !reflect.DeepEqual(old, t)
 }
 
+// coldChanged reports whether the remaining cold time differs from what watchers expect.
+func coldChanged(l *Lease, now time.Time, cold time.Duration) bool {
+	return (cold - max(0, l.coldUntil.Sub(now))).Abs() > coldTolerance
+}
+
 // quantizeLoad maps each varying load value to its step, so that small changes of the
 // load are not sent to watchers.
 func quantizeLoad(l messenger.Load) messenger.Load {
--- a/router/peers.go
+++ b/router/peers.go
@@ -84,11 +84,11 @@
 }
 
 // Accepts reports whether this entry may send a request to targets that another entry has
-// picked for it.
+// picked for it. Helpers get no request, so bounds on requests do not concern them.
 func (r *Router) Accepts(now time.Time, p Pick) bool {
-	for _, t := range append([]messenger.Target{p.Target}, p.Helpers...) {
+	for i, t := range append([]messenger.Target{p.Target}, p.Helpers...) {
 		s := r.byID[t.ID]
-		if s == nil || s.target.Incarnation != t.Incarnation || s.target.Leaving || now.Before(s.refusedUntil) || !s.limit.allows(now) {
+		if s == nil || s.target.Incarnation != t.Incarnation || s.target.Leaving || now.Before(s.refusedUntil) || !s.limit.allows(now) || i == 0 && !r.mayGet(now, s, Request{}) {
 			return false
 		}
 	}
@@ -97,7 +97,7 @@
 
 // Restricted reports whether this entry sends nothing to some target of a service for a reason
 // that other entries may not share: a refusal, a pause or a rate limit. It also does if it
-// knows no target.
+// knows no target. A bound on requests is none, as a pick for another entry applies that one's.
 func (r *Router) Restricted(now time.Time, service string) bool {
 	x := r.byName[service]
 	return x == nil || slices.ContainsFunc(x.all, func(s *targetState) bool { return now.Before(s.refusedUntil) || !s.limit.allows(now) })
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bramleyshunt/messenger"
+	"bramleyshunt/ramper"
 )
 
 const (
@@ -44,6 +45,7 @@
 	PrefixHashes []uint64 // hashes of the prompt's prefixes, shortest first
 	PromptBytes  int      // bytes of prompt text
 	Exclude      []string // targets that failed or refused it
+	Sender       string   // node name of the entry that targets are picked for; empty for this one
 
 	Prefill        time.Duration // predicted prefill time on one target; zero if unknown
 	PrefillTargets int           // number of targets that should share the prefill
@@ -79,6 +81,8 @@
 
 	IDPerStart bool // a target uses a new id at each start, so that a hold binds every incarnation of its id
 
+	ColdBound map[string]ramper.Limit // bounds on the requests to each target, by service; none for services without
+
 	Examined uint64 // number of targets examined, read by benchmarks
 
 	rnd     *rand.Rand
@@ -92,6 +96,9 @@
 	holds        map[holdKey]*hold
 	lastPauseEnd time.Time // of all pauses
 	endedHolds   []Hold    // not yet returned by EndedHolds
+
+	ramper  ramper.Ramper
+	bounded int // targets in the view with a bound
 }
 
 // Features selects parts of the router that a benchmark disables.
@@ -136,6 +143,7 @@
 		return
 	}
 	s.limit.charge(now)
+	r.Reserve(p)
 	if s.slots() > 0 {
 		r.sentBySlots(p, req)
 		return
--- a/router/score.go
+++ b/router/score.go
@@ -53,7 +53,7 @@
 // to a target of the long lane only while that target is idle.
 func (r *Router) fits(now time.Time, s *targetState, req Request, p Pick) bool {
 	l := s.target.Load
-	if now.Before(s.refusedUntil) || !s.limit.allows(now) {
+	if !r.mayGet(now, s, req) {
 		return false
 	}
 	if !r.Disabled.RoomCheck && l.Memory > 0 && l.Used+s.ownMemory+req.Prompt+req.Output > l.Memory {
--- a/router/slots.go
+++ b/router/slots.go
@@ -111,7 +111,7 @@
 func (r *Router) pickBySlots(now time.Time, x *serviceIndex, req Request) (Pick, bool) {
 	open := slices.DeleteFunc(slices.Clone(x.ranked), func(s *targetState) bool {
 		r.Examined++
-		return now.Before(s.refusedUntil) || !s.limit.allows(now) || slices.Contains(req.Exclude, s.target.ID) || s.running(now) >= s.slots()
+		return !r.mayGet(now, s, req) || slices.Contains(req.Exclude, s.target.ID) || s.running(now) >= s.slots()
 	})
 	switch {
 	case len(open) == 0:
--- a/router/state.go
+++ b/router/state.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bramleyshunt/messenger"
+	"bramleyshunt/ramper"
 )
 
 // serviceIndex holds the targets of one service by lane, so that the cost of a sample
@@ -41,7 +42,9 @@
 	refusedUntil time.Time   // no requests are sent before this time
 	counts       slotCounts
 	limit        rateLimit
-	pausedUntil  time.Time // end of the pause that the target asked for; refusedUntil is no earlier
+	pausedUntil  time.Time      // end of the pause that the target asked for; refusedUntil is no earlier
+	ramp         *ramper.Target // nil if its service has no bound
+	bound        ramper.Limit
 }
 
 // classTokens counts tokens by length class.
@@ -85,6 +88,7 @@
 		x.complete()
 	}
 	r.byID, r.byName = byID, byName
+	r.updateRamps(now)
 	r.applyPeers(now)
 	r.expireHolds(now)
 }
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -154,11 +154,16 @@
 	if !r.cfg.Settings.Has(setter.RoleEntry) {
 		return nil
 	}
+	entries := entryNames
+	if s := r.cfg.Settings; !s.Direct || s.Listen == "" { // no entry announces itself, see startSharer
+		entries = nil
+	}
 	e, closer, err := entry.New(entry.Config{
 		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
 		View:  r.watcher.View,
-		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, IDPerStart: r.cfg.IDPerStart, MaxRetryBudget: r.maxRetryBudget, Entries: entryNames, Seed: rand.Uint64(),
-		Place:    r.askRelay,
+		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, IDPerStart: r.cfg.IDPerStart, MaxRetryBudget: r.maxRetryBudget, Entries: entries, Seed: rand.Uint64(),
+		Place:       r.askRelay,
+		ColdOverage: r.cfg.ColdOverage, ColdSlack: r.cfg.ColdSlack,
 		Disabled: r.cfg.Disabled, RetryRatio: r.cfg.RetryRatio, RetryWindow: r.cfg.RetryWindow,
 		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -50,6 +50,8 @@
 	Read             merger.Reader                                         // reads configuration files; merger.Merge if nil
 	Exchange         func(ctx context.Context, a *conductor.Attempt) error // runs an attempt; nil runs it through the target's agent
 	IDPerStart       bool                                                  // targets use a new id at each start
+	ColdOverage      float64                                               // see conductor.Config
+	ColdSlack        float64                                               // see conductor.Config
 	Allocator        *allocator.Allocator                                  // reserves memory at targets; used with Exchange
 	RetryRatio       float64                                               // retries that a request earns its service if the configuration sets none; the retrier's default if zero
 	RetryWindow      time.Duration                                         // after which entries give spent retries back, and in which their budgets hold across restarts; zero for neither
--- a/scheduler/relay.go
+++ b/scheduler/relay.go
@@ -14,6 +14,7 @@
 // other entries.
 func (s *Scheduler) PlaceFor(now time.Time, t *Ticket, queued time.Duration, reserve func([]messenger.Sent)) (router.Pick, bool, error) {
 	req := toRequest(t)
+	req.Sender = t.Sender
 	req.QueueTime = queued
 	pick, ok := s.Router.Pick(now, req)
 	switch {
@@ -38,11 +39,18 @@
 // Move replaces the targets of a ticket that was placed but not sent. It returns false if
 // this entry may not send to the new ones.
 func (s *Scheduler) Move(now time.Time, t *Ticket, from, to router.Pick) bool {
+	held := t.send == sendReserved
+	s.release(t, from)
 	if !s.Router.Accepts(now, to) {
+		if held {
+			s.Router.Reserve(from)
+			t.send = sendReserved
+		}
 		return false
 	}
 	s.Router.PrefillDone(from, toRequest(t))
 	s.Router.Ended(from, toRequest(t))
 	s.Router.Sent(now, to, toRequest(t))
+	s.reserved(t, to)
 	return true
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,6 +38,7 @@
 	PrefixHashes []uint64 // hashes of the prompt's prefixes, shortest first
 	Deadline     time.Time
 	Exclude      []string // targets that failed the request
+	Sender       string   // node name of the entry whose request it is; empty for this one
 
 	Prefill        time.Duration // predicted prefill time on one target; zero if unknown
 	PrefillTargets int           // number of targets that should share the prefill
@@ -46,6 +47,8 @@
 	PassTime       time.Duration // duration of a decode pass at a busy target, which separates two events of a stream
 
 	firstAttempt time.Time // when placement was first attempted
+	send         sendState // at a target with a bound on its requests
+	deferred     bool      // counted in Scheduler.Deferred
 }
 
 // Predict sets the fields that depend on the declared speed of the service's engines.
@@ -67,6 +70,7 @@
 	Admitter admitter.Admitter
 	Router   router.Router
 	Disabled Features // disabled for ablation benchmarks
+	Deferred int      // tickets that a bound on the requests to targets has made wait
 
 	queues    map[queueKey]*queuer.Queuer
 	keys      []queueKey // keys of queues, shorter classes first
@@ -119,6 +123,9 @@
 	if err := s.checkLimits(now, t, s.queued(k)); err != nil {
 		return err
 	}
+	if err := s.checkShares(now, t, s.queued(k)); err != nil {
+		return err
+	}
 	if s.Disabled.RefuseLate {
 		return nil
 	}
@@ -305,6 +312,7 @@
 	req.QueueTime = now.Sub(t.firstAttempt)
 	if pick, ok := s.Router.Pick(now, req); ok {
 		s.Router.Sent(now, pick, req)
+		s.reserved(t, pick)
 		return Placement{Ticket: t, Pick: pick}, true
 	}
 	if err := s.CheckHeavy(now, t); err != nil {
@@ -313,6 +321,9 @@
 	if err := s.checkLimits(now, t, 0); err != nil {
 		return Placement{Ticket: t, Err: err}, true
 	}
+	if err := s.checkShares(now, t, 0); err != nil {
+		return Placement{Ticket: t, Err: err}, true
+	}
 	if s.Router.HasTargetsBesides(t.Service, s.Router.IsLong(t.Prompt), t.Exclude) {
 		return Placement{}, false
 	}
@@ -345,6 +356,9 @@
 // placement is zero if the request ended without an answer.
 func (s *Scheduler) PrefillDone(t *Ticket, p router.Pick, after time.Duration) {
 	s.Router.PrefillDone(p, toRequest(t))
+	if after > 0 {
+		s.answered(t, p)
+	}
 	idle := router.TokenTime(t.Prompt-p.Cached, p.PrefillRate)
 	if x := s.slowdowns[s.key(t)]; after > 0 && idle > 0 && x != nil {
 		x.record(float64(after) / float64(idle))
@@ -352,7 +366,10 @@
 }
 
 // Ended records that a placed request is over.
-func (s *Scheduler) Ended(t *Ticket, p router.Pick) { s.Router.Ended(p, toRequest(t)) }
+func (s *Scheduler) Ended(t *Ticket, p router.Pick) {
+	s.Router.Ended(p, toRequest(t))
+	s.release(t, p)
+}
 
 // Report records the load that a target sent with an answer.
 func (s *Scheduler) Report(now time.Time, p router.Pick, l messenger.Load) {
