Bound what a question to the relay says of used shares, and count a deferred request once

Cause: Place.Exclude named every target where the sender's share is used: with a share of one a second that is a target for each request of the last second, in each question. An admitted request that waits was counted at admission and again in the queue. Change: at most 32 targets, the first ones in the order in which targets are filled; the sender checks the choice in any case. Only tickets in a queue are counted. Ruled out: hashes in place of ids, as relays of earlier builds would not exclude them.

--- a/router/cold.go
+++ b/router/cold.go
@@ -147,9 +147,14 @@
 	}
 }
 
+// maxUnavailable bounds the targets that Unavailable returns, which are sent with each question
+// to a relay. The sender checks the choice of the relay in any case.
+const maxUnavailable = 32
+
 // Unavailable returns the targets of a service to which this entry sends nothing now although
-// it has a share of them. The reservation of a pick does not count. It returns false if this
-// entry has not settled, and uses its share of no target.
+// it has a share of them, the first ones in the order in which targets are filled. The
+// reservation of a pick of that service does not count. It returns false if this entry has not
+// settled, and uses its share of no target.
 func (r *Router) Unavailable(now time.Time, service string, p Pick) ([]string, bool) {
 	x := r.byName[service]
 	if x == nil || r.ColdBound[service].Cold <= 0 {
@@ -160,8 +165,15 @@
 	}
 	r.Unsent(p)
 	defer r.Reserve(p)
+	set := x.all
+	if x.bySlots {
+		set = x.ranked
+	}
 	var out []string
-	for _, s := range x.all {
+	for _, s := range set {
+		if len(out) == maxUnavailable {
+			break
+		}
 		if s.ramp != nil && r.ramper.Free(now, s.ramp, s.bound) == 0 && r.ramper.Sends(now, s.ramp, s.bound, r.self) {
 			out = append(out, s.target.ID)
 		}
--- a/scheduler/cold.go
+++ b/scheduler/cold.go
@@ -22,7 +22,7 @@
 // share is free is known, so the retry delay is neither rounded nor jittered.
 func (s *Scheduler) checkShares(now time.Time, t *Ticket, ahead int) error {
 	wait, ok := s.Router.ShareWait(now, toRequest(t), ahead)
-	if wait > 0 && !t.deferred {
+	if _, queued := s.waiting[t.ID]; queued && wait > 0 && !t.deferred {
 		t.deferred = true
 		s.Deferred++
 	}
--- a/scheduler/cold_test.go
+++ b/scheduler/cold_test.go
@@ -188,6 +188,19 @@
 		Expect(ok).To(BeFalse(), "no other entry knows that this one has not settled")
 	})
 
+	// Guards against questions to the relay that grow with the number of targets.
+	It("lists a bounded number of targets for the relay", func() {
+		s := newBoundScheduler(31, 100)
+		for i := range 90 {
+			sendNow(s, now, fmt.Sprint(i))
+		}
+		s.Enqueue(ticket("b", 10))
+		p := dispatchOne(s, now)
+		ids, ok := s.Unavailable(now, p.Ticket, p.Pick)
+		Expect(ok).To(BeTrue())
+		Expect(ids).To(And(HaveLen(32), Not(ContainElement(p.Pick.Target.ID))))
+	})
+
 	It("does not concern other services", func() {
 		s := newBoundScheduler(31, 1)
 		s.Router.ColdBound = nil
