--- a/conductor/control.go
+++ b/conductor/control.go
@@ -101,6 +101,7 @@
 		case <-parts.C:
 			c.adoptParts()
 			c.adoptEvacuated()
+			c.updateShares(c.cfg.Now())
 		case <-due:
 			due = nil
 			c.refreshView()
@@ -136,6 +137,7 @@
 func (c *control) refreshView() {
 	v, now := c.cfg.View(), c.cfg.Now()
 	c.logEndedHolds(now)
+	c.logColdChanges(now)
 	c.adoptParts()
 	if v == nil || v == c.view {
 		return
@@ -152,9 +154,11 @@
 		update = c.scheduler.UpdateTargets
 	}
 	c.view, c.viewRefreshed = v, now
+	c.scheduler.Router.ColdBound = c.coldBounds(v.Config)
 	update(now, c.withoutEvacuated(v, withDeclaredLoads(v)))
 	c.scheduler.Router.SetEntries(c.cfg.Settings.Node, c.entries())
 	c.observeRegions(v)
+	c.updateShares(now)
 }
 
 // adoptParts adopts the isolated parts of prompts if they have changed.
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -125,6 +125,9 @@
 	if x.failedByTarget(a, c) {
 		x.cd.control.recordFailure(x.r.CallerID, a.blamedPick(), a.since)
 	}
+	if c.Code == coder.TargetLost {
+		x.cd.control.recordLoss(a.pick)
+	}
 	if err := x.recordTargetLoss(a, c); err != nil {
 		return err
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -158,6 +158,8 @@
 	// Region is the region of Zone, as known to the process that received the announcement;
 	// empty if unknown.
 	Region string `msgpack:"region,omitempty" json:"region,omitempty"`
+	// Cold is how long the target stays cold, as of its announcement.
+	Cold time.Duration `msgpack:"cold,omitempty" json:"cold,omitempty"`
 }
 
 // Failed ends an exchange with an error.
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bramleyshunt/messenger"
+	"bramleyshunt/ramper"
 )
 
 const (
@@ -45,6 +46,7 @@
 	PromptBytes  int      // bytes of prompt text
 	Exclude      []string // targets that failed or refused it
 	Regions      []string // that its targets must lie in; empty for any
+	Sender       string   // node name of the entry that targets are picked for; empty for this one
 
 	Prefill        time.Duration // predicted prefill time on one target; zero if unknown
 	PrefillTargets int           // number of targets that should share the prefill
@@ -82,6 +84,8 @@
 
 	IDPerStart bool // a target uses a new id at each start, so that a hold binds every incarnation of its id
 
+	ColdBound map[string]ramper.Limit // bounds on the requests to each target, by service; none for services without
+
 	Examined uint64 // number of targets examined, read by benchmarks
 
 	rnd     *rand.Rand
@@ -95,6 +99,9 @@
 	holds        map[holdKey]*hold
 	lastPauseEnd time.Time // of all pauses
 	endedHolds   []Hold    // not yet returned by EndedHolds
+
+	ramper  ramper.Ramper
+	bounded int // targets in the view with a bound
 }
 
 // Features selects parts of the router that a benchmark disables.
@@ -139,6 +146,7 @@
 		return
 	}
 	s.limit.charge(now)
+	r.Reserve(p)
 	if s.slots() > 0 {
 		r.sentBySlots(p, req)
 		return
--- a/router/slots.go
+++ b/router/slots.go
@@ -112,7 +112,7 @@
 	limit := r.slotLimit(now, x)
 	open := slices.DeleteFunc(slices.Clone(x.ranked), func(s *targetState) bool {
 		r.Examined++
-		return now.Before(s.refusedUntil) || !s.limit.allows(now) || slices.Contains(req.Exclude, s.target.ID) || s.running(now) >= limit(s)
+		return !r.mayGet(now, s, req) || slices.Contains(req.Exclude, s.target.ID) || s.running(now) >= limit(s)
 	})
 	switch {
 	case len(open) == 0:
