Let entries that return after a loss of power send to targets with a bound at once

Change: an entry whose first view has an earlier process of its name, which the others have counted all the time, sends at once to a fraction of the targets, as far as the shares, its own included, leave room in the bound; draws over targets and entries by xxhash.

--- a/ramper/ramper.go
+++ b/ramper/ramper.go
@@ -4,6 +4,7 @@
 package ramper
 
 import (
+	"encoding/binary"
 	"math"
 	"math/bits"
 	"slices"
@@ -30,6 +31,10 @@
 	// sends that has just started. If 103 entries start at once and none of them knows another,
 	// 28 of them send to a target on average (standard deviation 4.5) where the bound is 44.
 	unsettledScale = 160
+	// returnMargin is how many times the mean number of entries that send to a target while all of
+	// them return at once fits into what the shares leave of the bound: five standard deviations
+	// at 31 entries, beside earlier processes that have all just used their shares.
+	returnMargin = 4
 )
 
 // Limit bounds the requests to each target of a service. Without Cold there is no bound.
@@ -61,6 +66,8 @@
 	lastSeen   map[string]time.Time // of entries, when they were last in the view
 	generation uint64               // incremented with each change of known
 	inViewAt   time.Time            // since when this entry has been in its own view; zero if it is not
+	startedAt  time.Time            // of the first view
+	returned   bool                 // the first view had an earlier process of this entry
 
 	targets map[string]*Target
 	views   uint64             // calls of SetTargets
@@ -115,6 +122,9 @@
 	case r.inViewAt.IsZero() || r.self != self:
 		r.inViewAt = now
 	}
+	if r.startedAt.IsZero() {
+		r.startedAt, r.returned = now, slices.Contains(entries, self)
+	}
 	r.self, r.live = self, slices.Clone(entries)
 	next := []string{self}
 	for e, at := range r.lastSeen {
@@ -196,17 +206,34 @@
 // sendsUnsettled reports whether this entry sends to a target before it has settled: not while
 // sends of an earlier process of its name may be within Window, only if the shares of the
 // others leave something of the bound, and only to a fraction of the targets, for which it
-// needs no list of the entries.
+// needs no list of the entries. If the other entries have counted an earlier process of its
+// name all the time, it need not wait, and the share of that process counts as sent.
 func (r *Ramper) sendsUnsettled(now time.Time, t *Target, l Limit) bool {
-	if r.inViewAt.IsZero() || now.Sub(r.inViewAt) < Window {
+	early := r.returned && now.Sub(r.startedAt) < Window
+	if r.inViewAt.IsZero() || !early && now.Sub(r.inViewAt) < Window {
 		return false
 	}
 	others, most := max(0, len(r.known)-1), int(max(1, l.Bound))
-	if spare := most - others*Share(l.Bound, others, 0); others > most || spare < 1 {
-		return false
+	if early {
+		others++
 	}
 	fraction := l.Bound / unsettledScale
-	return fraction >= 1 || float64(order(t.hash, r.own)) < fraction*math.MaxUint64
+	spare := float64(most - others*Share(l.Bound, others, 0))
+	if others > most || spare < 1 {
+		return false
+	}
+	if early {
+		fraction = min(fraction, spare/(returnMargin*float64(others)))
+	}
+	return fraction >= 1 || float64(draw(t.hash, r.own)) < fraction*math.MaxUint64
+}
+
+// draw returns a number that is evenly distributed over targets and entries.
+func draw(target, entry uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], target)
+	binary.LittleEndian.PutUint64(b[8:], entry)
+	return xxhash.Sum64(b[:])
 }
 
 // bound returns the bound that the entries divide now.
