Leave out zones from written settings that have none

Cause: settings written by a program had "zones": null, which the strict decoder refuses, so that the processes of prover did not start: all 12 specs failed.

What changed: the key is left out if empty. A test writes settings and reads them with the strict decoder.

Ruled out: a decoder that takes null for an object; null removes a key of a configuration folder.

--- a/setter/setter.go
+++ b/setter/setter.go
@@ -34,7 +34,7 @@
 	GracePeriod float64  `json:"grace"`   // seconds between reporting not ready and closing the listener
 	Log         string   `json:"log"`     // panic, fatal, error, warn, info (default), debug
 
-	Zones map[string]string `json:"zones"` // region by availability zone
+	Zones map[string]string `json:"zones,omitempty"` // region by availability zone
 }
 
 // Keeper names one keeper and its address.
