Look for targets that have become warm four times a second instead of with each request

Cause: each request went over all cold targets; with a zone of hundreds that is the work of thousands of looks a second. Change: the periodic tick and new views report changes; requests do not. Runs: go test -race ./conductor passes, and the spec of cold targets in ./platform.

--- a/conductor/control.go
+++ b/conductor/control.go
@@ -131,7 +131,6 @@
 func (c *control) refreshView() {
 	v, now := c.cfg.View(), c.cfg.Now()
 	c.logEndedHolds(now)
-	c.logColdChanges(now)
 	c.adoptParts()
 	if v == nil || v == c.view {
 		return
