Serve accounts by their use of the fleet when capacity is short

Cause: each entry's deficits start from zero, so an account that bursts is told from others only by what waits at the same entry.

Package apportioner keeps the decayed use of each account in milliseconds of engine time (half-life 5 s, at most 1,300 accounts, the least evicted), adds what the other entries report if it is at most 1 s old, and gives share, excess, rank and the time until the use has decayed to the share. queuer serves the least rank within a priority. scheduler charges placements, takes back what did not run, and refuses the accounts above their share first when requests would be late behind a queue in which another account within its share waits. A relay keeps the question for a request of an account within its share for up to 20 ms and gives it the next free place.

--- a/messenger/place.go
+++ b/messenger/place.go
@@ -16,6 +16,10 @@
 	MaxGap         time.Duration `msgpack:"gap"`
 	PassTime       time.Duration `msgpack:"pass"`
 	Queued         time.Duration `msgpack:"queued"` // so far
+
+	ID       string `msgpack:"id,omitempty"`       // of this question, which the receiver may keep while no target accepts the request; empty if it must not
+	Use      int    `msgpack:"use,omitempty"`      // of the request's account in the fleet, in thousandths of its share
+	Priority int    `msgpack:"priority,omitempty"` // higher is served first
 }
 
 // Placed answers a Place. Without a target, none accepts the request now.
--- a/predictor/predictor.go
+++ b/predictor/predictor.go
@@ -63,6 +63,13 @@
 	return p.Pass(p.Engine.Slots, p.Engine.Slots*int(p.Engine.Prompt))
 }
 
+// Decode returns the engine time that a busy replica spends on the given number of answer
+// tokens of one stream, which is the stream's part of each decode pass.
+func (p Predictor) Decode(tokens int) time.Duration {
+	e := p.Engine
+	return p.BusyPass() * time.Duration(max(0, tokens)) / time.Duration(max(1, e.Stride)*max(1, e.Slots))
+}
+
 // DecodeRate returns the tokens per second of each of the given number of streams.
 func (p Predictor) DecodeRate(streams, context int) int {
 	pass := p.Pass(streams, context)
--- a/predictor/predictor_test.go
+++ b/predictor/predictor_test.go
@@ -52,3 +52,13 @@
 		Expect(zero.DecodeRate(1, 1)).To(BeZero())
 	})
 })
+
+var _ = Describe("decode work", func() {
+	// Guards against streams that are charged for the whole pass that they share.
+	It("is a stream's part of the passes of a busy replica", func() {
+		all := p.Decode(46) * time.Duration(p.Engine.Slots)
+		Expect(all).To(BeNumerically("~", p.BusyPass(), time.Microsecond))
+		Expect(p.Decode(-1)).To(BeZero())
+		Expect(predictor.Predictor{}.Decode(100)).To(BeZero())
+	})
+})
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -38,6 +38,8 @@
 	debts      map[string]debtRecord // by account, of flows that left the ring with a negative deficit
 	seq        uint64
 	tokens     int
+	ranks      *Ranks // nil if flows are served by deficit
+	generation uint64 // of ranks, as flows hold them
 }
 
 // debtRecord is the negative deficit of a flow that left the ring, and the round in
@@ -56,6 +58,7 @@
 	deficit int
 	tokens  int
 	heap    byUrgency
+	rank    float64 // if the queue has ranks
 }
 
 // Len returns the number of waiting requests over all accounts.
@@ -91,6 +94,9 @@
 		f.deficit = min(0, d.deficit+(q.round-d.round)*quantum*f.share)
 		delete(q.debts, it.Account)
 	}
+	if q.ranks != nil {
+		f.rank = q.ranks.Of(it.Account)
+	}
 	q.flows[it.Account] = f
 	q.ring = append(q.ring, f)
 	q.totalShare += f.share
@@ -102,6 +108,9 @@
 	if len(q.ring) == 0 {
 		return nil
 	}
+	if q.ranks != nil {
+		return q.leastRanked().heap[0]
+	}
 	for range q.ring {
 		if f := q.ring[q.current]; f.deficit > 0 {
 			return f.heap[0]
@@ -136,7 +145,11 @@
 }
 
 func (q *Queuer) serve(it *Item) {
-	it.flow.deficit -= it.Cost
+	if q.ranks != nil {
+		q.served(it.flow)
+	} else {
+		it.flow.deficit -= it.Cost
+	}
 	q.remove(it)
 }
 
@@ -154,6 +167,9 @@
 // account: all waiting tokens of that account, and of the other accounts as many as
 // their shares allow in the same time.
 func (q *Queuer) TokensAhead(account string, share int) int {
+	if q.ranks != nil {
+		return q.rankedAhead(account, share)
+	}
 	own, others := 0, q.totalShare
 	if f := q.flows[account]; f != nil {
 		own, others = f.tokens, q.totalShare-f.share
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -42,3 +42,13 @@
 	}
 	return min(reported, max(1, int((d.tokens+float64(first))/elapsed.Seconds())))
 }
+
+// measured returns the drain rate that rate bounds, without the bound, and false if the queue
+// has not been measured for long enough.
+func (d *drainMeter) measured(now time.Time, first int) (int, bool) {
+	elapsed := now.Sub(d.since)
+	if d.since.IsZero() || elapsed < minDrainTime {
+		return 0, false
+	}
+	return max(1, int((d.tokens+float64(first))/elapsed.Seconds())), true
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleyshunt/admitter"
+	"bramleyshunt/apportioner"
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
 	"bramleyshunt/messenger"
@@ -45,14 +46,18 @@
 	MaxGap         time.Duration // longest allowed inter-token gap; zero for no bound
 	PassTime       time.Duration // duration of a decode pass at a busy target, which separates two events of a stream
 
+	DecodeTime time.Duration // engine time per answer token; zero if unknown
+
 	firstAttempt time.Time // when placement was first attempted
+	asked        bool      // the relay is being asked for it while it is queued
+	charge       charge    // work charged to the account for the current placement
 }
 
 // Predict sets the fields that depend on the declared speed of the service's engines.
 func (t *Ticket) Predict(e configurer.Engine) {
 	p := predictor.Predictor{Engine: e}
 	t.Prefill, t.PrefillTargets = p.Prefill(t.Prompt, 1), p.PrefillTargets(t.Prompt, predictor.MaxUnsplitPrefill, predictor.PrefillPerTarget)
-	t.PassTime, t.LikelyOutput = p.BusyPass(), int(e.Answer)
+	t.PassTime, t.LikelyOutput, t.DecodeTime = p.BusyPass(), int(e.Answer), p.Decode(1)
 }
 
 // Placement is the target selected for a ticket, or the error that ends its wait.
@@ -73,6 +78,11 @@
 	waiting   map[string]*Ticket
 	slowdowns map[queueKey]*slowdown
 	drains    map[queueKey]*drainMeter
+
+	fair     *apportioner.Apportioner // nil if accounts are served by their requests here alone
+	returned map[string]*Ticket       // placed, not sent, and not yet queued again; by ID
+	asking   []*Ask                   // of other entries, in the order of compareAsks
+	askSeq   uint64
 }
 
 // Features selects parts of the scheduler that a benchmark disables.
@@ -125,7 +135,7 @@
 	req := s.predictRequest(t, total)
 	req.Remaining = t.Deadline.Sub(now)
 	req.Wait = s.predictWait(now, t, k, total)
-	return s.Admitter.Admit(req)
+	return s.admitFairly(now, t, k, req)
 }
 
 // checkLimits returns an error if the rate limits of the service's targets let the ticket,
@@ -183,7 +193,7 @@
 		return 0
 	}
 	if t.Prefill > 0 {
-		return router.DefaultMaxWait // requests are placed by count, so the token rate is meaningless
+		return s.countedWait(now, t, k, total)
 	}
 	return router.DefaultMaxWait + router.TokenTime(q.TokensAhead(t.Account, t.Share), s.drains[k].rate(now, total.PrefillRate, q.Peek().Cost))
 }
@@ -212,10 +222,12 @@
 		s.drains = map[queueKey]*drainMeter{}
 	}
 	s.waiting[t.ID] = t
+	delete(s.returned, t.ID)
 	k := s.key(t)
 	q := s.queues[k]
 	if q == nil {
 		q = &queuer.Queuer{}
+		q.SetRanks(s.ranks())
 		s.queues[k], s.slowdowns[k], s.drains[k] = q, &slowdown{}, &drainMeter{}
 		i, _ := slices.BinarySearchFunc(s.keys, k, compareKeys)
 		s.keys = slices.Insert(s.keys, i, k)
@@ -263,7 +275,7 @@
 		if !ok {
 			return append(out, s.dispatchBehind(now, k, s.waiting[it.ID])...)
 		}
-		q.Pop()
+		q.Take(it.ID) // the charge for the placement may have changed the order
 		delete(s.waiting, it.ID)
 		out = append(out, p)
 	}
@@ -279,13 +291,13 @@
 	}
 	var behind []*Ticket
 	for _, t := range s.waiting {
-		if t != first && s.key(t) == k {
+		if t != first && !t.asked && s.key(t) == k {
 			behind = append(behind, t)
 		}
 	}
-	slices.SortFunc(behind, func(a, b *Ticket) int { return cmp.Or(cmp.Compare(a.Prompt, b.Prompt), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(behind, shorterPrompt)
 	var out []Placement
-	for _, t := range behind[:min(len(behind), maxTriedBehind)] {
+	for _, t := range s.triedBehind(behind) {
 		if p, ok := s.place(now, t); ok {
 			q.Take(t.ID)
 			delete(s.waiting, t.ID)
@@ -301,10 +313,14 @@
 	if t.firstAttempt.IsZero() {
 		t.firstAttempt = now
 	}
+	if t.asked { // the relay may be placing it
+		return Placement{}, false
+	}
 	req := toRequest(t)
 	req.QueueTime = now.Sub(t.firstAttempt)
 	if pick, ok := s.Router.Pick(now, req); ok {
 		s.Router.Sent(now, pick, req)
+		s.chargePlacement(now, t, pick)
 		return Placement{Ticket: t, Pick: pick}, true
 	}
 	if err := s.CheckHeavy(now, t); err != nil {
@@ -351,8 +367,12 @@
 	}
 }
 
-// Ended records that a placed request is over.
-func (s *Scheduler) Ended(t *Ticket, p router.Pick) { s.Router.Ended(p, toRequest(t)) }
+// Ended records that a placed request is over. What it was charged is taken back unless Settle
+// has been called.
+func (s *Scheduler) Ended(t *Ticket, p router.Pick) {
+	s.Router.Ended(p, toRequest(t))
+	s.refund(t)
+}
 
 // Report records the load that a target sent with an answer.
 func (s *Scheduler) Report(now time.Time, p router.Pick, l messenger.Load) {
