Switch fairness among accounts on by configuration, and describe it

limits.fair, or on the platform the contract pool in the settings with two accounts or more, has conductor charge what targets did for each attempt, report and take uses with the counts of requests, ask the relay for requests it knows no place for, and answer such questions as a relay. One line when an account is held back and one when that ends, for at most 20 at a time; gauges for the 20 accounts with the largest use, the others summed.

checker.Rules is 3: a folder with the new key is rejected by earlier builds, and keepers of two builds with the same number would apply one log entry differently.

Ruled out: a list of contracts of another form as a fault of the settings, as a contract that this build does not know would keep the process from starting.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -21,7 +21,7 @@
 // Rules is the version of the validation rules of this package, decoder and merger.
 // It is incremented with every change by which a folder could be accepted or rejected
 // differently.
-const Rules = 2
+const Rules = 3
 
 const (
 	tokenBytes   = 32
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -83,12 +83,15 @@
 	sent         bool              // it was described to the exchange; guarded by execution.mu
 	sentAt       time.Time         // when its exchange began
 	events       int               // that the caller had received before it; guarded by execution.mu
+	eventsAfter  int               // that the caller had received after its last chunk, zero if it had none; guarded by execution.mu
 	status       int               // HTTP status of the answer, zero if none; guarded by execution.mu
 	superseded   bool              // another attempt goes on with the answer; guarded by execution.mu
 	hedged       bool              // the first hedge beside it was logged; guarded by execution.mu
 	hedgeRefused bool              // it was logged why there is no hedge; guarded by execution.mu
 	blamedHelper *messenger.Target // see Attempt.BlamedHelper
 	targetAlive  bool              // see Attempt.TargetAlive
+	notRun       bool              // its exchange failed and the target did not run the request
+	output       int               // answer tokens that the target reported at the end; guarded by execution.mu
 	held         messenger.Chunk   // of a hedge, until it has produced a whole event; guarded by execution.mu
 	done         chan error        // receives the result of a hedge; nil for other attempts
 }
@@ -107,6 +110,7 @@
 		return err
 	}
 	defer a.x.cd.control.requestEnded(a.ticket, a.pick)
+	defer a.settle()
 	if a.done != nil {
 		if err := a.x.reserveHedge(a); err != nil {
 			return err
@@ -161,12 +165,14 @@
 // returns true if the request is to be placed again.
 func (a *attempt) confirm(ctx context.Context, p scheduler.Placement, suspect bool) (again bool, err error) {
 	cd := a.x.cd
-	if p.Err == nil && !suspect { // the relay knows of no suspects
+	if p.Err == nil && !suspect && p.Pick.Relay == "" { // the relay knows of no suspects
 		p.Pick, err = cd.askRelay(ctx, a.ticket, p.Pick)
 	}
 	if errors.Is(err, errNoTargetNow) {
-		err = cd.control.returnPlacement(ctx, a.ticket, p.Pick)
-		return err == nil, err
+		placed := false
+		if p.Pick, placed, err = cd.control.returnPlacement(ctx, a.ticket, p.Pick); !placed {
+			return err == nil, err
+		}
 	}
 	a.pick, a.since = p.Pick, cd.cfg.Now()
 	return false, p.Err
@@ -205,6 +211,7 @@
 	end, err := x.exchange(a.ctx, out)
 	a.blamedHelper, a.targetAlive = out.BlamedHelper(), out.TargetAlive
 	if err != nil {
+		a.notRun = coder.Of(err).Run == coder.NotRun
 		return err
 	}
 	return a.end(end)
@@ -299,6 +306,7 @@
 		a.status = c.Status
 	}
 	err = x.r.Answer.Chunk(c)
+	a.eventsAfter = x.events()
 	x.recordEvents(a)
 	if err == nil {
 		x.keep(a)
@@ -341,6 +349,7 @@
 	if err := x.passHeld(a); err != nil {
 		return err
 	}
+	a.output = m.Usage.Output
 	x.cd.meter.slowdown(x.r, x.cd.cfg.Now().Sub(x.r.Arrived), x.unloadedDuration(a.pick, m.Usage))
 	err := x.r.Answer.End(m)
 	if err == nil {
--- a/conductor/control.go
+++ b/conductor/control.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -44,6 +45,7 @@
 	limiter       limiter.Limiter
 	retrier       retrier.Retrier
 	scheduler     scheduler.Scheduler
+	fair          *fairness                           // nil unless accounts are served by their use
 	placements    map[string]chan scheduler.Placement // by ticket ID, until placed
 	suspects      map[string]string                   // target by ticket ID, of requests that lost another target; empty until placed
 
@@ -96,10 +98,12 @@
 			f()
 		case <-parts.C:
 			c.adoptParts()
+			c.tickFair()
 		case <-due:
 			due = nil
 			c.refreshView()
 			c.deliverPlacements()
+			c.askForQueued()
 			c.tickGangs()
 		}
 	}
@@ -107,7 +111,7 @@
 
 // needsPolling reports whether the state may change without an event.
 func (c *control) needsPolling() bool {
-	return len(c.placements) > 0 || len(c.gangs) > 0 || len(c.segments) > 0 || !c.ganger.Idle()
+	return len(c.placements) > 0 || c.scheduler.Asks() > 0 || len(c.gangs) > 0 || len(c.segments) > 0 || !c.ganger.Idle()
 }
 
 // do runs f on the control goroutine and waits for it. If the goroutine has stopped, f
@@ -138,6 +142,7 @@
 		return
 	}
 	c.view, c.viewRefreshed = v, now
+	c.configureFair(v.Version, v.Config)
 	c.scheduler.Router.Update(now, withDeclaredLoads(v))
 	c.scheduler.Router.SetEntries(c.cfg.Settings.Node, c.entries())
 }
@@ -201,6 +206,9 @@
 		if r.Gang = c.scheduler.ExceedsTarget(newTicket(r, nil)) && r.PathConfig == nil; !r.Gang {
 			err = c.scheduler.Admit(c.cfg.Now(), newTicket(r, nil))
 		}
+		if errors.Is(err, scheduler.ErrAboveShare) {
+			c.recordRefusal(r.Account)
+		}
 		if err == nil {
 			c.retrier.RecordRequest(r.Service, cmp.Or(r.Config.Limits.Retries, c.cfg.RetryRatio))
 		}
@@ -286,7 +294,10 @@
 // RecordSends records the load that the other entries have placed on targets.
 func (cd *Conductor) RecordSends(p router.Peers) {
 	c := cd.control
-	c.do(func() { c.scheduler.Router.RecordPeers(c.cfg.Now(), p) })
+	c.do(func() {
+		c.scheduler.Router.RecordPeers(c.cfg.Now(), p)
+		c.grantAsks(true)
+	})
 }
 
 // notifySendsChanged reports that the result of Sends or Limits has changed.
@@ -298,6 +309,8 @@
 
 // deliverPlacements makes and delivers all placements that are possible now.
 func (c *control) deliverPlacements() {
+	c.grantAsks(true)
+	defer c.grantAsks(false)
 	for _, p := range c.scheduler.Dispatch(c.cfg.Now()) {
 		if _, ok := c.suspects[p.Ticket.ID]; ok {
 			c.suspects[p.Ticket.ID] = p.Pick.Target.ID
--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -74,15 +74,7 @@
 // reports whether this entry may send to them.
 func (c *control) move(t *scheduler.Ticket, from router.Pick, m *messenger.Placed) (to router.Pick, ok bool) {
 	c.do(func() {
-		target := func(p messenger.PlacedTarget) messenger.Target {
-			known := c.scheduler.Router.Target(p.ID)
-			known.ID, known.Incarnation = p.ID, p.Incarnation // refused below if it is not the known one
-			return known
-		}
-		to = router.Pick{Target: target(*m.Target), Running: m.Running, PeerEntries: m.Entries, PeerAge: m.Age, Relay: m.Relay}
-		for _, h := range m.Helpers {
-			to.Helpers, to.HelperMemory = append(to.Helpers, target(h)), append(to.HelperMemory, h.Memory)
-		}
+		to = c.relayedPick(m)
 		if ok = c.scheduler.Move(c.cfg.Now(), t, from, to); ok {
 			c.notifySendsChanged()
 		}
@@ -90,20 +82,41 @@
 	return to, ok
 }
 
+// relayedPick returns the targets that the relay has picked. Those that are not the known ones are
+// refused when the request is placed there.
+func (c *control) relayedPick(m *messenger.Placed) router.Pick {
+	target := func(p messenger.PlacedTarget) messenger.Target {
+		known := c.scheduler.Router.Target(p.ID)
+		known.ID, known.Incarnation = p.ID, p.Incarnation
+		return known
+	}
+	out := router.Pick{Target: target(*m.Target), Running: m.Running, PeerEntries: m.Entries, PeerAge: m.Age, Relay: m.Relay}
+	for _, h := range m.Helpers {
+		out.Helpers, out.HelperMemory = append(out.Helpers, target(h)), append(out.HelperMemory, h.Memory)
+	}
+	return out
+}
+
 // returnPlacement gives up the targets of a request that was placed but not sent, and waits until
-// it may be placed again. It returns the error to end the request with if it has waited for
-// too long.
-func (c *control) returnPlacement(ctx context.Context, t *scheduler.Ticket, pick router.Pick) (err error) {
+// it may be placed again, or until the relay places it. It returns the error to end the request
+// with if it has waited for too long.
+func (c *control) returnPlacement(ctx context.Context, t *scheduler.Ticket, pick router.Pick) (to router.Pick, placed bool, err error) {
 	c.do(func() {
 		c.scheduler.PrefillDone(t, pick, 0)
 		c.scheduler.Ended(t, pick)
 		c.notifySendsChanged()
-		err = c.scheduler.CheckHeavy(c.cfg.Now(), t)
+		if err = c.scheduler.CheckHeavy(c.cfg.Now(), t); err == nil {
+			c.scheduler.Returned(t)
+		}
 	})
-	if err == nil {
-		_ = sleeper.Sleep(ctx, placeInterval) // the caller notices the end of the context
+	if err != nil {
+		return to, false, err
+	}
+	since := c.cfg.Now()
+	if to, placed = c.askAgain(ctx, t); !placed {
+		_ = sleeper.Sleep(ctx, placeInterval-c.cfg.Now().Sub(since)) // the caller notices the end of the context
 	}
-	return err
+	return to, placed, nil
 }
 
 // PlaceFor picks the targets of a request that another entry has admitted. reserve is called with
@@ -121,17 +134,17 @@
 	c := cd.control
 	c.do(func() {
 		c.refreshView()
+		c.grantAsks(false) // they were here before
 		var pick router.Pick
 		var ok bool
 		if pick, ok, err = c.scheduler.PlaceFor(c.cfg.Now(), t, m.Queued, reserve); !ok {
 			return
 		}
-		out.Running, out.Entries, out.Age, out.Relay = pick.Running, pick.PeerEntries, pick.PeerAge, cd.cfg.Settings.Node
-		out.Target = &messenger.PlacedTarget{ID: pick.Target.ID, Incarnation: pick.Target.Incarnation}
-		for i, h := range pick.Helpers {
-			out.Helpers = append(out.Helpers, messenger.PlacedTarget{ID: h.ID, Incarnation: h.Incarnation, Memory: pick.HelperMemory[i]})
-		}
+		out = c.placedMessage(pick)
 	})
+	if m.ID != "" && err == nil && out.Target == nil {
+		out = c.keepAsk(m, t, reserve)
+	}
 	cd.meter.count("relay.answered")
 	return out, err
 }
--- a/conductor/run.go
+++ b/conductor/run.go
@@ -47,7 +47,9 @@
 // caller.
 func (cd *Conductor) run(ctx context.Context, r *chainer.Request) error {
 	if r.Gang {
-		return cd.runGang(ctx, r)
+		err := cd.runGang(ctx, r)
+		cd.control.chargeGang(r, err)
+		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	x := &execution{cd: cd, r: r}
@@ -150,6 +152,12 @@
 // outcome returns the error to report to the caller. After an attempt that may have
 // run, it never states that the request did not run.
 func (x *execution) outcome(err error) error {
+	x.mu.Lock()
+	started := x.gotChunk
+	x.mu.Unlock()
+	if c := coder.Of(err).Code; !started && (c == coder.Overloaded || c == coder.DeadlineExceeded) {
+		x.recordLate()
+	}
 	if x.lastFailure == nil || coder.Of(err).Run != coder.NotRun {
 		return err
 	}
@@ -193,6 +201,9 @@
 		x.gaps = x.cd.meter.gaps(x.r)
 		x.r.Trace.TTFT = now.Sub(x.r.Arrived)
 		x.cd.meter.first(x.r, x.r.Trace.TTFT)
+		if o := ttftObjective(x.r); o > 0 && x.r.Trace.TTFT > o {
+			x.recordLate()
+		}
 	} else {
 		x.gaps.Update(now.Sub(x.lastChunk).Microseconds())
 		x.r.Trace.MaxGap = max(x.r.Trace.MaxGap, now.Sub(x.lastChunk))
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -122,6 +122,7 @@
 	CrashLimit      int     `json:"crashes"`          // crashed incarnations after which a request is quarantined
 	QuarantineTime  float64 `json:"banned"`           // seconds that a quarantine lasts
 	AnswerRetention float64 `json:"kept"`             // seconds that an answer is kept for its Idempotency-Key
+	Fair            bool    `json:"fair,omitempty"`   // accounts are served by their use of the fleet
 }
 
 // ByModel returns the name of the engine service of a model, the first in byte order
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -178,10 +178,13 @@
 func (r *Runner) startSharer() {
 	cfg := sharer.Config{
 		Node: r.cfg.Settings.Node, Address: r.cfg.Settings.Listen, Zone: r.cfg.Settings.Zone, Pool: r.pool, Peers: r.liveEntries,
-		Report: func() messenger.Share { return messenger.Share{Sends: r.Entry.Sends(), Limits: r.Entry.Limits()} },
+		Report: func() messenger.Share {
+			return messenger.Share{Sends: r.Entry.Sends(), Limits: r.Entry.Limits(), Uses: r.Entry.Uses()}
+		},
 		Record: func(m messenger.Share) {
 			r.Entry.RecordSends(router.Peers{Sends: m.Sends, Entries: m.Entries, Oldest: time.Duration(m.Oldest) * time.Millisecond})
 			r.Entry.RecordLimits(m.Limits)
+			r.Entry.RecordUses(m.Uses, time.Duration(m.UsesAge)*time.Millisecond)
 		},
 		Place: r.Entry.PlaceFor, Keepers: r.keeperAddresses, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	}
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -93,9 +93,12 @@
 	if len(s.asking) == 0 {
 		return nil
 	}
-	refused := map[queueKey]int{}
+	refused, heads := map[queueKey]int{}, map[queueKey]queueHead(nil)
+	if first {
+		heads = s.heads(now)
+	}
 	s.asking = slices.DeleteFunc(s.asking, func(a *Ask) bool {
-		if refused[a.key] >= maxTriedAsks || first && !s.precedesQueue(now, a) {
+		if refused[a.key] >= maxTriedAsks || !a.precedes(heads) {
 			return false
 		}
 		req := toRequest(a.Ticket)
@@ -113,17 +116,30 @@
 	return out
 }
 
-// precedesQueue reports whether a question precedes the first ticket of its queue.
-func (s *Scheduler) precedesQueue(now time.Time, a *Ask) bool {
-	q := s.queues[a.key]
-	if q == nil || q.Len() == 0 {
-		return true
+// queueHead describes the first ticket of a queue.
+type queueHead struct {
+	priority int
+	above    bool // its account is above its share
+}
+
+// heads describes the first ticket of each queue that has any.
+func (s *Scheduler) heads(now time.Time) map[queueKey]queueHead {
+	out := map[queueKey]queueHead{}
+	for k, q := range s.queues {
+		if it := q.Peek(); it != nil {
+			out[k] = queueHead{priority: it.Priority, above: s.fair != nil && s.fair.Above(now, it.Account)}
+		}
 	}
-	head := s.waiting[q.Peek().ID]
-	if head.Priority != a.Priority {
-		return a.Priority > head.Priority
+	return out
+}
+
+// precedes reports whether a question precedes all tickets of its queue, given their heads.
+func (a *Ask) precedes(heads map[queueKey]queueHead) bool {
+	head, waits := heads[a.key]
+	if !waits || head.priority != a.Priority {
+		return !waits || a.Priority > head.priority
 	}
-	return a.Use <= aboveShare && s.fair != nil && s.fair.Above(now, head.Account)
+	return a.Use <= aboveShare && head.above
 }
 
 // AskFor returns the queued tickets for which the relay should be asked now, although this entry
