Place queued requests here while the relay can't be asked for them

Cause: a queued ticket is not placed by this entry while the relay is asked for it. A suspect request, which the relay is never asked for, was marked as asked and never placed. An entry that relays itself, or whose relay is silent, kept asking and had its requests wait 20 to 30 ms at a time.

Suspects are no longer marked.

Ruled out: placing a ticket that is being asked for as well; the relay's grant is then lost until the next report of this entry.

Seen before the change: TestQueuedSuspectIsPlacedHere ended in a deadlock, TestQueuedRequestIsPlacedAtOnceIfThereIsNoRelay failed. Both pass, also with -race, with the rest of conductor.

--- a/conductor/ask.go
+++ b/conductor/ask.go
@@ -27,7 +27,7 @@
 
 // asksRelay reports whether questions are sent for requests without a place.
 func (c *control) asksRelay() bool {
-	return c.fair != nil && c.cfg.Place != nil && !c.cfg.Disabled.Off(switcher.AskRelay)
+	return c.fair != nil && c.cfg.Place != nil && !c.cfg.Disabled.Off(switcher.AskRelay) && !c.cfg.Now().Before(c.fair.askAfter)
 }
 
 // question describes a request to the relay that it may keep.
@@ -47,6 +47,7 @@
 	}
 	for _, t := range c.scheduler.AskFor(c.cfg.Now()) {
 		if _, suspect := c.suspects[t.ID]; suspect { // the relay knows of no suspects
+			c.scheduler.AskEnded(t)
 			continue
 		}
 		m := c.question(t)
@@ -57,12 +58,15 @@
 // askFor asks the relay for one queued request, and places it if the relay has a target for it.
 func (c *control) askFor(ctx context.Context, t *scheduler.Ticket, m *messenger.Place) {
 	since := c.cfg.Now()
-	out := c.askKept(ctx, m)
-	if out == nil { // an answer within placeInterval means that the question was not kept
+	out, answered := c.askKept(ctx, m)
+	if out == nil && answered { // an answer within placeInterval means that the question was not kept
 		_ = sleeper.Sleep(ctx, placeInterval-c.cfg.Now().Sub(since))
 	}
 	c.do(func() {
 		c.scheduler.AskEnded(t)
+		if !answered {
+			c.deliverPlacements()
+		}
 		if out == nil {
 			return
 		}
@@ -77,15 +81,24 @@
 	})
 }
 
-// askKept asks the relay a question that it may keep. It returns nil if the relay has no target.
-func (c *control) askKept(ctx context.Context, m *messenger.Place) *messenger.Placed {
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+// askKept asks the relay a question that it may keep. It returns nil if the relay has no target, and
+// false if there is no relay or it did not answer: it is not asked for placeBackoff then.
+func (c *control) askKept(ctx context.Context, m *messenger.Place) (out *messenger.Placed, answered bool) {
+	bound, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	out, err := c.cfg.Place(ctx, m)
-	if err != nil || out == nil || out.Target == nil {
-		return nil
+	out, err := c.cfg.Place(bound, m)
+	if err != nil || out == nil {
+		c.do(func() {
+			if c.fair != nil && ctx.Err() == nil { // otherwise the request has ended
+				c.fair.askAfter = c.cfg.Now().Add(placeBackoff)
+			}
+		})
+		return nil, false
 	}
-	return out
+	if out.Target == nil {
+		return nil, true
+	}
+	return out, true
 }
 
 // askAgain asks the relay to keep the question for a request that it did not place, in place of
@@ -100,7 +113,7 @@
 	if m == nil {
 		return pick, false
 	}
-	out := c.askKept(ctx, m)
+	out, _ := c.askKept(ctx, m)
 	if out == nil {
 		return pick, false
 	}
--- a/conductor/fair.go
+++ b/conductor/fair.go
@@ -41,6 +41,7 @@
 	asks        map[string]chan *messenger.Placed // questions of other entries that are kept, by ID
 	reserve     map[string]func([]messenger.Sent) // called with the counts of the request when one is answered
 	lastAsk     uint64
+	askAfter    time.Time // the relay is not asked for requests without a place before
 }
 
 // configureFair puts limits.fair and the weights of the accounts in force.
--- a/conductor/fair_test.go
+++ b/conductor/fair_test.go
@@ -198,6 +198,7 @@
 	var mu sync.Mutex
 	var questions []messenger.Place
 	var relayed atomic.Pointer[messenger.Placed]
+	relayed.Store(&messenger.Placed{}) // no target
 	asked := func() []messenger.Place {
 		mu.Lock()
 		defer mu.Unlock()
@@ -273,3 +274,60 @@
 		b.Expect(<-large).To(Succeed())
 	})
 }
+
+// Pattern: a target is lost under a small account's request while one account bursts. Guards against a
+// request that lost a target and is never placed again: the relay must not be asked for it, as it
+// knows of no suspects.
+func TestQueuedSuspectIsPlacedHere(t *testing.T) {
+	var asked atomic.Int64
+	cfg := Config{Place: func(context.Context, *messenger.Place) (*messenger.Placed, error) {
+		asked.Add(1)
+		return nil, nil
+	}}
+	withHolds(t, cfg, fairTargets(), func(b *holdBed) {
+		b.takeSlots(8)
+		x := &execution{cd: b.cd, r: b.request("small", "r"), targetsLost: 1}
+		a := x.newAttempt(context.Background(), nil)
+		before := asked.Load()
+		done := b.place(a)
+		<-time.After(100 * time.Millisecond)
+		b.Expect(asked.Load()).To(Equal(before))
+		b.freeSlots()
+		<-time.After(100 * time.Millisecond)
+		b.Expect(done).To(Receive(BeNil()))
+		b.cd.control.prefillEnded(a.ticket, a.pick, 0)
+		b.cd.control.requestEnded(a.ticket, a.pick)
+	})
+}
+
+// Guards against a request that can't be placed here while the relay is asked for it and there is none,
+// or it does not answer.
+func TestQueuedRequestIsPlacedAtOnceIfThereIsNoRelay(t *testing.T) {
+	for name, place := range map[string]func(ctx context.Context) error{
+		"none":   func(context.Context) error { return nil },
+		"silent": func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := Config{Place: func(ctx context.Context, _ *messenger.Place) (*messenger.Placed, error) { return nil, place(ctx) }}
+			withHolds(t, cfg, fairTargets(), func(b *holdBed) {
+				b.takeSlots(8)
+				a := (&execution{cd: b.cd, r: b.request("small", "r")}).newAttempt(context.Background(), nil)
+				done := b.place(a)
+				<-time.After(placeTimeout + 3*pollInterval)
+				since := time.Now()
+				b.freeSlots()
+				b.Expect(<-done).To(Succeed())
+				b.Expect(time.Since(since)).To(BeNumerically("<=", placeTimeout), "the time of a question that is out")
+				b.cd.control.prefillEnded(a.ticket, a.pick, 0)
+				b.cd.control.requestEnded(a.ticket, a.pick)
+				asked := b.cd.control.lastAsk()
+				b.Expect(asked).To(BeNumerically("<=", 1), "not asked again before %s have passed", placeBackoff)
+			})
+		})
+	}
+}
+
+func (c *control) lastAsk() (n uint64) {
+	c.do(func() { n = c.fair.lastAsk })
+	return n
+}
