--- a/messenger/place.go
+++ b/messenger/place.go
@@ -17,7 +17,10 @@
 	PassTime       time.Duration `msgpack:"pass"`
 	Queued         time.Duration `msgpack:"queued"` // so far
 
-	Regions []string `msgpack:"regions,omitempty"` // that the targets must lie in; empty for any
+	Regions  []string `msgpack:"regions,omitempty"`  // that the targets must lie in; empty for any
+	ID       string   `msgpack:"id,omitempty"`       // of this question, which the receiver may keep while no target accepts the request; empty if it must not
+	Use      int      `msgpack:"use,omitempty"`      // of the request's account in the fleet, in thousandths of its share
+	Priority int      `msgpack:"priority,omitempty"` // higher is served first
 }
 
 // Placed answers a Place. Without a target, none accepts the request now.
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -66,3 +66,13 @@
 func (s *Scheduler) prefillRate(k queueKey) int {
 	return s.Router.Capacity(k.service, k.class > messenger.Medium).PrefillRate
 }
+
+// measured returns the drain rate that rate bounds, without the bound, and false if the queue
+// has not been measured for long enough.
+func (d *drainMeter) measured(now time.Time, first int) (int, bool) {
+	elapsed := now.Sub(d.since)
+	if d.since.IsZero() || elapsed < minDrainTime {
+		return 0, false
+	}
+	return max(1, int((d.tokens+float64(first))/elapsed.Seconds())), true
+}
