Weigh cached prefixes against the wait at a target

Cause: the router knew one target for each prompt prefix and took it for certain that the prefix is still cached there.

Changed: package weigher computes one expected time to first token for a candidate. The saving counts with the probability that the prefix is still cached: by its age, by the tokens sent there since against the memory left, and by what the target reported as cached.

Ruled out: learning from the expected tokens instead of the hinted ones (little expected means never wrong, so that wrong hints regained weight); reports forgotten within 30 s.

--- a/bencher/bencher.go
+++ b/bencher/bencher.go
@@ -61,6 +61,7 @@
 	BaselinePriority  bool          // the baselines also give shorter classes priority in the engine
 	MaxWait           time.Duration // limit of the router on the predicted wait
 	LongTimeoutFactor float64       // multiplies the timeout of long prompts; 1 if zero
+	Prefixes          Prefixes      // load patterns of shared prefixes
 
 	loop
 	rnd        *rand.Rand
@@ -118,6 +119,7 @@
 		b.after(b.Length/2, func() { b.targets[0].crash() })
 		b.after(b.Length/2+downtime, func() { b.targets[0].restart() })
 	}
+	b.schedulePrefixFaults()
 	for b.unfinished > 0 {
 		b.runNext()
 	}
--- a/bencher/entry.go
+++ b/bencher/entry.go
@@ -259,6 +259,7 @@
 			return
 		}
 		a.recordPrefill(0)
+		a.recordCached(u)
 		a.entry.estimator.RecordUsage("m", a.request.segmentPrompt()*bytesPerToken, u)
 		a.entry.nextSegment(a.request)
 		a.entry.dispatch()
--- a/bencher/result.go
+++ b/bencher/result.go
@@ -18,12 +18,15 @@
 type Result struct {
 	requests []*request
 	refusals int
+
+	Cached CachedCounts
 }
 
 // Add appends the requests and refusals of another run.
 func (res *Result) Add(o *Result) {
 	res.requests = append(res.requests, o.requests...)
 	res.refusals += o.refusals
+	res.Cached.add(o.Cached)
 }
 
 // Refusals returns the mean number of reservations refused by agents per request.
--- a/bencher/target.go
+++ b/bencher/target.go
@@ -92,7 +92,7 @@
 func (t *target) submit(id string, r *run, priority int, remaining time.Duration) {
 	t.runs[id] = r
 	actions := t.engine.Step(t.b.now, batcher.Event{Kind: batcher.Submit, Request: batcher.Request{
-		ID: id, Prompt: r.request.segmentPrompt(), BlockHashes: blockHashes(r.request), Output: r.request.segmentOutput(), Priority: priority, Remaining: remaining,
+		ID: id, Prompt: r.request.segmentPrompt(), BlockHashes: t.b.cachedHashes(r.request), Output: r.request.segmentOutput(), Priority: priority, Remaining: remaining,
 	}})
 	t.handle(actions)
 	if !t.stepping {
--- a/bencher/trace.go
+++ b/bencher/trace.go
@@ -147,6 +147,7 @@
 		}
 		r := d.draw(rnd, n)
 		n++
+		b.sharePrefix(r)
 		r.at = arrival
 		if b.LongTimeoutFactor > 0 && r.class >= messenger.Long {
 			r.timeout = time.Duration(b.LongTimeoutFactor * float64(r.timeout))
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -28,6 +28,7 @@
 	maxSeconds   = 7 * 24 * 3600.0
 	maxBodyBytes = 15 << 20 // bytes; a request with its headers must fit into one frame
 	maxPriority  = 1000
+	maxCache     = 1 << 40 // tokens
 	maxShare     = 10000
 	maxWindow    = 16 << 20 // tokens
 	maxReplicas  = 10000
@@ -126,6 +127,7 @@
 	c.checkRange(float64(s.Priority), -maxPriority, maxPriority, "services", name, "priority")
 	c.checkRange(float64(s.MinReplicas), 0, maxReplicas, "services", name, "least")
 	c.checkRange(float64(s.MaxReplicas), 0, maxReplicas, "services", name, "most")
+	c.checkRange(float64(s.Engine.Cache), -1, maxCache, "services", name, "engine", "cache")
 	if s.MaxTimeout > 0 && s.Timeout > s.MaxTimeout {
 		c.fault([]string{"services", name, "timeout"}, "%v exceeds longest, %v", s.Timeout, s.MaxTimeout)
 	}
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -269,6 +269,7 @@
 func (x *execution) traceTarget(a *attempt) {
 	t := &x.r.Trace
 	t.Target, t.Helpers, t.TargetRequests = a.pick.Target.ID, len(a.pick.Helpers), a.pick.Running
+	x.cd.countAffinity(a.pick)
 	t.PeerEntries, t.PeerAge, t.Relay = a.pick.PeerEntries, a.pick.PeerAge, a.pick.Relay
 	t.Prefill = a.ticket.Prefill / time.Duration(1+len(a.pick.Helpers))
 }
@@ -341,6 +342,7 @@
 	if err := x.passHeld(a); err != nil {
 		return err
 	}
+	x.cd.recordCached(x.r, a.pick, m.Usage)
 	x.cd.meter.slowdown(x.r, x.cd.cfg.Now().Sub(x.r.Arrived), x.unloadedDuration(a.pick, m.Usage))
 	err := x.r.Answer.End(m)
 	if err == nil {
--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -40,11 +40,15 @@
 	}
 	bound, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	out, err := cd.cfg.Place(bound, &messenger.Place{
+	m := &messenger.Place{
 		Node: cd.cfg.Settings.Node, Service: t.Service, Prompt: t.Prompt, Output: t.Output, Exclude: t.Exclude,
 		Prefill: t.Prefill, PrefillTargets: t.PrefillTargets, Objective: t.Objective, MaxGap: t.MaxGap, PassTime: t.PassTime,
 		Queued: t.QueueTime(now),
-	})
+	}
+	if t.Cache > 0 {
+		m.PrefixHashes, m.PromptBytes, m.Cache = t.PrefixHashes, t.PromptBytes, t.Cache
+	}
+	out, err := cd.cfg.Place(bound, m)
 	log := cd.cfg.Log.WithFields(logrus.Fields{"id": t.ID, "target": pick.Target.ID})
 	switch {
 	case err != nil && ctx.Err() != nil: // the request has ended, which tells nothing of the relay
@@ -79,7 +83,8 @@
 			known.ID, known.Incarnation = p.ID, p.Incarnation // refused below if it is not the known one
 			return known
 		}
-		to = router.Pick{Target: target(*m.Target), Running: m.Running, PeerEntries: m.Entries, PeerAge: m.Age, Relay: m.Relay}
+		to = router.Pick{Target: target(*m.Target), Running: m.Running, PeerEntries: m.Entries, PeerAge: m.Age, Relay: m.Relay, Cached: max(0, min(m.Cached, t.Prompt-1))}
+		to.Hinted = to.Cached
 		for _, h := range m.Helpers {
 			to.Helpers, to.HelperMemory = append(to.Helpers, target(h)), append(to.HelperMemory, h.Memory)
 		}
@@ -115,6 +120,7 @@
 	t := &scheduler.Ticket{
 		Service: m.Service, Prompt: m.Prompt, Output: m.Output, Exclude: m.Exclude, Prefill: m.Prefill, PrefillTargets: m.PrefillTargets,
 		Objective: m.Objective, MaxGap: m.MaxGap, PassTime: m.PassTime,
+		PrefixHashes: m.PrefixHashes, PromptBytes: m.PromptBytes, Cache: max(0, m.Cache),
 	}
 	out := &messenger.Placed{}
 	var err error
@@ -127,6 +133,7 @@
 			return
 		}
 		out.Running, out.Entries, out.Age, out.Relay = pick.Running, pick.PeerEntries, pick.PeerAge, cd.cfg.Settings.Node
+		out.Cached = pick.Cached
 		out.Target = &messenger.PlacedTarget{ID: pick.Target.ID, Incarnation: pick.Target.Incarnation}
 		for i, h := range pick.Helpers {
 			out.Helpers = append(out.Helpers, messenger.PlacedTarget{ID: h.ID, Incarnation: h.Incarnation, Memory: pick.HelperMemory[i]})
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -46,6 +46,7 @@
 	Hop     float64 `json:"hop"`     // additional milliseconds per step while helpers hold a part of the prompt
 	Prompt  float64 `json:"prompt"`  // typical mean prompt length in tokens
 	Answer  float64 `json:"answer"`  // typical mean answer length in tokens
+	Cache   int     `json:"cache"`   // tokens of finished prompts that it keeps; -1 for none, 0 if unknown
 }
 
 // Kinds of a Path.
--- a/messenger/place.go
+++ b/messenger/place.go
@@ -16,16 +16,22 @@
 	MaxGap         time.Duration `msgpack:"gap"`
 	PassTime       time.Duration `msgpack:"pass"`
 	Queued         time.Duration `msgpack:"queued"` // so far
+
+	// Of a service whose engines keep finished prompts:
+	PrefixHashes []uint64 `msgpack:"prefixes,omitempty"` // of the prompt's prefixes, shortest first
+	PromptBytes  int      `msgpack:"bytes,omitempty"`
+	Cache        int      `msgpack:"cache,omitempty"` // tokens of finished prompts that an engine keeps
 }
 
 // Placed answers a Place. Without a target, none accepts the request now.
 type Placed struct {
 	Target  *PlacedTarget  `msgpack:"target"`
 	Helpers []PlacedTarget `msgpack:"helpers"`
-	Running int            `msgpack:"running"` // known requests at the target
-	Entries int            `msgpack:"entries"` // whose requests were known
-	Age     time.Duration  `msgpack:"age"`     // of the oldest report of them
-	Relay   string         `msgpack:"relay"`   // node name of the entry that answers
+	Running int            `msgpack:"running"`          // known requests at the target
+	Entries int            `msgpack:"entries"`          // whose requests were known
+	Age     time.Duration  `msgpack:"age"`              // of the oldest report of them
+	Relay   string         `msgpack:"relay"`            // node name of the entry that answers
+	Cached  int            `msgpack:"cached,omitempty"` // prompt tokens expected in the target's prefix cache
 }
 
 // PlacedTarget is a target of a request, and the tokens of memory to reserve there if it
--- a/router/peers.go
+++ b/router/peers.go
@@ -68,7 +68,7 @@
 
 // Counts returns what a request adds to the counts of the targets that were picked for it.
 func (r *Router) Counts(p Pick, req Request) []messenger.Sent {
-	part := int((req.Prefill / time.Duration(1+len(p.Helpers))).Milliseconds())
+	part := int((p.prefill(req) / time.Duration(1+len(p.Helpers))).Milliseconds())
 	first := messenger.Sent{
 		Target: xxhash.Sum64String(p.Target.ID), InFlight: 1, PendingPrefill: part, Memory: req.Prompt + req.Output, MinGap: int(req.MaxGap.Milliseconds()),
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -31,7 +31,7 @@
 	// DefaultMaxWait is the maximum predicted wait before prefill at an eligible target.
 	DefaultMaxWait = 250 * time.Millisecond
 
-	maxCandidates = 2 // eligible targets sampled at random, besides the one with a cached prefix
+	maxCandidates = 2 // eligible targets sampled at random, besides those with a cached prefix
 	extraDraws    = 4 // samples beyond twice the binary logarithm of the number of replicas
 	seedStream    = 0x726f7574
 )
@@ -51,6 +51,7 @@
 	MaxGap         time.Duration // longest allowed inter-token gap; zero for no bound
 	PassTime       time.Duration // duration of a decode pass at a busy target, without prefill
 	QueueTime      time.Duration // time spent in the entry's queue so far
+	Cache          int           // tokens of finished prompts that an engine keeps; -1 for none, 0 for unknown
 }
 
 // Pick is a selected target with its predictions.
@@ -58,6 +59,10 @@
 	Target      messenger.Target
 	Wait        time.Duration // predicted time until prefill starts
 	Cached      int           // prompt tokens expected in the target's prefix cache
+	Hinted      int           // the same without regard to what the target reported as cached before
+	Prefix      int           // prompt tokens of the longest prefix that was sent there, cached or not
+	Probability float64       // that the prefix which was sent there is still cached; zero for none
+	TTFT        time.Duration // predicted time to first token; zero where targets report their slots, unless prompts are cached there
 	PrefillRate int           // prefill tokens per second
 	DecodeRate  int           // decode tokens per second and request
 
@@ -99,6 +104,7 @@
 	Lanes     bool // keep long and short prompts on their lanes
 	OwnSends  bool // add requests sent by this entry to the reported load
 	Cached    bool // prefer targets with a cached prefix
+	Weighing  bool // weigh a cached prefix by its probability, at several holders
 	WaitBound bool // reject targets whose predicted wait exceeds MaxWait
 	ClassWait bool // leave longer prompts out of the wait of shorter ones
 	RoomCheck bool // check memory, wait and the long lane at the entry instead of relying on refusals
@@ -138,11 +144,14 @@
 	s.limit.charge(now)
 	if s.slots() > 0 {
 		r.sentBySlots(p, req)
+		if req.Cache > 0 && req.PrefillTargets <= 1 {
+			r.recordPrefix(now, s, p, req)
+		}
 		return
 	}
 	s.ownTokens[messenger.ClassOf(req.Prompt)] += req.Prompt - p.Cached
 	s.ownMemory += req.Prompt + req.Output
-	r.history.add(now, req.PrefixHashes, s.target)
+	r.recordPrefix(now, s, p, req)
 }
 
 // PrefillDone records that the prefill of a sent request has ended or that the
@@ -216,10 +225,11 @@
 		p.PeerAge, p.PeerEntries = r.PeerAge(now)
 		return p, ok
 	}
-	best, found := r.pickCached(now, req)
+	known := r.hints(now, req)
+	best, found := r.pickHolder(now, req, &known)
 	for _, set := range r.candidateSets(x, req) {
-		p, ok := r.sampleBest(now, set, req)
-		if ok && (!found || r.better(p, best)) {
+		p, ok := r.sampleBest(now, set, req, &known)
+		if ok && (!found || better(p, best)) {
 			best, found = p, true
 		}
 		if found {
@@ -229,12 +239,6 @@
 	return best, found
 }
 
-// better reports whether a has a shorter predicted time to the first token than b.
-func (r *Router) better(a, b Pick) bool { return a.Wait-cacheSaving(a) < b.Wait-cacheSaving(b) }
-
-// cacheSaving returns the prefill time that the cached prefix saves.
-func cacheSaving(p Pick) time.Duration { return TokenTime(p.Cached, p.PrefillRate) }
-
 // candidateSets returns the sets of targets to sample, in the order in which they are
 // tried.
 func (r *Router) candidateSets(x *serviceIndex, req Request) [][]*targetState {
@@ -249,15 +253,15 @@
 
 // sampleBest scores random targets of a set until two of them can accept the request,
 // and returns the better one.
-func (r *Router) sampleBest(now time.Time, set []*targetState, req Request) (Pick, bool) {
+func (r *Router) sampleBest(now time.Time, set []*targetState, req Request, known *hints) (Pick, bool) {
 	var best Pick
 	n, found := len(set), 0
 	for i := range min(n, maxDraws(n)) {
-		p, ok := r.score(now, r.sample(set, i), req)
+		p, ok := r.score(now, r.sample(set, i), req, known)
 		if !ok {
 			continue
 		}
-		if found == 0 || r.better(p, best) {
+		if found == 0 || better(p, best) {
 			best = p
 		}
 		found++
@@ -282,22 +286,6 @@
 	return set[i]
 }
 
-// pickCached scores the target that last received the longest known prefix of the prompt.
-func (r *Router) pickCached(now time.Time, req Request) (Pick, bool) {
-	if r.Disabled.Cached {
-		return Pick{}, false
-	}
-	id, _ := r.history.find(now, req.PrefixHashes, r.byID)
-	s := r.byID[id]
-	if s == nil || s.target.Leaving || s.target.Service != req.Service {
-		return Pick{}, false
-	}
-	if !r.Disabled.Lanes && !s.acceptsLength(req.Prompt > r.longPrompt()) {
-		return Pick{}, false
-	}
-	return r.score(now, s, req)
-}
-
 // acceptsLength reports whether candidateSets would offer the target to long or short
 // prompts.
 func (s *targetState) acceptsLength(long bool) bool {
--- a/router/score.go
+++ b/router/score.go
@@ -8,14 +8,12 @@
 )
 
 // score predicts the wait at a target and reports whether the target is eligible.
-func (r *Router) score(now time.Time, s *targetState, req Request) (Pick, bool) {
+func (r *Router) score(now time.Time, s *targetState, req Request, known *hints) (Pick, bool) {
 	r.Examined++
 	l := s.target.Load
 	p := Pick{Target: s.target, PrefillRate: orDefault(l.Speed, DefaultPrefillRate), DecodeRate: orDefault(l.Pace, DefaultDecodeRate)}
-	if !r.Disabled.Cached {
-		p.Cached = r.cachedTokens(now, s, req)
-	}
 	p.Wait = TokenTime(r.tokensAhead(now, s, messenger.ClassOf(req.Prompt)), p.PrefillRate)
+	r.weigh(now, &p, s, req, known.of(s), memoryLeft(s, req))
 	if slices.Contains(req.Exclude, s.target.ID) {
 		return p, false
 	}
@@ -70,13 +68,3 @@
 	}
 	return p.Wait <= r.maxWait()
 }
-
-// cachedTokens estimates the prompt tokens in the prefix cache of a target. At least one
-// token is always left to prefill.
-func (r *Router) cachedTokens(now time.Time, s *targetState, req Request) int {
-	id, i := r.history.find(now, req.PrefixHashes, r.byID)
-	if id != s.target.ID || req.PromptBytes <= 0 {
-		return 0
-	}
-	return min(req.Prompt-1, int(int64(req.Prompt)*int64(PrefixBytes(i))/int64(req.PromptBytes)))
-}
--- a/router/slots.go
+++ b/router/slots.go
@@ -121,9 +121,9 @@
 	case req.PrefillTargets > 1 && !r.Disabled.Pieces:
 		return r.pickGang(now, len(x.ranked), withoutLimited(now, open), req)
 	case r.Disabled.Fill:
-		return r.pickLeastLoaded(now, open), true
+		return r.preferHolder(now, open, r.pickLeastLoaded(now, open), req), true
 	default:
-		return r.pickFirstFit(now, open), true
+		return r.preferHolder(now, open, r.pickFirstFit(now, open), req), true
 	}
 }
 
@@ -228,7 +228,7 @@
 // addPrefill adds the parts of a request's prefill to its targets (sign 1) or subtracts
 // them (sign -1).
 func (r *Router) addPrefill(p Pick, req Request, sign time.Duration) {
-	part := req.Prefill / time.Duration(1+len(p.Helpers))
+	part := p.prefill(req) / time.Duration(1+len(p.Helpers))
 	for _, t := range append([]messenger.Target{p.Target}, p.Helpers...) {
 		if s := r.byID[t.ID]; s != nil && s.target.Incarnation == t.Incarnation {
 			s.counts.pendingPrefill = max(0, s.counts.pendingPrefill+sign*part)
--- a/router/state.go
+++ b/router/state.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bramleyshunt/messenger"
+	"bramleyshunt/weigher"
 )
 
 // serviceIndex holds the targets of one service by lane, so that the cost of a sample
@@ -41,7 +42,9 @@
 	refusedUntil time.Time   // no requests are sent before this time
 	counts       slotCounts
 	limit        rateLimit
-	pausedUntil  time.Time // end of the pause that the target asked for; refusedUntil is no earlier
+	sentTokens   int             // prompt and answer tokens that this entry sent, without cached ones
+	reports      weigher.Reports // of cached tokens
+	pausedUntil  time.Time       // end of the pause that the target asked for; refusedUntil is no earlier
 }
 
 // classTokens counts tokens by length class.
--- a/scheduler/relay.go
+++ b/scheduler/relay.go
@@ -21,6 +21,7 @@
 		counts := s.Router.Counts(pick, req)
 		reserve(counts)
 		s.Router.AddPeer(now, counts)
+		s.Router.RecordPlaced(now, pick, req)
 	case s.Router.Restricted(now, t.Service):
 		return pick, false, coder.Errorf(coder.NotReady, "the entry asked may not send to some targets")
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -44,6 +44,7 @@
 	Objective      time.Duration // time-to-first-token objective; zero for none
 	MaxGap         time.Duration // longest allowed inter-token gap; zero for no bound
 	PassTime       time.Duration // duration of a decode pass at a busy target, which separates two events of a stream
+	Cache          int           // tokens of finished prompts that an engine keeps; -1 for none, 0 for unknown
 
 	firstAttempt time.Time // when placement was first attempted
 }
@@ -52,7 +53,7 @@
 func (t *Ticket) Predict(e configurer.Engine) {
 	p := predictor.Predictor{Engine: e}
 	t.Prefill, t.PrefillTargets = p.Prefill(t.Prompt, 1), p.PrefillTargets(t.Prompt, predictor.MaxUnsplitPrefill, predictor.PrefillPerTarget)
-	t.PassTime, t.LikelyOutput = p.BusyPass(), int(e.Answer)
+	t.PassTime, t.LikelyOutput, t.Cache = p.BusyPass(), int(e.Answer), e.Cache
 }
 
 // Placement is the target selected for a ticket, or the error that ends its wait.
@@ -345,7 +346,8 @@
 // placement is zero if the request ended without an answer.
 func (s *Scheduler) PrefillDone(t *Ticket, p router.Pick, after time.Duration) {
 	s.Router.PrefillDone(p, toRequest(t))
-	idle := router.TokenTime(t.Prompt-p.Cached, p.PrefillRate)
+	// All of the hinted prefix is left out, so that a wrong hint errs towards refusing.
+	idle := router.TokenTime(t.Prompt-p.Prefix, p.PrefillRate)
 	if x := s.slowdowns[s.key(t)]; after > 0 && idle > 0 && x != nil {
 		x.record(float64(after) / float64(idle))
 	}
@@ -372,6 +374,6 @@
 func toRequest(t *Ticket) router.Request {
 	return router.Request{
 		Service: t.Service, Prompt: t.Prompt, Output: t.Output,
-		PrefixHashes: t.PrefixHashes, PromptBytes: t.PromptBytes, Exclude: t.Exclude, Prefill: t.Prefill, PrefillTargets: t.PrefillTargets, Objective: t.Objective, MaxGap: t.MaxGap, PassTime: t.PassTime,
+		PrefixHashes: t.PrefixHashes, PromptBytes: t.PromptBytes, Exclude: t.Exclude, Prefill: t.Prefill, PrefillTargets: t.PrefillTargets, Objective: t.Objective, MaxGap: t.MaxGap, PassTime: t.PassTime, Cache: t.Cache,
 	}
 }
--- a/switcher/part_string.go
+++ b/switcher/part_string.go
@@ -29,11 +29,12 @@
 	_ = x[ClassWait-18]
 	_ = x[RoomCheck-19]
 	_ = x[Aging-20]
+	_ = x[PrefixWeighing-21]
 }
 
-const _Part_name = "first-fitsplit-prefillrefuse-heavykeep-apartgroup-decodeidle-queuespare-targetspass-waitingrefuse-lateshare-countsask-relayhold-at-startgive-up-silentremember-targetslanesown-sendsprefix-cachewait-boundclass-waitroom-checkaging"
+const _Part_name = "first-fitsplit-prefillrefuse-heavykeep-apartgroup-decodeidle-queuespare-targetspass-waitingrefuse-lateshare-countsask-relayhold-at-startgive-up-silentremember-targetslanesown-sendsprefix-cachewait-boundclass-waitroom-checkagingprefix-weighing"
 
-var _Part_index = [...]uint8{0, 9, 22, 34, 44, 56, 66, 79, 91, 102, 114, 123, 136, 150, 166, 171, 180, 192, 202, 212, 222, 227}
+var _Part_index = [...]uint8{0, 9, 22, 34, 44, 56, 66, 79, 91, 102, 114, 123, 136, 150, 166, 171, 180, 192, 202, 212, 222, 227, 242}
 
 func (i Part) String() string {
 	idx := int(i) - 0
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -40,9 +40,10 @@
 	ClassWait                   // class-wait
 	RoomCheck                   // room-check
 	Aging                       // aging
+	PrefixWeighing              // prefix-weighing
 )
 
-const parts = int(Aging) + 1
+const parts = int(PrefixWeighing) + 1
 
 // help describes the parts by what is switched on.
 var help = [parts]string{
@@ -67,6 +68,7 @@
 	ClassWait:       "leave longer prompts out of the wait of shorter ones",
 	RoomCheck:       "check memory and wait at the entry",
 	Aging:           "reduce reported tokens by what was prefilled since",
+	PrefixWeighing:  "weigh a cached prefix by its probability, at several targets",
 }
 
 // Help returns one line for each part.
@@ -125,6 +127,7 @@
 		Fill: s.Off(FirstFit), Pieces: s.Off(SplitPrefill), Heavy: s.Off(RefuseHeavy), Apart: s.Off(KeepApart),
 		Group: s.Off(GroupDecode), IdleQueue: s.Off(IdleQueue), Spare: s.Off(SpareTargets), Lanes: s.Off(Lanes), OwnSends: s.Off(OwnSends),
 		Cached: s.Off(PrefixCache), WaitBound: s.Off(WaitBound), ClassWait: s.Off(ClassWait), RoomCheck: s.Off(RoomCheck), Aging: s.Off(Aging),
+		Weighing: s.Off(PrefixWeighing),
 	}
 }
 
