--- a/conductor/ask.go
+++ b/conductor/ask.go
@@ -18,11 +18,15 @@
 
 // placeMessage describes a request to the relay.
 func (c *control) placeMessage(t *scheduler.Ticket) *messenger.Place {
-	return &messenger.Place{
+	m := &messenger.Place{
 		Node: c.cfg.Settings.Node, Service: t.Service, Prompt: t.Prompt, Output: t.Output, Exclude: t.Exclude,
 		Prefill: t.Prefill, PrefillTargets: t.PrefillTargets, Objective: t.Objective, MaxGap: t.MaxGap, PassTime: t.PassTime,
 		Queued: t.QueueTime(c.cfg.Now()), Regions: t.Regions,
 	}
+	if t.Cache > 0 {
+		m.PrefixHashes, m.PromptBytes, m.Cache = t.PrefixHashes, t.PromptBytes, t.Cache
+	}
+	return m
 }
 
 // asksRelay reports whether questions are sent for requests without a place.
@@ -71,7 +75,7 @@
 			return
 		}
 		placed, waits := c.placements[t.ID]
-		pick := c.relayedPick(out)
+		pick := c.relayedPick(t, out)
 		if !waits || !c.scheduler.PlaceAt(c.cfg.Now(), t, pick) {
 			return
 		}
@@ -118,7 +122,7 @@
 		return pick, false
 	}
 	c.do(func() {
-		pick = c.relayedPick(out)
+		pick = c.relayedPick(t, out)
 		if ok = c.scheduler.PlaceAt(c.cfg.Now(), t, pick); ok {
 			c.notifySendsChanged()
 		}
@@ -181,7 +185,7 @@
 
 // placedMessage describes picked targets to another entry.
 func (c *control) placedMessage(pick router.Pick) *messenger.Placed {
-	out := &messenger.Placed{Running: pick.Running, Entries: pick.PeerEntries, Age: pick.PeerAge, Relay: c.cfg.Settings.Node}
+	out := &messenger.Placed{Running: pick.Running, Entries: pick.PeerEntries, Age: pick.PeerAge, Relay: c.cfg.Settings.Node, Cached: pick.Cached}
 	out.Target = &messenger.PlacedTarget{ID: pick.Target.ID, Incarnation: pick.Target.Incarnation}
 	for i, h := range pick.Helpers {
 		out.Helpers = append(out.Helpers, messenger.PlacedTarget{ID: h.ID, Incarnation: h.Incarnation, Memory: pick.HelperMemory[i]})
--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -77,7 +77,7 @@
 // reports whether this entry may send to them.
 func (c *control) move(t *scheduler.Ticket, from router.Pick, m *messenger.Placed) (to router.Pick, ok bool) {
 	c.do(func() {
-		to = c.relayedPick(m)
+		to = c.relayedPick(t, m)
 		if ok = c.scheduler.Move(c.cfg.Now(), t, from, to); ok {
 			c.notifySendsChanged()
 		}
@@ -87,13 +87,14 @@
 
 // relayedPick returns the targets that the relay has picked. Those that are not the known ones are
 // refused when the request is placed there.
-func (c *control) relayedPick(m *messenger.Placed) router.Pick {
+func (c *control) relayedPick(t *scheduler.Ticket, m *messenger.Placed) router.Pick {
 	target := func(p messenger.PlacedTarget) messenger.Target {
 		known := c.scheduler.Router.Target(p.ID)
 		known.ID, known.Incarnation = p.ID, p.Incarnation
 		return known
 	}
-	out := router.Pick{Target: target(*m.Target), Running: m.Running, PeerEntries: m.Entries, PeerAge: m.Age, Relay: m.Relay}
+	out := router.Pick{Target: target(*m.Target), Running: m.Running, PeerEntries: m.Entries, PeerAge: m.Age, Relay: m.Relay, Cached: max(0, min(m.Cached, t.Prompt-1))}
+	out.Hinted = out.Cached
 	for _, h := range m.Helpers {
 		out.Helpers, out.HelperMemory = append(out.Helpers, target(h)), append(out.HelperMemory, h.Memory)
 	}
@@ -131,6 +132,7 @@
 	t := &scheduler.Ticket{
 		Sender: m.Node, Service: m.Service, Prompt: m.Prompt, Output: m.Output, Exclude: m.Exclude, Prefill: m.Prefill, PrefillTargets: m.PrefillTargets,
 		Objective: m.Objective, MaxGap: m.MaxGap, PassTime: m.PassTime, Regions: m.Regions,
+		PrefixHashes: m.PrefixHashes, PromptBytes: m.PromptBytes, Cache: max(0, m.Cache),
 	}
 	out := &messenger.Placed{}
 	var err error
--- a/router/state.go
+++ b/router/state.go
@@ -8,6 +8,7 @@
 
 	"bramleyshunt/messenger"
 	"bramleyshunt/ramper"
+	"bramleyshunt/weigher"
 )
 
 // serviceIndex holds the targets of one service by lane, so that the cost of a sample
@@ -45,8 +46,10 @@
 	counts       slotCounts
 	limit        rateLimit
 	health       health
-	pausedUntil  time.Time      // end of the pause that the target asked for; refusedUntil is no earlier
-	ramp         *ramper.Target // nil if its service has no bound
+	sentTokens   int             // prompt and answer tokens that this entry sent, without cached ones
+	reports      weigher.Reports // of cached tokens
+	pausedUntil  time.Time       // end of the pause that the target asked for; refusedUntil is no earlier
+	ramp         *ramper.Target  // nil if its service has no bound
 	bound        ramper.Limit
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -47,6 +47,7 @@
 	Objective      time.Duration // time-to-first-token objective; zero for none
 	MaxGap         time.Duration // longest allowed inter-token gap; zero for no bound
 	PassTime       time.Duration // duration of a decode pass at a busy target, which separates two events of a stream
+	Cache          int           // tokens of finished prompts that an engine keeps; -1 for none, 0 for unknown
 
 	DecodeTime time.Duration // engine time per answer token; zero if unknown
 
@@ -62,6 +63,7 @@
 	p := predictor.Predictor{Engine: e}
 	t.Prefill, t.PrefillTargets = p.Prefill(t.Prompt, 1), p.PrefillTargets(t.Prompt, predictor.MaxUnsplitPrefill, predictor.PrefillPerTarget)
 	t.PassTime, t.LikelyOutput, t.DecodeTime = p.BusyPass(), int(e.Answer), p.Decode(1)
+	t.Cache = e.Cache
 }
 
 // Placement is the target selected for a ticket, or the error that ends its wait.
@@ -390,7 +392,8 @@
 	if after > 0 {
 		s.answered(t, p)
 	}
-	idle := router.TokenTime(t.Prompt-p.Cached, p.PrefillRate)
+	// All of the hinted prefix is left out, so that a wrong hint errs towards refusing.
+	idle := router.TokenTime(t.Prompt-p.Prefix, p.PrefillRate)
 	if x := s.slowdowns[s.key(t)]; after > 0 && idle > 0 && x != nil {
 		x.record(float64(after) / float64(idle))
 	}
@@ -423,6 +426,6 @@
 	return router.Request{
 		Service: t.Service, Prompt: t.Prompt, Output: t.Output,
 		Regions:      t.Regions,
-		PrefixHashes: t.PrefixHashes, PromptBytes: t.PromptBytes, Exclude: t.Exclude, Prefill: t.Prefill, PrefillTargets: t.PrefillTargets, Objective: t.Objective, MaxGap: t.MaxGap, PassTime: t.PassTime,
+		PrefixHashes: t.PrefixHashes, PromptBytes: t.PromptBytes, Exclude: t.Exclude, Prefill: t.Prefill, PrefillTargets: t.PrefillTargets, Objective: t.Objective, MaxGap: t.MaxGap, PassTime: t.PassTime, Cache: t.Cache,
 	}
 }
