--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -9,10 +9,13 @@
 	"time"
 )
 
+// failurePause is the shortest pause of a caller after a request that was not answered with 200.
+const failurePause = time.Second
+
 var bothAccounts = []account{{accountA, []string{keyA}}, {accountB, []string{keyB}}}
 
 // begin starts keepers and targets, has a configuration acknowledged, and starts an entry.
-func (f *fleet) begin(ctx context.Context, r route, accounts []account, work time.Duration, events int) (*process, error) {
+func (f *fleet) begin(ctx context.Context, r route, accounts []account, targets int, work time.Duration, events int) (*process, error) {
 	if err := f.startKeepers(); err != nil {
 		return nil, err
 	}
@@ -23,7 +26,7 @@
 	if _, err := f.putConfig(ctx, document(7, r, accounts)); err != nil {
 		return nil, err
 	}
-	for i := range 3 {
+	for i := range targets {
 		if _, err := f.startTarget(firstTarget+i, work, events); err != nil {
 			return nil, err
 		}
@@ -53,6 +56,9 @@
 				mu.Lock()
 				all = append(all, a)
 				mu.Unlock()
+				if a.status != http.StatusOK {
+					wait = max(wait, failurePause)
+				}
 				sleep(ctx, time.Now().Add(wait))
 			}
 		}()
@@ -75,7 +81,7 @@
 
 // playHangup stops an entry, and has its settings file change while it stops.
 func playHangup(ctx context.Context, f *fleet, trouble bool) (bool, error) {
-	e, err := f.begin(ctx, route{"stream", deadline, 300 * time.Millisecond, 1}, bothAccounts, 0, 25)
+	e, err := f.begin(ctx, route{"stream", deadline, 300 * time.Millisecond, 1}, bothAccounts, 3, 0, 25)
 	if err != nil {
 		return false, err
 	}
@@ -112,51 +118,67 @@
 	return cut > 0, nil
 }
 
-// playQuarantine has two targets crash, one after the other, while callers of two accounts
-// ask for the same page.
+// playQuarantine has two of twelve targets crash at the same time, while callers of two
+// accounts ask for the same page.
 func playQuarantine(ctx context.Context, f *fleet, trouble bool) (bool, error) {
-	const work = 200 * time.Millisecond
-	e, err := f.begin(ctx, route{"safe", 4 * time.Second, 600 * time.Millisecond, 2}, bothAccounts, work, 0)
+	const work, targets, crashed = 200 * time.Millisecond, 12, 2
+	e, err := f.begin(ctx, route{"safe", 4 * time.Second, 600 * time.Millisecond, 2}, bothAccounts, targets, work, 0)
 	if err != nil {
 		return false, err
 	}
-	end := f.loop(ctx, e, callers(8), func(i, n int) (string, string, time.Duration) {
-		if i < 6 {
+	end := f.loop(ctx, e, callers(72), func(i, n int) (string, string, time.Duration) {
+		if i < 60 {
 			return http.MethodGet, prefix + "standings", 100 * time.Millisecond
 		}
 		return http.MethodGet, fmt.Sprintf("%srunner/%d-%d", prefix, i, n), 100 * time.Millisecond
 	})
 	sleep(ctx, time.Now().Add(5*time.Second))
-	for i := range 2 {
+	crash := time.Now()
+	for _, t := range f.targets[:crashed] {
 		if trouble {
-			t := f.targets[i]
 			f.rec.line("target %s crashes", t.id)
 			t.crash()
 		}
-		sleep(ctx, time.Now().Add(4500*time.Millisecond))
-		if trouble {
-			if _, err := f.startTarget(firstTarget+i, work, 0); err != nil {
-				return false, err
-			}
+	}
+	sleep(ctx, crash.Add(4500*time.Millisecond))
+	for i := range crashed {
+		if !trouble {
+			break
+		}
+		if _, err := f.startTarget(firstTarget+i, work, 0); err != nil { // it is back
+			return false, err
 		}
-		sleep(ctx, time.Now().Add(6*time.Second))
 	}
+	sleep(ctx, crash.Add(15*time.Second))
 	answers := end()
-	byStatus, denied := map[int]int{}, 0
+	denied, late := f.countDenied(answers, crash.Add(8*time.Second))
+	allowed := 5 + len(answers)/500
+	f.rec.line("%d requests, %d denied, %d of them sent later than 8 s after the crash, allowed %d", len(answers), denied, late, allowed)
+	return denied > allowed, nil
+}
+
+// countDenied counts the answers that deny a request, and those of requests that were sent
+// after a time.
+func (f *fleet) countDenied(answers []answer, after time.Time) (denied, late int) {
+	byStatus := map[int]int{}
 	for _, a := range answers {
 		byStatus[a.status]++
-		if a.own && a.status >= 300 && a.status < 500 && a.status != 408 && a.status != 421 && a.status != 429 {
-			denied++
+		if !a.own || a.status < 300 || a.status >= 500 || a.status == 408 || a.status == 421 || a.status == 429 {
+			continue
+		}
+		denied++
+		if a.sentAt.After(after) {
+			late++
 		}
 	}
-	f.rec.line("%d requests, by status %v, %d denied, allowed %d", len(answers), byStatus, denied, 5+len(answers)/500)
-	return denied > 5+len(answers)/500, nil
+	f.rec.line("answers by status: %v", byStatus)
+	return denied, late
 }
 
 // playRevoke takes the last account away, with its key.
 func playRevoke(ctx context.Context, f *fleet, trouble bool) (bool, error) {
 	r := route{"unsafe", 4 * time.Second, 300 * time.Millisecond, 1}
-	e, err := f.begin(ctx, r, bothAccounts[:1], 60*time.Millisecond, 0)
+	e, err := f.begin(ctx, r, bothAccounts[:1], 3, 60*time.Millisecond, 0)
 	if err != nil {
 		return false, err
 	}
