Catch SIGHUP for the whole life of a process

Cause: only the loop that reloads settings caught the signal. It ended with the context that SIGTERM cancels, and signal.Stop restored the default action, which ends the process. For the same reason SIGHUP ended a process that had not read its settings yet, a keeper in the pause after a failure of its disk, and every process of "bramleyshunt run".

Evidence: the entry's log ends after "stopping" without "stopped" and its status is "signal: hangup". An error of the process itself is ruled out by that status.

main now catches SIGHUP first and until the end of the process. The platform's process goes on to read its settings while it drains, as it needs the keepers then in force.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
@@ -36,10 +38,15 @@
 
 func invalid(err error) error { return &statusError{ExitInvalid, err} }
 
+// servesRequests annotates the commands that run a process of a fleet, which signals other
+// than SIGTERM and SIGINT must not end.
+var servesRequests = map[string]string{"serves": "requests"}
+
 // Run executes a command line and returns its exit status. It prints an error to
-// stderr.
-func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	root := rootCommand()
+// stderr. Commands that run a process of a fleet receive SIGHUP from hup; for all others,
+// Run restores the default action of the signal.
+func Run(ctx context.Context, hup <-chan os.Signal, args []string, stdout, stderr io.Writer) int {
+	root := rootCommand(hup)
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
@@ -67,7 +74,7 @@
 	}
 }
 
-func rootCommand() *cobra.Command {
+func rootCommand(hup <-chan os.Signal) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "bramleyshunt",
 		Short:         "Serve prompts of very unlike lengths on shared model engines",
@@ -75,10 +82,15 @@
 		SilenceErrors: true,
 		Args:          rejectUnknownCommand,
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+		PersistentPreRun: func(cmd *cobra.Command, _ []string) {
+			if cmd.Annotations["serves"] == "" {
+				signal.Reset(syscall.SIGHUP)
+			}
+		},
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return invalid(err) })
 	root.AddCommand(
-		runCommand(), platformCommand(), benchCommand(), checkCommand(), applyCommand(), showCommand(), statusCommand(),
+		runCommand(hup), platformCommand(hup), benchCommand(), checkCommand(), applyCommand(), showCommand(), statusCommand(),
 		drainCommand(), evacuateCommand(), lossesCommand(), engineCommand(), loadCommand(), demoCommand(),
 	)
 	return root
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -22,7 +22,7 @@
 // run executes a command line whose command ends without a signal.
 func run(args ...string) (status int, stdout, stderr string) {
 	var out, errs bytes.Buffer
-	status = commander.Run(context.Background(), args, &out, &errs)
+	status = commander.Run(context.Background(), nil, args, &out, &errs)
 	return status, out.String(), errs.String()
 }
 
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -1,13 +1,15 @@
 package commander
 
 import (
+	"os"
+
 	"github.com/spf13/cobra"
 
 	"bramleyshunt/platform"
 	"bramleyshunt/switcher"
 )
 
-func platformCommand() *cobra.Command {
+func platformCommand(hup <-chan os.Signal) *cobra.Command {
 	var without []string
 	cmd := &cobra.Command{
 		Use:   "platform",
@@ -17,13 +19,14 @@
 
 Parts of the policy that --without switches off:
 ` + switcher.Help(),
-		Args: exactArgs(0),
+		Args:        exactArgs(0),
+		Annotations: servesRequests,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			disabled, err := switcher.Parse(without)
 			if err != nil {
 				return invalid(err)
 			}
-			return platform.Run(cmd.Context(), cmd.OutOrStdout(), disabled)
+			return platform.Run(cmd.Context(), hup, cmd.OutOrStdout(), disabled)
 		},
 	}
 	cmd.Flags().StringSliceVar(&without, "without", nil, "parts of the policy to switch off, to measure what they are worth")
--- a/commander/run.go
+++ b/commander/run.go
@@ -7,6 +7,8 @@
 	"os"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
 
 	"bramleyshunt/runner"
@@ -18,25 +20,27 @@
 	drainTimeout = 10 * time.Minute
 )
 
-func runCommand() *cobra.Command {
+func runCommand(hup <-chan os.Signal) *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
 		Use:   "run --settings FILE",
 		Short: "Run the roles that the settings name until SIGTERM or SIGINT",
 		Long: `Runs one process of the fleet in the roles that its settings name: entry,
 agent and keeper, in any mix. SIGTERM and SIGINT shut it down gracefully:
-new work is refused at once and running requests go on to their end.`,
-		Example: "  bramleyshunt run --settings entry-1.jsonc",
-		Args:    exactArgs(0),
+new work is refused at once and running requests go on to their end. SIGHUP
+changes nothing, as settings are read at the start only.`,
+		Example:     "  bramleyshunt run --settings entry-1.jsonc",
+		Args:        exactArgs(0),
+		Annotations: servesRequests,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return run(cmd, path)
+			return run(cmd, hup, path)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file of this process (JSON with comments)")
 	return cmd
 }
 
-func run(cmd *cobra.Command, path string) error {
+func run(cmd *cobra.Command, hup <-chan os.Signal, path string) error {
 	if path == "" {
 		return invalid(fmt.Errorf("run needs --settings FILE"))
 	}
@@ -52,6 +56,7 @@
 	if err != nil {
 		return err
 	}
+	defer reportHangups(hup, log)()
 	fatal := make(chan error, 1)
 	r, closer, err := runner.New(runner.Config{
 		Settings: s, Key: key, Log: log,
@@ -76,6 +81,26 @@
 	return r.Drain(ctx)
 }
 
+// reportHangups logs each SIGHUP until the returned function is called.
+func reportHangups(hup <-chan os.Signal, log *logrus.Entry) func() {
+	done := make(chan struct{})
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-hup:
+				log.Warn("SIGHUP changes nothing: settings are read at the start only")
+			case <-done:
+				return
+			}
+		}
+	})
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
 // readKey reads the fleet key from a file. It is not passed on the command line, so
 // that neither process lists nor logs show it.
 func readKey(path string) ([]byte, error) {
--- a/main.go
+++ b/main.go
@@ -12,7 +12,11 @@
 )
 
 func main() {
+	// SIGHUP is caught from here to the end of the process: its default action would end
+	// the process, with the requests that it runs.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(commander.Run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(commander.Run(ctx, hup, os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/prover/traffic_test.go
+++ b/prover/traffic_test.go
@@ -73,6 +73,26 @@
 		Eventually(f.entries[0].session).Should(HaveField("ExitCode()", 0))
 		Eventually(f.agents[first].session).Should(HaveField("ExitCode()", 0))
 	})
+
+	// Guards against SIGHUP that ends a process with the requests that it runs.
+	It("is not interrupted by SIGHUP of a process of any role, before and after SIGTERM", func() {
+		f := newFleet(GinkgoTB())
+		first := f.engine(1)
+		f.engine(2)
+		f.waitReached(0, 1, 2)
+		stopped := []*process{f.agents[first], f.entries[0], f.keepers[0]}
+		expectComplete(f.loadDuring(longAnswers(6), f.usedMemory(1), func() {
+			for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+				for _, p := range stopped {
+					p.session.Signal(s) // no error if the process has ended: a keeper stops at once
+				}
+				time.Sleep(50 * time.Millisecond) // lets each signal take effect before the next one
+			}
+		}, 0))
+		for _, p := range stopped {
+			Eventually(p.session).Should(HaveField("ExitCode()", 0), p.name)
+		}
+	})
 })
 
 var _ = Describe("A call that must not be repeated", func() {
