Ignore SIGPIPE in the processes of a fleet

Callers would lose all requests of a process whose log nobody reads any more: its next line raises SIGPIPE on standard output, whose default action ends the process.

The commands that run a process of a fleet ignore the signal now, so that the write fails alone. package logger drops such lines as before.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -85,7 +85,10 @@
 		PersistentPreRun: func(cmd *cobra.Command, _ []string) {
 			if cmd.Annotations["serves"] == "" {
 				signal.Reset(syscall.SIGHUP)
+				return
 			}
+			// By default SIGPIPE ends a process that logs after the reader of its log has gone.
+			signal.Ignore(syscall.SIGPIPE)
 		},
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return invalid(err) })
