--- a/conductor/path.go
+++ b/conductor/path.go
@@ -54,7 +54,7 @@
 	if r.PathConfig = t.matcher.Match(host, uri); r.PathConfig == nil {
 		return coder.Errorf(coder.NotFound, "")
 	}
-	if !r.PathConfig.Open && len(t.config.Accounts) > 0 {
+	if !r.PathConfig.Open {
 		if r.Account, err = t.authenticator.Identify(key); err != nil {
 			return err
 		}
--- a/linter/linter.go
+++ b/linter/linter.go
@@ -119,12 +119,27 @@
 			l.warn(append(at("split"), strconv.Itoa(j)), "service %q gets no requests: its weight is 0", s.Service)
 		}
 	}
+	if !p.Open && !l.hasKeys() {
+		l.warn(at("open"), "no request can use this path: it needs an account, and none has a key")
+	}
 	l.lintRegions(p.Regions, at("regions"))
 }
 
+// hasKeys reports whether any account has a token or a key.
+func (l *Linter) hasKeys() bool {
+	for _, a := range l.merged.Config.Accounts {
+		if hasKey(a) {
+			return true
+		}
+	}
+	return false
+}
+
+func hasKey(a configurer.Account) bool { return a.Token != "" || len(a.Keys) > 0 }
+
 func (l *Linter) lintAccount(name string, a configurer.Account) {
 	at := func(field string) []string { return []string{"accounts", name, field} }
-	if a.Token == "" && len(a.Keys) == 0 {
+	if !hasKey(a) {
 		l.warn(at("keys"), "no request can be of this account: it has neither keys nor a token")
 	}
 	if burst := cmp.Or(a.Burst, defaultBurst*a.Rate); a.Rate > 0 && burst < 1 {
--- a/linter/linter_test.go
+++ b/linter/linter_test.go
@@ -38,3 +38,18 @@
 	g.Expect(lint(g, "sound.jsonc", "eu", "us")).To(BeEmpty())
 	g.Expect(lint(g, "sound.jsonc")).To(BeEmpty())
 }
+
+// Guards against paths that refuse every request, as after the last account was removed, and of
+// which nobody is told.
+func TestPathsWithoutAccountsAreReported(t *testing.T) {
+	g := NewWithT(t)
+	for _, accounts := range []string{"", `, "accounts": {}`, `, "accounts": {"a": {"keys": []}}`} {
+		m, faults := merger.Merge([]messenger.File{{Name: "f.json", Data: []byte(`{"services": {"s": {"kind": "plain"}}, "paths": [
+			{"host": "h", "prefix": "/c/", "kind": "safe", "timeout": 1, "split": [{"service": "s", "weight": 1}]},
+			{"host": "h", "prefix": "/o/", "kind": "safe", "timeout": 1, "open": true, "split": [{"service": "s", "weight": 1}]}]` + accounts + `}`)}})
+		g.Expect(faults).To(BeEmpty())
+		warnings := (&linter.Linter{}).Lint(m).Error()
+		g.Expect(warnings).To(ContainSubstring("paths.0.open: no request can use this path"), accounts)
+		g.Expect(warnings).NotTo(ContainSubstring("paths.1"), accounts)
+	}
+}
