Warn of an account whose list of services is empty

An operator who takes the last service of an account away opens all services to it: CONFIGURATION.md gives an empty list that meaning, and folders may rely on it. The check of a configuration now says so; what is accepted and served stays as it was.

Test: TestWarnings has such an account and failed before.

--- a/linter/linter.go
+++ b/linter/linter.go
@@ -142,6 +142,9 @@
 	if !hasKey(a) {
 		l.warn(at("keys"), "no request can be of this account: it has neither keys nor a token")
 	}
+	if a.Services != nil && len(a.Services) == 0 {
+		l.warn(at("services"), "an empty list allows all services, as a missing one does")
+	}
 	if burst := cmp.Or(a.Burst, defaultBurst*a.Rate); a.Rate > 0 && burst < 1 {
 		l.warn(at("rate"), "%s tokens a second with a burst of %s are less than one request", number(a.Rate), number(burst))
 	} else if a.Rate > 0 && a.Rate < 1 {
