End a stream before an event that does not follow the last one

Failures that are marked as such were kept out before. Four cases reached callers: a 200 that holds an error's text, one that holds a head, one that begins anew in spite of Last-Event-Id, and a 500 that the stream's own target writes after an event, without a length.

Cause: splitter looked for the end of an event only.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -4,6 +4,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"strconv"
 	"strings"
 )
 
@@ -11,6 +13,12 @@
 // for each of its streams.
 const MaxEventSize = 64 << 10
 
+// Errors of a stream that can't be passed on.
+var (
+	ErrTooLarge = errors.New("event without an end")
+	ErrOrder    = errors.New("event whose id does not follow that of the last one")
+)
+
 // Splitter buffers the event that is not complete yet. The zero value is ready for the start of
 // a stream.
 type Splitter struct {
@@ -21,18 +29,29 @@
 }
 
 // Cut adds the received bytes to the buffer and returns the complete events, nil if there is
-// none. It reports false if the incomplete event exceeds MaxEventSize. The returned bytes are
-// valid until the next call.
-func (s *Splitter) Cut(p []byte) ([]byte, bool) {
+// none. It fails with ErrTooLarge if the incomplete event exceeds MaxEventSize, and with ErrOrder
+// if an event has no id, or none above LastID, although an earlier one had an id: the bytes are
+// then another answer, or the stream has begun anew. It returns the events before that one. The
+// returned bytes are valid until the next call.
+func (s *Splitter) Cut(p []byte) ([]byte, error) {
 	s.pending = append(s.pending, p...)
-	end := eventEnd(s.pending)
-	if end == 0 {
-		return nil, len(s.pending) <= MaxEventSize
+	end, err := s.record(s.pending[:eventEnd(s.pending)])
+	if end == 0 && err == nil {
+		return nil, checkSize(s.pending)
 	}
 	complete := s.pending[:end]
-	s.record(complete)
 	s.pending = append([]byte(nil), s.pending[end:]...)
-	return complete, len(s.pending) <= MaxEventSize
+	if err == nil {
+		err = checkSize(s.pending)
+	}
+	return complete, err
+}
+
+func checkSize(pending []byte) error {
+	if len(pending) > MaxEventSize {
+		return ErrTooLarge
+	}
+	return nil
 }
 
 // Pending reports whether the buffer holds the beginning of an event.
@@ -41,8 +60,13 @@
 // Reset discards the incomplete event, for a stream that another target resumes.
 func (s *Splitter) Reset() { s.pending = nil }
 
-// HasEvent reports whether p, the start of a stream or of the rest of one, holds a complete event.
-func HasEvent(p []byte) bool { return eventEnd(p) > 0 }
+// HasEvent reports whether p, the start of a stream or of the rest of this one, holds a complete
+// event that may follow the last one.
+func (s *Splitter) HasEvent(p []byte) bool {
+	next := Splitter{LastID: s.LastID}
+	end, _ := next.record(p[:eventEnd(p)])
+	return end > 0
+}
 
 // eventEnd returns the length of the complete events at the start of p.
 func eventEnd(p []byte) int {
@@ -55,21 +79,48 @@
 	return end
 }
 
-// record counts complete events and records the last id in them.
-func (s *Splitter) record(complete []byte) {
-	fields := 0 // of the current event
-	for line := range strings.Lines(string(complete)) {
-		line = strings.TrimRight(line, "\r\n")
-		name, value, _ := strings.Cut(line, ":")
+// record counts complete events and records the last id in them. It returns the length of the
+// events before the first one that does not follow, and ErrOrder if there is one.
+func (s *Splitter) record(complete []byte) (int, error) {
+	end, fields, id := 0, 0, "" // end of the last event; fields and id of the current one
+	for at := 0; at < len(complete); {
+		line := complete[at:]
+		if i := bytes.IndexByte(line, '\n'); i >= 0 {
+			line = line[:i+1]
+		}
+		at += len(line)
+		name, value, _ := strings.Cut(strings.TrimRight(string(line), "\r\n"), ":")
 		switch {
+		case name == "id":
+			id = strings.TrimPrefix(value, " ")
+			fields++
 		case name != "":
 			fields++
-		case line == "" && fields > 0:
+		case len(bytes.TrimRight(line, "\r\n")) > 0: // a comment
+		case fields == 0:
+			end = at
+		case !s.follows(id):
+			return end, ErrOrder
+		default:
 			s.Events++
-			fields = 0
-		}
-		if name == "id" {
-			s.LastID = strings.TrimPrefix(value, " ")
+			if id != "" {
+				s.LastID = id
+			}
+			end, fields, id = at, 0, ""
 		}
 	}
+	return len(complete), nil
+}
+
+// follows reports whether an event with an id, empty for none, may be the next one.
+func (s *Splitter) follows(id string) bool {
+	if s.LastID == "" {
+		return true
+	}
+	last, err := strconv.ParseUint(s.LastID, 10, 64)
+	next, nextErr := strconv.ParseUint(id, 10, 64)
+	if err != nil || nextErr != nil {
+		return id != "" && id != s.LastID
+	}
+	return next > last
 }
