Answer no success for an answer without a final status

In the product's own interface callers of plain services got a 200 for an answer without a status, with an informational one, or none at all.

Cause: entry replaced any status that it could not write by 200, and wrote a head when a run ended without one; driver passed informational statuses on. Both fail such an answer with code 3003, run state unknown. dispatcher keeps the code of an answer that can't be passed on instead of reporting that the caller has gone.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -74,7 +74,7 @@
 	d          *Dispatcher
 	job        Job
 	received   uint64 // number of chunks
-	callerGone bool   // OnChunk failed: the caller accepts no more chunks
+	callerGone bool   // OnChunk failed: no more chunks are accepted
 }
 
 func (x *exchange) reserve(ctx context.Context) (*muxer.Stream, error) {
@@ -207,6 +207,10 @@
 	x.received++
 	if err := x.job.OnChunk(c); err != nil {
 		x.callerGone = true
+		var invalid *coder.Error
+		if errors.As(err, &invalid) { // the answer can't be passed on
+			return invalid
+		}
 		return &coder.Error{Code: coder.Cancelled, Run: coder.Ran, Cause: err}
 	}
 	return nil
--- a/driver/plain.go
+++ b/driver/plain.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"strings"
 
+	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
 )
 
@@ -42,8 +44,12 @@
 	return forward(resp, w, r.Attempt, emit)
 }
 
-// forward emits the response in chunks as it arrives.
+// forward emits the response in chunks as it arrives. It fails if the status is not final, as
+// after an upgrade that nobody asked for: there is no answer then.
 func forward(resp *http.Response, w *watchdog, attempt string, emit func(messenger.Chunk) error) error {
+	if resp.StatusCode < http.StatusOK {
+		return &coder.Error{Code: coder.EngineFailed, Run: coder.Unknown, Text: fmt.Sprintf("status %d is not final", resp.StatusCode)}
+	}
 	chunk := messenger.Chunk{Attempt: attempt, Seq: 1, Status: resp.StatusCode, Headers: endToEndHeaders(resp.Header)}
 	buf := make([]byte, chunkBytes)
 	for {
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -12,6 +13,9 @@
 	"bramleyshunt/messenger"
 )
 
+// maxStatus is the largest status that HTTP can express.
+const maxStatus = 999
+
 // plainAnswer writes the answer of a plain service to the caller unchanged.
 type plainAnswer struct {
 	w        *responseWriter
@@ -40,7 +44,9 @@
 func (p *plainAnswer) chunk(c messenger.Chunk) error {
 	if !p.w.started {
 		p.stored.Status, p.stored.Headers = c.Status, c.Headers
-		p.writeHeader()
+		if err := p.writeHeader(); err != nil {
+			return err
+		}
 	}
 	if len(p.stored.Data)+len(c.Data) > claimer.MaxAnswerBytes/2 {
 		p.tooLarge = true
@@ -53,7 +59,12 @@
 	return p.w.flush()
 }
 
-func (p *plainAnswer) writeHeader() {
+// writeHeader writes the status and the header fields. It fails unless the status is final: an
+// answer without a head must not look like a success.
+func (p *plainAnswer) writeHeader() error {
+	if p.stored.Status < http.StatusOK || p.stored.Status > maxStatus {
+		return &coder.Error{Code: coder.EngineFailed, Run: coder.Unknown, Text: fmt.Sprintf("status %d is not final", p.stored.Status)}
+	}
 	h := p.w.Header()
 	for _, f := range p.stored.Headers {
 		if !hopByHop[http.CanonicalHeaderKey(f.Name)] {
@@ -62,16 +73,13 @@
 	}
 	h.Set(headerCode, "0")
 	h.Set(headerRun, coder.Ran.Header())
-	status := p.stored.Status
-	if status < http.StatusOK || status > 999 {
-		status = http.StatusOK
-	}
-	p.w.WriteHeader(status)
+	p.w.WriteHeader(p.stored.Status)
+	return nil
 }
 
 func (p *plainAnswer) end(messenger.End) error {
 	if !p.w.started {
-		p.writeHeader()
+		return p.writeHeader()
 	}
 	return nil
 }
@@ -93,7 +101,9 @@
 	if err := msgpack.NewDecoder(bytes.NewReader(data)).Decode(&p.stored); err != nil {
 		return &coder.Error{Code: coder.Internal, Run: coder.Ran, Cause: err}
 	}
-	p.writeHeader()
+	if err := p.writeHeader(); err != nil {
+		return err
+	}
 	_, err := p.w.Write(p.stored.Data)
 	return err
 }
