--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -71,10 +71,10 @@
 
 // exchange is the state of one attempt.
 type exchange struct {
-	d          *Dispatcher
-	job        Job
-	received   uint64 // number of chunks
-	callerGone bool   // OnChunk failed: no more chunks are accepted
+	d         *Dispatcher
+	job       Job
+	received  uint64 // number of chunks
+	abandoned bool   // OnChunk failed: no more chunks are accepted
 }
 
 func (x *exchange) reserve(ctx context.Context) (*muxer.Stream, error) {
@@ -144,7 +144,7 @@
 			x.d.cancel(ctx, x.job)
 			return end, x.contextEnded(ctx)
 		}
-		if x.callerGone {
+		if x.abandoned {
 			x.d.cancel(ctx, x.job)
 		}
 		if !errors.Is(err, errLost) {
@@ -206,7 +206,7 @@
 	}
 	x.received++
 	if err := x.job.OnChunk(c); err != nil {
-		x.callerGone = true
+		x.abandoned = true
 		var invalid *coder.Error
 		if errors.As(err, &invalid) { // the answer can't be passed on
 			return invalid
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -84,19 +84,17 @@
 func (s *Splitter) record(complete []byte) (int, error) {
 	end, fields, id := 0, 0, "" // end of the last event; fields and id of the current one
 	for at := 0; at < len(complete); {
-		line := complete[at:]
-		if i := bytes.IndexByte(line, '\n'); i >= 0 {
-			line = line[:i+1]
-		}
-		at += len(line)
-		name, value, _ := strings.Cut(strings.TrimRight(string(line), "\r\n"), ":")
+		line, _, _ := bytes.Cut(complete[at:], []byte("\n"))
+		at = min(at+len(line)+1, len(complete))
+		line = bytes.TrimRight(line, "\r")
+		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch {
-		case name == "id":
-			id = strings.TrimPrefix(value, " ")
+		case string(name) == "id":
+			id = strings.TrimPrefix(string(value), " ")
 			fields++
-		case name != "":
+		case len(name) > 0:
 			fields++
-		case len(bytes.TrimRight(line, "\r\n")) > 0: // a comment
+		case len(line) > 0: // a comment
 		case fields == 0:
 			end = at
 		case !s.follows(id):
