Bound the connections of every listener

Clients that opened connections and sent nothing, a part of a head or a body that nobody reads kept a process's descriptors until it could accept no more, and their memory with them: at 600 descriptors, an entry of the product answered no ordinary call beside 1,000 such connections (status 0), and an agent's target got none (503).

Cause: no listener had a bound. The accept loops of net/http and of muxer take whatever the kernel hands out.

An acceptor on each listener (callers, readiness, metrics, control, admin, peers) bounds its connections by the memory and descriptors of the process. At the bound a new connection replaces the one that has waited longest without a complete request, so that those who send theirs get through; one with a complete request is kept until it is answered, as it may run. net/http looks at the type of the body that it made, so the handler gets a copy of the request with the body that reports its end. Resetting the connection of an HTTP/1.0 caller goes through the method that the acceptor's connections have.

--- a/commander/run.go
+++ b/commander/run.go
@@ -4,18 +4,24 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
 
+	"bramleyshunt/provisioner"
 	"bramleyshunt/runner"
 )
 
 const (
 	minKeyBytes = 16
+	// otherFiles is the number of descriptors left for files of a keeper, the log and the
+	// runtime.
+	otherFiles = 64
 	// drainTimeout bounds a graceful shutdown, which waits for running requests.
 	drainTimeout = 10 * time.Minute
 )
@@ -57,9 +63,10 @@
 		return err
 	}
 	defer reportHangups(hup, log)()
+	limits := provisioner.Provisioner{Files: fileLimit()}
 	fatal := make(chan error, 1)
 	r, closer, err := runner.New(runner.Config{
-		Settings: s, Key: key, Log: log,
+		Settings: s, Key: key, Log: log, Limits: limits,
 		Fatal: func(err error) {
 			select {
 			case fatal <- err:
@@ -81,6 +88,16 @@
 	return r.Drain(ctx)
 }
 
+// fileLimit returns the number of descriptors that the process may use for connections, zero if
+// that is not bounded or not known.
+func fileLimit() int {
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil || r.Cur > math.MaxInt32 {
+		return 0
+	}
+	return max(1, int(r.Cur)-otherFiles)
+}
+
 // reportHangups logs each SIGHUP until the returned function is called.
 func reportHangups(hup <-chan os.Signal, log *logrus.Entry) func() {
 	done := make(chan struct{})
--- a/muxer/muxer.go
+++ b/muxer/muxer.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"bramleyshunt/acceptor"
 	"bramleyshunt/coder"
 	"bramleyshunt/framer"
 	"bramleyshunt/messenger"
@@ -161,6 +162,7 @@
 		_ = conn.Close()
 		return nil, nil, err
 	}
+	acceptor.Serving(conn)
 	_ = conn.SetDeadline(time.Time{})
 	mctx, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	m := &Muxer{
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"bramleyshunt/acceptor"
 	"bramleyshunt/agent"
 	"bramleyshunt/applier"
 	"bramleyshunt/coder"
@@ -266,14 +267,15 @@
 		}
 	}
 	if r.Entry != nil && (l.HTTP != nil || s.HTTP != "") {
-		if err := r.listenHTTP(l.HTTP, s.HTTP, r.Entry); err != nil {
+		if err := r.listenHTTP(l.HTTP, s.HTTP, r.Entry, acceptor.Config{Name: "callers", Max: r.cfg.Limits.Callers()}); err != nil {
 			return err
 		}
 	}
 	if l.Admin == nil && s.Admin == "" {
 		return nil
 	}
-	return r.listenHTTP(l.Admin, s.Admin, r.adminHandler())
+	bounds := acceptor.Config{Name: "admin", Max: r.cfg.Limits.Callers(), WriteTimeout: adminAnswerTimeout}
+	return r.listenHTTP(l.Admin, s.Admin, r.adminHandler(), bounds)
 }
 
 func (r *Runner) servePeers(l net.Listener, addr string) error {
@@ -281,20 +283,21 @@
 	if err != nil {
 		return err
 	}
+	a := acceptor.New(l, acceptor.Config{Name: "peers", Max: r.cfg.Limits.Peers(), Log: r.cfg.Log, Metrics: r.cfg.Metrics})
 	r.wg.Go(func() {
-		if err := muxer.Serve(r.ctx, l, r.muxerConfig(), r.dispatch); err != nil {
+		if err := muxer.Serve(r.ctx, a, r.muxerConfig(), r.dispatch); err != nil {
 			r.fatal(fmt.Errorf("serve %s: %w", l.Addr(), err))
 		}
 	})
 	return nil
 }
 
-func (r *Runner) listenHTTP(l net.Listener, addr string, h http.Handler) error {
+func (r *Runner) listenHTTP(l net.Listener, addr string, h http.Handler, bounds acceptor.Config) error {
 	l, err := listen(l, addr)
 	if err != nil {
 		return err
 	}
-	r.serveHTTP(l, h)
+	r.serveHTTP(l, h, bounds)
 	return nil
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"bramleyshunt/acceptor"
 	"bramleyshunt/agent"
 	"bramleyshunt/allocator"
 	"bramleyshunt/applier"
@@ -31,6 +32,7 @@
 	"bramleyshunt/muxer"
 	"bramleyshunt/pooler"
 	"bramleyshunt/proposer"
+	"bramleyshunt/provisioner"
 	"bramleyshunt/publisher"
 	"bramleyshunt/recorder"
 	"bramleyshunt/setter"
@@ -47,6 +49,7 @@
 	Metrics   metrics.Registry
 	Fatal     func(error) // receives faults that end the process; may be called more than once
 	Listeners Listeners
+	Limits    provisioner.Provisioner // of the process
 
 	Read             merger.Reader                                         // reads configuration files; merger.Merge if nil
 	Exchange         func(ctx context.Context, a *conductor.Attempt) error // runs an attempt; nil runs it through the target's agent
@@ -212,11 +215,13 @@
 	_ = s.Fail("", errUnknownKind(first.Kind))
 }
 
-func (r *Runner) serveHTTP(l net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+func (r *Runner) serveHTTP(l net.Listener, h http.Handler, bounds acceptor.Config) {
+	bounds.Log, bounds.Metrics = r.cfg.Log, r.cfg.Metrics
+	a := acceptor.New(l, bounds)
+	srv := a.Server(h)
 	r.onClose(func() { _ = srv.Close() })
 	r.wg.Go(func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(a); !errors.Is(err, http.ErrServerClosed) {
 			r.fatal(fmt.Errorf("serve %s: %w", l.Addr(), err))
 		}
 	})
@@ -229,7 +234,7 @@
 }
 
 const (
-	headerTimeout         = 10 * time.Second
 	transferTimeout       = 3 * time.Second
-	heartbeatsPerElection = 6 // per Config.ElectionTimeout; the defaults of replicator have about the same ratio
+	adminAnswerTimeout    = time.Minute // from the head of an operator's call to the end of its answer
+	heartbeatsPerElection = 6           // per Config.ElectionTimeout; the defaults of replicator have about the same ratio
 )
