Bound the head of a request at 64 KiB

Clients that sent a long head and stopped before its end held up to a megabyte on each connection, the default of net/http: 96 of them took an entry with 64 MiB to 141 MiB.

Cause: the servers set no MaxHeaderBytes. The limits on heads in the configuration, 16 KiB on all deployments so far, are not known before the head is read.

The bound is four times what configurations ask for, and the share of memory for connections counts it. A longer head is refused with 431, as before beyond a megabyte.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -161,3 +161,16 @@
 	c.send("POST /unread HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n")
 	c.expectAnswer(http.StatusOK)
 }
+
+// Guards against heads of up to a megabyte on each connection, the default of net/http.
+func TestLongHeadIsRefused(t *testing.T) {
+	s := newServer(t, acceptor.Config{})
+	c := s.dial()
+	c.send("GET / HTTP/1.1\r\nHost: a\r\nX-Long: ")
+	long := make([]byte, 2*acceptor.MaxHeadBytes)
+	for i := range long {
+		long[i] = 'x'
+	}
+	_, _ = c.conn.Write(long) // the server may close the connection meanwhile
+	c.expectAnswer(http.StatusRequestHeaderFieldsTooLarge)
+}
--- a/acceptor/server.go
+++ b/acceptor/server.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// MaxHeadBytes bounds the head of a request. It is above what configurations ask for, and
+	// far below the default of net/http, as all connections may send one at the same time.
+	MaxHeadBytes = 64 << 10
 	// headTimeout bounds how long a client may take to send the head of a request. It is above
 	// any value that a configuration may ask for.
 	headTimeout = 10 * time.Second
@@ -22,7 +25,7 @@
 // Server returns an HTTP server for the acceptor's connections.
 func (a *Acceptor) Server(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: receive(h), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, WriteTimeout: a.cfg.WriteTimeout,
+		Handler: receive(h), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeadBytes, WriteTimeout: a.cfg.WriteTimeout,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if own, ok := c.(*conn); ok && s == http.StateIdle {
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -16,8 +16,8 @@
 	// callerShare is the fraction of the memory for what connections of callers, operators and
 	// targets hold besides bodies, at callerBytes for each of them.
 	callerShare = 1.0 / 3
-	// callerBytes is a long head of a request and what the kernel holds of the next one.
-	callerBytes = 64<<10 + acceptor.ReadBufferBytes
+	// callerBytes is the largest head of a request and what the kernel holds of the next one.
+	callerBytes = acceptor.MaxHeadBytes + acceptor.ReadBufferBytes
 	// peerShare and peerBytes are the same for connections between processes of the system,
 	// whose messages are read by one goroutine each into small buffers.
 	peerShare = 1.0 / 4
