Bound the time for the body of every HTTP request

A client that announced a body and stopped short of its end kept its connection for good wherever the handler read the body without a deadline (heartbeats, configurations, changes of operators) or did not read it at all (refused with 401, 404 or 413): before it answers, net/http reads what is left of a small body.

Cause: ReadHeaderTimeout ends with the head, and only the handlers of callers' bodies set a deadline of their own.

The acceptor's server sets a deadline when the head has been read and lifts it when the body is complete, so it bounds neither the wait for a target nor a streamed answer.

Evidence: TestUnreadBodyEndsInTime failed without the deadline (the connection was open after 10 s) and passes; TestTimeOfBodyDoesNotBoundTheRequest guards what must go on.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -31,6 +31,7 @@
 type Config struct {
 	Name         string        // of the listener, in logs and metrics
 	Max          int           // connections at a time; DefaultMax if zero
+	BodyTimeout  time.Duration // for the body of an HTTP request; DefaultBodyTimeout if zero
 	WriteTimeout time.Duration // for an HTTP request from its head to the end of its answer; zero for no bound
 	Log          *logrus.Entry
 	Metrics      metrics.Registry
@@ -56,6 +57,7 @@
 func New(l net.Listener, cfg Config) *Acceptor {
 	defaulter.Fill(&cfg.Log, &cfg.Metrics, &cfg.Now)
 	cfg.Max = cmp.Or(cfg.Max, DefaultMax)
+	cfg.BodyTimeout = cmp.Or(cfg.BodyTimeout, DefaultBodyTimeout)
 	prefix := "connections." + cfg.Name
 	return &Acceptor{
 		Listener: l, cfg: cfg,
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -174,3 +174,28 @@
 	_, _ = c.conn.Write(long) // the server may close the connection meanwhile
 	c.expectAnswer(http.StatusRequestHeaderFieldsTooLarge)
 }
+
+// Guards against connections that stay open because a body that nobody reads does not end.
+func TestUnreadBodyEndsInTime(t *testing.T) {
+	s := newServer(t, acceptor.Config{BodyTimeout: 50 * time.Millisecond})
+	for _, path := range []string{"/unread", "/"} {
+		c := s.dial()
+		c.send("POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc")
+		c.expectAnswer(http.StatusOK)
+		c.expectClosed()
+	}
+	s.expectOpen(0)
+}
+
+// Guards against a time for the body that ends a request which has arrived completely.
+func TestTimeOfBodyDoesNotBoundTheRequest(t *testing.T) {
+	s := newServer(t, acceptor.Config{BodyTimeout: 50 * time.Millisecond})
+	c := s.dial()
+	for range 2 {
+		c.send("POST /held HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+		<-s.arrived
+		<-time.After(100 * time.Millisecond)
+		s.release <- struct{}{}
+		c.expectAnswer(http.StatusOK)
+	}
+}
--- a/acceptor/server.go
+++ b/acceptor/server.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// DefaultBodyTimeout is the time for the body of a request if Config.BodyTimeout is zero.
+	DefaultBodyTimeout = 30 * time.Second
 	// MaxHeadBytes bounds the head of a request. It is above what configurations ask for, and
 	// far below the default of net/http, as all connections may send one at the same time.
 	MaxHeadBytes = 64 << 10
@@ -22,10 +24,11 @@
 
 type connKey struct{}
 
-// Server returns an HTTP server for the acceptor's connections.
+// Server returns an HTTP server for the acceptor's connections. A request's body must arrive
+// within BodyTimeout, also if h does not read it: the server does so before it answers.
 func (a *Acceptor) Server(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: receive(h), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeadBytes, WriteTimeout: a.cfg.WriteTimeout,
+		Handler: a.receive(h), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeadBytes, WriteTimeout: a.cfg.WriteTimeout,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if own, ok := c.(*conn); ok && s == http.StateIdle {
@@ -35,8 +38,9 @@
 	}
 }
 
-// receive returns a handler that records when a request has arrived completely.
-func receive(h http.Handler) http.Handler {
+// receive returns a handler that records when a request has arrived completely, and bounds
+// the time until then.
+func (a *Acceptor) receive(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(net.Conn)
 		if r.ContentLength == 0 {
@@ -44,8 +48,13 @@
 			h.ServeHTTP(w, r)
 			return
 		}
+		ctl := http.NewResponseController(w)
+		_ = ctl.SetReadDeadline(a.cfg.Now().Add(a.cfg.BodyTimeout)) // fails only if the connection has ended
 		read := r.WithContext(r.Context()) // the server looks at the original body when it answers
-		read.Body = &body{ReadCloser: r.Body, complete: func() { Serving(c) }}
+		read.Body = &body{ReadCloser: r.Body, complete: func() {
+			Serving(c)
+			_ = ctl.SetReadDeadline(time.Time{})
+		}}
 		h.ServeHTTP(w, read)
 	})
 }
