Read no long message before the handshake of a peer

Anyone who reached the port for other processes could send a first message of up to 16 MiB on each connection: 96 connections with 8 MiB took entry and keeper to 936 and 952 MiB of 64, 64 connections with 15 MiB a keeper of the product to 1.6 GiB of 256 MiB.

Cause: the bound on messages between processes held before the handshake too. Its own messages hold a node name and some 64 bytes.

Messages of the handshake are bounded at 4 KiB, those of authenticated peers as before.

The spec in muxer failed before: the connection was open after 10 s.

--- a/muxer/muxer.go
+++ b/muxer/muxer.go
@@ -34,6 +34,10 @@
 	// DefaultIdleTimeout is used when Config.IdleTimeout is zero.
 	DefaultIdleTimeout = 3 * time.Second
 
+	// maxHelloBytes bounds the frames of the handshake, as anyone may send them. They hold a
+	// node name and some 64 bytes.
+	maxHelloBytes = 4 << 10
+
 	maxInbox         = 4096
 	firstDialID      = 1 // the dialing end opens streams with odd IDs, the accepting end with even ones
 	firstAcceptID    = 2
@@ -152,7 +156,7 @@
 
 func newMuxer(ctx context.Context, conn net.Conn, cfg Config, firstID uint64, handle func(context.Context, *Stream)) (*Muxer, func(), error) {
 	f := framer.New(conn)
-	f.MaxFrameBytes = cfg.MaxFrameBytes
+	f.MaxFrameBytes = maxHelloBytes
 	if err := conn.SetDeadline(time.Now().Add(cfg.idleTimeout())); err != nil {
 		_ = conn.Close()
 		return nil, nil, fmt.Errorf("set deadline: %w", err)
@@ -162,6 +166,7 @@
 		_ = conn.Close()
 		return nil, nil, err
 	}
+	f.MaxFrameBytes = cfg.MaxFrameBytes
 	acceptor.Serving(conn)
 	_ = conn.SetDeadline(time.Time{})
 	mctx, stop := context.WithCancelCause(context.WithoutCancel(ctx))
--- a/muxer/muxer_test.go
+++ b/muxer/muxer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -121,6 +122,19 @@
 		closer()
 	})
 
+	// Guards against memory that anyone can fill who reaches the port.
+	It("reads no long frame before the peer has proved that it holds the fleet key", func() {
+		addr := startServer(muxer.Config{Node: "a", Key: []byte("fleet"), IdleTimeout: time.Minute}, echo)
+		conn, err := net.Dial("tcp", addr)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = conn.Close() })
+		Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		_, err = conn.Write([]byte{0, 0, 0x20, 0}) // the length of a frame of 8 KiB
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+	})
+
 	It("ends a stream with a full inbox without affecting other streams", func() {
 		ended := make(chan struct{}, 1)
 		var opened atomic.Int32
