Bound the bodies that a process on the platform holds

Clients that sent many large bodies of legal size, most of them stopping just short of the end, ended a process: it ran out of memory. Each body was read into memory of its own, of up to maxBodyBytes, with no bound on all of them, and kept until the request was answered. So did the keepers with heartbeats and configurations. 96 bodies of 1 MiB took an entry with 64 MiB to 126 to 161 MiB; 48 configurations of 4 MiB a keeper to 310 MiB.

Bodies are now read within a budget, a quarter of the memory, from their announcement until the request is answered.

Ruled out: refusing only newcomers. A crowd that stalls would keep ordinary large bodies out until its time for a body ends.

--- a/acceptor/server.go
+++ b/acceptor/server.go
@@ -50,7 +50,7 @@
 		}
 		ctl := http.NewResponseController(w)
 		_ = ctl.SetReadDeadline(a.cfg.Now().Add(a.cfg.BodyTimeout)) // fails only if the connection has ended
-		read := r.WithContext(r.Context()) // the server looks at the original body when it answers
+		read := r.WithContext(r.Context())                          // the server looks at the original body when it answers
 		read.Body = &body{ReadCloser: r.Body, complete: func() {
 			Serving(c)
 			_ = ctl.SetReadDeadline(time.Time{})
--- a/chainer/chainer.go
+++ b/chainer/chainer.go
@@ -24,6 +24,7 @@
 	Host           string
 	Headers        []messenger.Header
 	Body           []byte
+	Release        func() // frees the memory reserved for Body; nil if none is
 	Stream         bool
 	Chat           bool
 	Service        string
--- a/coder/code_string.go
+++ b/coder/code_string.go
@@ -38,6 +38,7 @@
 	_ = x[ClaimHeld-2013]
 	_ = x[RetryBudget-2014]
 	_ = x[NoRegion-2015]
+	_ = x[BodiesFull-2016]
 	_ = x[DeadlineExceeded-3001]
 	_ = x[TargetLost-3002]
 	_ = x[EngineFailed-3003]
@@ -64,7 +65,7 @@
 const (
 	_Code_name_0 = "OK"
 	_Code_name_1 = "MalformedTooLargeUnauthenticatedForbiddenUnknownServiceUnknownModelKeyRequiredKeyReusedBadTimeoutPromptTooLongNotFoundQuarantinedMethodNotAllowedPartQuarantined"
-	_Code_name_2 = "RateLimitedConcLimitedOverloadedNoTargetLeavingStaleNoQuorumMemoryFullWrongIncarnationLeaseExpiredBusyNotReadyClaimHeldRetryBudgetNoRegion"
+	_Code_name_2 = "RateLimitedConcLimitedOverloadedNoTargetLeavingStaleNoQuorumMemoryFullWrongIncarnationLeaseExpiredBusyNotReadyClaimHeldRetryBudgetNoRegionBodiesFull"
 	_Code_name_3 = "DeadlineExceededTargetLostEngineFailedCancelledOutcomeUnknownVoidedAlreadyRanGangLost"
 	_Code_name_4 = "ConflictInvalidFencedNotLeaderUnconfirmed"
 	_Code_name_5 = "BadFrameBadVersionBadProofSilentInternalUnknownAttemptDamagedDiskFailed"
@@ -72,7 +73,7 @@
 
 var (
 	_Code_index_1 = [...]uint8{0, 9, 17, 32, 41, 55, 67, 78, 87, 97, 110, 118, 129, 145, 160}
-	_Code_index_2 = [...]uint8{0, 11, 22, 32, 40, 47, 52, 60, 70, 86, 98, 102, 110, 119, 130, 138}
+	_Code_index_2 = [...]uint8{0, 11, 22, 32, 40, 47, 52, 60, 70, 86, 98, 102, 110, 119, 130, 138, 148}
 	_Code_index_3 = [...]uint8{0, 16, 26, 38, 47, 61, 67, 77, 85}
 	_Code_index_4 = [...]uint8{0, 8, 15, 21, 30, 41}
 	_Code_index_5 = [...]uint8{0, 8, 18, 26, 32, 40, 54, 61, 71}
@@ -85,7 +86,7 @@
 	case 1001 <= i && i <= 1014:
 		i -= 1001
 		return _Code_name_1[_Code_index_1[i]:_Code_index_1[i+1]]
-	case 2001 <= i && i <= 2015:
+	case 2001 <= i && i <= 2016:
 		i -= 2001
 		return _Code_name_2[_Code_index_2[i]:_Code_index_2[i+1]]
 	case 3001 <= i && i <= 3008:
--- a/coder/coder.go
+++ b/coder/coder.go
@@ -55,6 +55,7 @@
 	ClaimHeld
 	RetryBudget
 	NoRegion
+	BodiesFull
 )
 
 // Codes 3xxx: the request failed and may have run.
--- a/coder/table.go
+++ b/coder/table.go
@@ -52,6 +52,7 @@
 	ClaimHeld:        {http.StatusConflict, "request in progress", "A request with this key is being worked on. Come back for its answer.", firstRelease},
 	RetryBudget:      {http.StatusServiceUnavailable, "retry budget spent", "The service's share of retries is used up. The request did not run.", firstRelease},
 	NoRegion:         {http.StatusServiceUnavailable, "no target in the allowed regions", "No live target lies in a region where the path and the client account allow the request. Without Retry-After, they allow no region at all.", firstRelease},
+	BodiesFull:       {http.StatusServiceUnavailable, "no memory for the body", "The bodies of all requests together fill the memory that the node sets aside for them.", firstRelease},
 
 	DeadlineExceeded: {http.StatusGatewayTimeout, "time exceeded", "The request's time ended before its answer was whole.", firstRelease},
 	TargetLost:       {http.StatusBadGateway, "target lost", "The target was lost while the request was on it.", firstRelease},
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -159,6 +159,9 @@
 	return ctx, r, func() {
 		cd.unregister(r.ID)
 		cancel(nil)
+		if r.Release != nil {
+			r.Release()
+		}
 	}, nil
 }
 
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -13,6 +13,12 @@
 	// Probes is the number of connections of a listener that answers only probes or scrapers.
 	Probes = 16
 
+	// heapShare is the fraction of the memory that is set as the garbage collector's soft limit.
+	// The remainder is for memory that the Go runtime does not count.
+	heapShare = 0.6
+	// bodyShare is the fraction of the memory for the bodies of requests. The heap may grow to
+	// twice what is in use before it is collected.
+	bodyShare = 1.0 / 4
 	// callerShare is the fraction of the memory for what connections of callers, operators and
 	// targets hold besides bodies, at callerBytes for each of them.
 	callerShare = 1.0 / 3
@@ -50,6 +56,12 @@
 	return DefaultFiles
 }
 
+// Heap returns the soft limit on the heap, in bytes.
+func (p Provisioner) Heap() int64 { return int64(heapShare * p.memory()) }
+
+// Bodies returns the bytes that the bodies of all requests may have together.
+func (p Provisioner) Bodies() int { return int(bodyShare * p.memory()) }
+
 // Callers returns the number of connections of one listener of callers, operators or targets.
 func (p Provisioner) Callers() int {
 	return int(max(1, min(callerFiles*p.files(), callerShare*p.memory()/callerBytes)))
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -21,6 +21,7 @@
 	"bramleyshunt/agent"
 	"bramleyshunt/allocator"
 	"bramleyshunt/applier"
+	"bramleyshunt/bufferer"
 	"bramleyshunt/coder"
 	"bramleyshunt/conductor"
 	"bramleyshunt/entry"
@@ -81,6 +82,7 @@
 	Agent  *agent.Agent   // nil without that role
 	Keeper *keeper.Keeper // nil without that role
 
+	Bodies    *bufferer.Bufferer   // reads the bodies of all calls of this process
 	Publisher *publisher.Publisher // nil without a Keeper
 	Applier   *applier.Applier     // nil without a Keeper
 	Evacuator *evacuator.Evacuator // nil without a Keeper
@@ -110,7 +112,7 @@
 	if err := cfg.validate(); err != nil {
 		return nil, nil, err
 	}
-	r := &Runner{cfg: cfg}
+	r := &Runner{cfg: cfg, Bodies: &bufferer.Bufferer{Max: cfg.Limits.Bodies(), Log: cfg.Log, Metrics: cfg.Metrics}}
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	for _, start := range []func() error{r.startPool, r.startKeeper, r.startWatcher, r.startAgent, r.startEntry, r.startListeners} {
 		if err := start(); err != nil {
