Bound the bodies that the product's own interfaces hold

On the product's own interfaces callers and operators could do the same as on the platform: 64 bodies of 8 MiB took an entry to 802 MiB to 1.7 GiB of the 256 MiB that the system may use on a node, 64 prompts of 4 MiB to 621 MiB, 64 changes a keeper to 943 MiB. An agent behind the entry held 895 MiB.

Cause: bodies were read with io.ReadAll or decoded from the connection, without a bound on all of them, and a prompt is in memory several times: as read, as text, while it is encoded for the engine and as a message to the agent. The process had no limit on its heap either.

Entries and keepers read bodies within the budget of their process, and count the copies that their handlers make. The new setting memory (256 MiB) sets the budget and the soft limit of the heap.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bramleyshunt/applier"
+	"bramleyshunt/bufferer"
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
 	"bramleyshunt/defaulter"
@@ -34,6 +35,8 @@
 	MaxBodyBytes = 16 << 20
 	// RequestTimeout bounds the handling of one request.
 	RequestTimeout = 8 * time.Second
+	// bodyCopies is how many times a body is in memory while a change is decoded and proposed.
+	bodyCopies = 3
 	// confirmTimeout bounds the wait for a quorum; after it an answer is marked as
 	// unconfirmed.
 	confirmTimeout = 2 * time.Second
@@ -45,7 +48,8 @@
 // Config configures an Administrator. Without Applier, as in a process that is not
 // a keeper, the Administrator serves metrics and status only.
 type Config struct {
-	Key     []byte // fleet key
+	Key     []byte             // fleet key
+	Bodies  *bufferer.Bufferer // reads the bodies of calls; one of its own if nil
 	Applier *applier.Applier
 	Confirm func(ctx context.Context) (uint64, error)
 	Call    func(ctx context.Context, kind messenger.Kind, v, out any) error // calls the leading keeper
@@ -85,6 +89,9 @@
 
 func (c Config) withDefaults() Config {
 	defaulter.Fill(&c.Log, &c.Metrics, &c.Now)
+	if c.Bodies == nil {
+		c.Bodies = &bufferer.Bufferer{Log: c.Log, Metrics: c.Metrics}
+	}
 	return c
 }
 
@@ -103,6 +110,7 @@
 type request struct {
 	operator string
 	r        *http.Request
+	body     []byte
 	params   httprouter.Params
 	ctx      context.Context
 }
@@ -118,8 +126,13 @@
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), RequestTimeout)
 		defer cancel()
-		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
-		out, err := h(&request{operator: name, r: r, params: p, ctx: ctx})
+		hold, err := a.cfg.Bodies.ReadRequest(w, r, MaxBodyBytes, bodyCopies)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		defer hold.Release()
+		out, err := h(&request{operator: name, r: r, body: hold.Data, params: p, ctx: ctx})
 		if err != nil {
 			writeError(w, err)
 			return
--- a/administrator/configuration.go
+++ b/administrator/configuration.go
@@ -1,11 +1,10 @@
 package administrator
 
 import (
+	"bytes"
 	"context"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"net/http"
 	"strings"
 	"time"
 
@@ -69,7 +68,7 @@
 
 func (a *Administrator) apply(r *request) (any, error) {
 	var p Proposal
-	if err := decodeBody(r.r, &p); err != nil {
+	if err := decodeBody(r.body, &p); err != nil {
 		return nil, err
 	}
 	c, err := p.command(r.operator)
@@ -93,14 +92,11 @@
 
 // decodeBody decodes a JSON body into v. It rejects unknown fields and data after
 // the first value.
-func decodeBody(r *http.Request, v any) error {
-	dec := json.NewDecoder(r.Body)
+func decodeBody(body []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	err := dec.Decode(v)
-	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large):
-		return coder.Errorf(coder.TooLarge, "more than %d bytes", large.Limit)
 	case err != nil:
 		return coder.Errorf(coder.Malformed, "%v", err)
 	case dec.More():
--- a/commander/run.go
+++ b/commander/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -63,7 +64,8 @@
 		return err
 	}
 	defer reportHangups(hup, log)()
-	limits := provisioner.Provisioner{Files: fileLimit()}
+	limits := provisioner.Provisioner{Memory: int64(s.Memory) << 20, Files: fileLimit()}
+	debug.SetMemoryLimit(limits.Heap())
 	fatal := make(chan error, 1)
 	r, closer, err := runner.New(runner.Config{
 		Settings: s, Key: key, Log: log, Limits: limits,
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"bramleyshunt/allocator"
+	"bramleyshunt/bufferer"
 	"bramleyshunt/chainer"
 	"bramleyshunt/claimer"
 	"bramleyshunt/coder"
@@ -44,6 +45,7 @@
 	Call           func(ctx context.Context, kind messenger.Kind, v, out any) error   // sends a request to the leading keeper
 	ReserveTimeout time.Duration                                                      // for the answer to a reservation; the dispatcher's default if zero
 	Exchange       func(ctx context.Context, a *Attempt) error                        // runs an attempt; nil runs it through the target's agent
+	Bodies         *bufferer.Bufferer                                                 // reads the bodies of requests; one of its own if nil
 	BodyTimeout    time.Duration                                                      // for receiving a request body; DefaultBodyTimeout if zero
 	RetryRatio     float64                                                            // retries that a request earns its service if the configuration sets none; the retrier's default if zero
 	MaxRetryBudget func(*watcher.View) float64                                        // max retry budget of a service in this process; the retrier's default if nil or zero
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"bramleyshunt/bufferer"
 	"bramleyshunt/conductor"
 )
 
@@ -31,6 +32,9 @@
 	if cfg.BodyTimeout <= 0 {
 		cfg.BodyTimeout = conductor.DefaultBodyTimeout
 	}
+	if cfg.Bodies == nil {
+		cfg.Bodies = &bufferer.Bufferer{Log: cfg.Log, Metrics: cfg.Metrics}
+	}
 	e := &Entry{Conductor: cd, cfg: cfg}
 	e.mux = e.routes()
 	return e, stop, nil
--- a/entry/http.go
+++ b/entry/http.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -12,6 +10,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"bramleyshunt/bufferer"
 	"bramleyshunt/chainer"
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
@@ -22,6 +21,13 @@
 	// sets none.
 	DefaultMaxBody  = 8 << 20
 	bearerPrefixLen = len("Bearer ")
+	// callCopies is how many times the body of a call is in memory while it is sent: as it was
+	// read and as a message to the agent.
+	callCopies = 2
+	// promptCopies is the same for a prompt while it is decoded and encoded again, and
+	// heldPromptCopies while it waits: as text and as the body for the engine.
+	promptCopies     = 4
+	heldPromptCopies = 2
 )
 
 // HTTP header fields of requests and responses.
@@ -69,10 +75,11 @@
 
 func (e *Entry) serveEngine(parse parser) httprouter.Handle {
 	return func(w http.ResponseWriter, hr *http.Request, _ httprouter.Params) {
-		e.serve(w, hr, func(rw *responseWriter, r *chainer.Request) error {
+		e.serve(w, hr, promptCopies, func(rw *responseWriter, r *chainer.Request, hold bufferer.Hold) error {
 			if err := parse(r); err != nil {
 				return err
 			}
+			hold.Shrink(heldPromptCopies * len(hold.Data))
 			r.Answer = newEngineAnswer(rw, r).callbacks()
 			return nil
 		})
@@ -80,7 +87,7 @@
 }
 
 func (e *Entry) servePlain(w http.ResponseWriter, hr *http.Request, p httprouter.Params) {
-	e.serve(w, hr, func(rw *responseWriter, r *chainer.Request) error {
+	e.serve(w, hr, callCopies, func(rw *responseWriter, r *chainer.Request, _ bufferer.Hold) error {
 		r.Service = p.ByName("name")
 		r.Method = hr.Method
 		r.Path = p.ByName("path")
@@ -94,9 +101,12 @@
 	})
 }
 
-// serve reads and runs a request and sends an error to the caller if that fails. It calls
-// prepare after the body is read and before the request runs.
-func (e *Entry) serve(w http.ResponseWriter, hr *http.Request, prepare func(*responseWriter, *chainer.Request) error) {
+// preparer fills a request after its body was read and before it runs.
+type preparer func(*responseWriter, *chainer.Request, bufferer.Hold) error
+
+// serve reads and runs a request and sends an error to the caller if that fails. The body is
+// in memory up to the given number of times.
+func (e *Entry) serve(w http.ResponseWriter, hr *http.Request, copies int, prepare preparer) {
 	rw := &responseWriter{ResponseWriter: w}
 	rw.setReadDeadline(time.Now().Add(e.cfg.BodyTimeout))
 	ctx, r, end, err := e.Begin(hr.Context())
@@ -106,7 +116,7 @@
 	}
 	defer end()
 	defer rw.setWriteDeadline(time.Time{})
-	if err := e.process(ctx, rw, hr, r, prepare); err != nil {
+	if err := e.process(ctx, rw, hr, r, copies, prepare); err != nil {
 		e.writeError(rw, coder.Of(err))
 		return
 	}
@@ -114,7 +124,7 @@
 }
 
 // process authenticates the caller, reads the request and runs it.
-func (e *Entry) process(ctx context.Context, w *responseWriter, hr *http.Request, r *chainer.Request, prepare func(*responseWriter, *chainer.Request) error) error {
+func (e *Entry) process(ctx context.Context, w *responseWriter, hr *http.Request, r *chainer.Request, copies int, prepare preparer) error {
 	if err := e.Ready(); err != nil {
 		return err
 	}
@@ -123,10 +133,11 @@
 		return err
 	}
 	r.Account = account
-	if err := e.readRequest(w, hr, r); err != nil {
+	hold, err := e.readRequest(w, hr, r, copies)
+	if err != nil {
 		return err
 	}
-	if err := prepare(w, r); err != nil {
+	if err := prepare(w, r, hold); err != nil {
 		return err
 	}
 	return e.Do(ctx, r)
@@ -134,29 +145,25 @@
 
 // readRequest reads the request's header fields and body. It removes the read deadline once
 // the body is complete.
-func (e *Entry) readRequest(w *responseWriter, hr *http.Request, r *chainer.Request) error {
+func (e *Entry) readRequest(w *responseWriter, hr *http.Request, r *chainer.Request, copies int) (bufferer.Hold, error) {
 	r.Config = e.cfg.View().Config
 	r.Key, r.Batch = hr.Header.Get(headerIdempotencyKey), hr.Header.Get(headerBatch)
 	timeout, err := parseTimeout(hr.Header.Get(headerTimeout))
 	if err != nil {
-		return err
+		return bufferer.Hold{}, err
 	}
 	r.Timeout = timeout
 	maxBody := r.Config.Limits.Body
 	if maxBody <= 0 {
 		maxBody = DefaultMaxBody
 	}
-	r.Body, err = io.ReadAll(http.MaxBytesReader(w.ResponseWriter, hr.Body, int64(maxBody)))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return coder.Errorf(coder.TooLarge, "more than %d bytes", maxBody)
-	case err != nil:
-		return &coder.Error{Code: coder.Malformed, Run: coder.NotRun, Text: "body", Cause: err}
-	default:
-		w.setReadDeadline(time.Time{})
-		return nil
+	hold, err := e.cfg.Bodies.ReadRequest(w.ResponseWriter, hr, int64(maxBody), copies)
+	if err != nil {
+		return hold, err
 	}
+	w.setReadDeadline(time.Time{})
+	r.Body, r.Release = hold.Data, hold.Release
+	return hold, nil
 }
 
 // parseTimeout parses a Request-Timeout field, a number of seconds. An empty field means no
--- a/runner/admin.go
+++ b/runner/admin.go
@@ -30,7 +30,7 @@
 // serves its status and metrics; only keepers accept changes.
 func (r *Runner) adminHandler() http.Handler {
 	cfg := administrator.Config{
-		Key: r.cfg.Key, Call: r.proposer.Call, Keepers: r.cfg.Settings.Keepers, Pool: r.pool,
+		Key: r.cfg.Key, Bodies: r.Bodies, Call: r.proposer.Call, Keepers: r.cfg.Settings.Keepers, Pool: r.pool,
 		Status: r.status, Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	}
 	if r.Keeper != nil {
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -162,7 +162,7 @@
 		entries = nil
 	}
 	e, closer, err := entry.New(entry.Config{
-		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call,
+		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call, Bodies: r.Bodies,
 		View:  r.watcher.View,
 		Ready: r.watcher.Ready, SendsChanged: r.notifySharer, Allocator: r.cfg.Allocator, Exchange: r.cfg.Exchange, IDPerStart: r.cfg.IDPerStart, EjectFailing: r.cfg.EjectFailing, MaxRetryBudget: r.maxRetryBudget, Entries: entries, Seed: rand.Uint64(),
 		Place:       r.askRelay,
--- a/setter/setter.go
+++ b/setter/setter.go
@@ -32,6 +32,7 @@
 	Join        bool     `json:"join"`    // keeper only: join an existing group and never found a new one
 	Direct      bool     `json:"direct"`  // targets have no agents; each announces itself to one keeper, which informs the others
 	GracePeriod float64  `json:"grace"`   // seconds between reporting not ready and closing the listener
+	Memory      int      `json:"memory"`  // MiB that the process may use; 256 if zero
 	Log         string   `json:"log"`     // panic, fatal, error, warn, info (default), debug
 
 	Zones map[string]string `json:"zones,omitempty"` // region by availability zone
