Count bodies in the reservations of an agent

An agent holds the bodies of all requests that its target runs.

Cause: a reservation counted tokens and slots only, and the body came with the run message, too late to refuse it.

A body is always accepted while there is no other.

Evidence: the new spec of reserver fails without the check. Not shown: an agent behind several entries on real processes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -46,6 +46,7 @@
 	// Call sends a request to the leading keeper. If it is nil, suspects are not reported.
 	Call           func(ctx context.Context, kind messenger.Kind, v, out any) error
 	Version        func() uint64 // returns the configuration version in force on this node; may be nil
+	MaxBodies      int           // bytes that the bodies of all requests may have together; unbounded if zero
 	OrphanTimeout  time.Duration // time without a reader after which an answer is cancelled
 	ReportInterval time.Duration // time between polls of the target
 	Log            *logrus.Entry
@@ -99,6 +100,7 @@
 			Incarnation: uint64(cfg.Now().UnixNano()),
 			Memory:      cfg.Settings.Target.Memory,
 			Slots:       cfg.Settings.Target.Slots,
+			MaxBodies:   cfg.MaxBodies,
 		},
 		fencer:   &fencer.Fencer{},
 		attempts: map[string]*attempt{},
--- a/conductor/exchange.go
+++ b/conductor/exchange.go
@@ -42,7 +42,7 @@
 		Address: a.Target.Address,
 		Reserve: messenger.Reserve{
 			Attempt: a.ID, Incarnation: a.Target.Incarnation, Account: x.r.Account,
-			Prompt: x.r.Prompt, Output: x.r.Output, Priority: priority(x.r),
+			Prompt: x.r.Prompt, Output: x.r.Output, Bytes: len(x.r.Body), Priority: priority(x.r),
 			Remaining: a.Remaining, Fingerprint: x.r.Fingerprint, Key: x.r.Key, Batch: x.r.Batch,
 		},
 		Run: messenger.Run{
--- a/conductor/segment.go
+++ b/conductor/segment.go
@@ -13,7 +13,7 @@
 
 func (g *gang) reservation(a ganger.Action) *messenger.Reserve {
 	return &messenger.Reserve{
-		Attempt: a.Attempt, Incarnation: a.Incarnation, Account: g.r.Account, Prompt: a.Tokens, Output: a.Output,
+		Attempt: a.Attempt, Incarnation: a.Incarnation, Account: g.r.Account, Prompt: a.Tokens, Output: a.Output, Bytes: a.End - a.Start,
 		Priority: priority(g.r), Remaining: a.Remaining, Fingerprint: g.r.Fingerprint, Gang: true,
 		Key: g.r.Key, Batch: g.r.Batch,
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -190,6 +190,7 @@
 	Account     string        `msgpack:"account"`
 	Prompt      int           `msgpack:"prompt"` // predicted prompt tokens
 	Output      int           `msgpack:"output"` // predicted output tokens
+	Bytes       int           `msgpack:"bytes"`  // length of the body; zero from entries that do not state it
 	Priority    int           `msgpack:"priority"`
 	Remaining   time.Duration `msgpack:"remaining"` // time until the request's deadline
 	Fingerprint uint64        `msgpack:"fingerprint"`
--- a/reserver/load.go
+++ b/reserver/load.go
@@ -17,8 +17,8 @@
 // the engine reports its speed; otherwise long prompts would be refused before any has
 // been tried.
 func (r *Reserver) checkAdmission(m *messenger.Reserve) error {
-	if m.Attempt == "" || m.Prompt < 0 || m.Output < 0 {
-		return coder.Errorf(coder.Malformed, "attempt %q, prompt %d, output %d", m.Attempt, m.Prompt, m.Output)
+	if m.Attempt == "" || m.Prompt < 0 || m.Output < 0 || m.Bytes < 0 {
+		return coder.Errorf(coder.Malformed, "attempt %q, prompt %d, output %d, body %d", m.Attempt, m.Prompt, m.Output, m.Bytes)
 	}
 	if m.Remaining <= 0 {
 		e := coder.Errorf(coder.DeadlineExceeded, "no time left")
@@ -31,6 +31,9 @@
 	if err := r.checkMemory(m); err != nil {
 		return err
 	}
+	if r.MaxBodies > 0 && r.usedBytes > 0 && m.Bytes > r.MaxBodies-r.usedBytes {
+		return r.refuse(coder.Busy, r.pendingPrefill, "body of %d bytes, %d of %d used", m.Bytes, r.usedBytes, r.MaxBodies)
+	}
 	ahead := r.tokensAhead(m.Priority)
 	if r.meter.reportedSpeed > 0 {
 		ahead += m.Prompt
--- a/reserver/record.go
+++ b/reserver/record.go
@@ -37,6 +37,7 @@
 	batch        string
 	prompt       int // tokens
 	tokens       int // prompt and output
+	bytes        int // of the body
 	priority     int
 	gang         bool
 	prefilled    bool
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -54,6 +54,7 @@
 	Incarnation     uint64        // of the target; incremented when the engine restarts
 	Memory          int           // tokens; unbounded if zero
 	Slots           int           // concurrent attempts
+	MaxBodies       int           // bytes that the bodies of live attempts may have together; unbounded if zero
 	Lease           time.Duration // validity of an unused reservation
 	Hold            time.Duration // how long a gang member's KV cache is held after its run, without a renewal
 	Retention       time.Duration // minimum time for which a record outlives its attempt
@@ -67,6 +68,7 @@
 	leaving           bool
 	usedTokens        int
 	unaccounted       int // tokens that the engine uses beyond the reserved ones
+	usedBytes         int // of the bodies of live attempts
 	pendingPrefill    int // prompt tokens of live attempts that await prefill
 	engineIncarnation uint64
 	down              bool          // the target refuses connections
@@ -100,7 +102,7 @@
 	rec := &record{
 		attempt: m.Attempt, phase: Reserved, incarnation: m.Incarnation, fingerprint: m.Fingerprint,
 		account: m.Account, key: m.Key, batch: m.Batch,
-		prompt: m.Prompt, tokens: m.Prompt + m.Output, priority: m.Priority, gang: m.Gang,
+		prompt: m.Prompt, tokens: m.Prompt + m.Output, bytes: m.Bytes, priority: m.Priority, gang: m.Gang,
 		lease: now.Add(r.lease()), deadline: now.Add(remaining), lifetime: remaining,
 	}
 	r.add(rec)
@@ -225,6 +227,7 @@
 	r.live[rec.attempt] = rec
 	r.leases = append(r.leases, rec)
 	r.usedTokens += rec.tokens
+	r.usedBytes += rec.bytes
 	r.pendingPrefill += rec.pendingTokens()
 }
 
@@ -232,6 +235,7 @@
 func (r *Reserver) closeRecord(rec *record, p Phase) {
 	delete(r.live, rec.attempt)
 	r.usedTokens -= rec.tokens
+	r.usedBytes -= rec.bytes
 	r.pendingPrefill -= rec.pendingTokens()
 	rec.phase = p
 	r.retain(rec)
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -82,6 +82,24 @@
 		expectRefused(err, coder.AlreadyRan, coder.Ran)
 	})
 
+	// Guards against an agent that runs out of memory: bodies arrive with the run message, when
+	// they can't be refused without having been received.
+	It("refuses an attempt whose body exceeds what the bodies may have together, until one ends", func() {
+		r.MaxBodies = 1000
+		withBody := func(id string, bytes int) *messenger.Reserve {
+			m := reserve(id, 10)
+			m.Bytes = bytes
+			return m
+		}
+		expectGranted(r, at(0), withBody("larger than all", 5000))
+		expectReserveRefused(r, at(0), withBody("b", 1), coder.Busy)
+		r.Release(at(0), "larger than all")
+		expectGranted(r, at(1), withBody("c", 600))
+		expectGranted(r, at(1), withBody("d", 400))
+		expectReserveRefused(r, at(1), withBody("e", 1), coder.Busy)
+		expectGranted(r, at(4), withBody("f", 400)) // the leases of c and d have expired
+	})
+
 	It("frees memory when a lease expires and refuses the delayed run as not run", func() {
 		expectGranted(r, at(0), reserve("a", 10))
 		Expect(r.Load(at(1)).Used).To(Equal(10))
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -141,7 +141,7 @@
 		return nil
 	}
 	a, closer, err := agent.New(agent.Config{
-		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call, Version: r.Version,
+		Settings: r.cfg.Settings, Pool: r.pool, Call: r.proposer.Call, Version: r.Version, MaxBodies: r.cfg.Limits.Bodies(),
 		Log: r.cfg.Log, Metrics: r.cfg.Metrics,
 	})
 	if err != nil {
