End no answer with a reset that the upload has met

Callers got a part of an answer as a complete one: a replica answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. If the writer of the upload learns of it, the reader of the answer sees a regular end of the connection, which ends an answer without a length.

Package fetcher, a RoundTripper around net/http, returns the end of such an answer only if its request was written whole. Ruled out for answers with a length or in chunks, which are whole by themselves.

--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -13,6 +13,8 @@
 	"path/filepath"
 	"time"
 
+	"bramleyshunt/fetcher"
+
 	"github.com/sirupsen/logrus"
 
 	"bramleyshunt/faker"
@@ -272,7 +274,7 @@
 		if err != nil {
 			return false
 		}
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := fetcher.DefaultClient.Do(req)
 		if err != nil {
 			return false
 		}
--- a/demonstrator/pings.go
+++ b/demonstrator/pings.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"bramleyshunt/fetcher"
+
 	"bramleyshunt/sleeper"
 )
 
@@ -61,7 +63,7 @@
 	req.Header.Set("Authorization", "Bearer "+accountToken)
 	req.Header.Set("Idempotency-Key", key)
 	req.Header.Set("Request-Timeout", "5")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := fetcher.DefaultClient.Do(req)
 	if err != nil {
 		return false
 	}
--- a/driver/exchange.go
+++ b/driver/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bramleyshunt/coder"
+	"bramleyshunt/fetcher"
 )
 
 const (
@@ -23,11 +24,11 @@
 // singleUseClient never reuses a connection, because the peer of an idle connection
 // may have dropped it without notice.
 var singleUseClient = &http.Client{
-	Transport: &http.Transport{
+	Transport: &fetcher.Fetcher{Transport: &http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	},
+	}},
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
 
--- /dev/null
+++ b/driver/malformed_test.go
@@ -0,0 +1,52 @@
+package driver_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bramleyshunt/coder"
+	"bramleyshunt/driver"
+	"bramleyshunt/messenger"
+)
+
+const (
+	uploadBytes   = 4 << 20              // more than the kernel buffers of a connection that is not read
+	uploadPause   = 5 * time.Millisecond // until the upload fills the buffers
+	uploadRepeats = 30                   // the reset meets the reader of the answer or the writer of the upload first
+)
+
+// Guards against answers of targets in trouble that are passed on as whole, well-formed ones.
+var _ = Describe("a malformed answer", func() {
+	call := func(d *driver.Driver, body string) error {
+		return d.Call(context.Background(), messenger.Run{Attempt: "a", Method: http.MethodPost, Path: "/x", Body: []byte(body)}, func(messenger.Chunk) error { return nil })
+	}
+	expectLost := func(err error) {
+		GinkgoHelper()
+		Expect(err).To(HaveOccurred())
+		Expect(coder.Of(err).Code).To(SatisfyAny(Equal(coder.TargetLost), Equal(coder.EngineFailed)), "%v", err)
+		Expect(coder.Of(err).Run).To(Equal(coder.Unknown), "%v", err)
+	}
+
+	It("without a length, reset while the upload is written, is not complete", func() {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }() // resets it, as there is unread data
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			<-time.After(uploadPause)
+		}))
+		DeferCleanup(s.Close)
+		for range uploadRepeats {
+			expectLost(call(&driver.Driver{BaseURL: s.URL}, strings.Repeat("x", uploadBytes)))
+		}
+	})
+})
--- /dev/null
+++ b/fetcher/fetcher.go
@@ -0,0 +1,75 @@
+// Package fetcher sends HTTP requests and returns an error in place of answers that net/http
+// takes for whole although they are not.
+package fetcher
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// DefaultClient is like http.DefaultClient, with the checks of a Fetcher.
+var DefaultClient = &http.Client{Transport: &Fetcher{}}
+
+// Fetcher is an http.RoundTripper. An error from it or from the body of an answer says nothing
+// about whether the request was handled, unless nothing of it was sent.
+type Fetcher struct {
+	Transport http.RoundTripper // uses net/http with HTTP/1; http.DefaultTransport if nil
+}
+
+// RoundTrip sends a request and returns its answer.
+func (f *Fetcher) RoundTrip(req *http.Request) (*http.Response, error) {
+	t := f.Transport
+	if t == nil {
+		t = http.DefaultTransport
+	}
+	s := &sending{}
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: s.begin, WroteRequest: s.end})
+	resp, err := t.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &body{ReadCloser: resp.Body, resp: resp, sending: s, done: req.Context().Done()}
+	return resp, nil
+}
+
+// body is the body of an answer.
+type body struct {
+	io.ReadCloser
+	resp    *http.Response
+	sending *sending
+	done    <-chan struct{} // closed when the request's context ends
+	err     error           // returned by all further reads
+}
+
+// Read reads a part of the body. It returns io.EOF only at the end of a whole answer.
+func (b *body) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		err = b.checkEnd()
+	}
+	b.err = err
+	return n, err
+}
+
+// checkEnd returns io.EOF if the answer is whole, else the reason why it is not.
+func (b *body) checkEnd() error {
+	if !b.endsWithConnection() {
+		return io.EOF
+	}
+	// The kernel reports a reset once. If the sender of the request learns of it, the reader of
+	// the answer sees a regular end.
+	if err := b.sending.wait(b.done); err != nil {
+		return fmt.Errorf("the answer ended while its request was sent: %w", err)
+	}
+	return io.EOF
+}
+
+// endsWithConnection reports whether nothing but the end of the connection ends the answer.
+func (b *body) endsWithConnection() bool {
+	return b.resp.ContentLength < 0 && len(b.resp.TransferEncoding) == 0
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -31,7 +31,7 @@
 	EntryURLs []string                                          // URLs of entries, without a path
 	Token     string                                            // bearer token of the client account
 	Model     string                                            // named in each request
-	Client    *http.Client                                      // http.DefaultClient if nil
+	Client    *http.Client                                      // fetcher.DefaultClient if nil
 	Check     func(prompt string, output int, text string) bool // reports whether a complete answer is correct; nil accepts any
 }
 
--- a/loader/send.go
+++ b/loader/send.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bramleyshunt/coder"
+	"bramleyshunt/fetcher"
 	"bramleyshunt/messenger"
 )
 
@@ -128,7 +129,7 @@
 func (l *Loader) do(req *http.Request, o *Outcome, start time.Time) string {
 	client := l.Client
 	if client == nil {
-		client = http.DefaultClient
+		client = fetcher.DefaultClient
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -18,6 +18,7 @@
 
 	"bramleyshunt/administrator"
 	"bramleyshunt/coder"
+	"bramleyshunt/fetcher"
 	"bramleyshunt/merger"
 	"bramleyshunt/sleeper"
 )
@@ -39,7 +40,7 @@
 type Operator struct {
 	Bases  []string     // URLs of administration listeners
 	Token  string       // bearer token of the operator, or the fleet token
-	Client *http.Client // http.DefaultClient if nil
+	Client *http.Client // fetcher.DefaultClient if nil
 }
 
 // FleetToken returns the token that holders of the fleet key may use while no
@@ -190,7 +191,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	client := o.Client
 	if client == nil {
-		client = http.DefaultClient
+		client = fetcher.DefaultClient
 	}
 	resp, err := client.Do(req)
 	if err != nil {
