Believe nothing of an answer whose status is none

A target in trouble that sent the status 000, or 101, with the mark that it had not run the request made the caller get 503, a promise that the request has not run and never will. Operators' commands reported what such an answer said as the fleet's answer.

Cause: net/http takes any three digits, or a sign with two, for a status, and those below 100 for final ones.

Ruled out for agents, which refused them already (driver).

--- a/driver/malformed_test.go
+++ b/driver/malformed_test.go
@@ -20,6 +20,7 @@
 	uploadBytes   = 4 << 20              // more than the kernel buffers of a connection that is not read
 	uploadPause   = 5 * time.Millisecond // until the upload fills the buffers
 	uploadRepeats = 30                   // the reset meets the reader of the answer or the writer of the upload first
+	event         = "id: 1\ndata: {\"text\": \"a\"}\n\nid: 2\ndata: {\"finish_reason\": \"stop\"}\n\n"
 )
 
 // Guards against answers of targets in trouble that are passed on as whole, well-formed ones.
@@ -49,4 +50,16 @@
 			expectLost(call(&driver.Driver{BaseURL: s.URL}, strings.Repeat("x", uploadBytes)))
 		}
 	})
+
+	DescribeTable("is no answer",
+		func(head, end string) {
+			expectLost(call(newRawDriver(head+"Connection: close\r\n\r\nbody"+end), "x"))
+			_, _, err := run(newRawDriver(head + "Connection: close\r\n\r\n" + event + end))
+			expectLost(err)
+			expectLost(newRawDriver(head+"Connection: close\r\n\r\n{}"+end).Cancel(context.Background(), "a"))
+		},
+		Entry("status 000", "HTTP/1.1 000 X\r\n", ""),
+		Entry("status 099", "HTTP/1.1 099 X\r\n", ""),
+		Entry("status with a sign", "HTTP/1.1 +20 X\r\n", ""),
+	)
 })
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -1,14 +1,18 @@
 // Package fetcher sends HTTP requests and returns an error in place of answers that net/http
-// takes for whole although they are not.
+// takes for whole or well-formed although they are not.
 package fetcher
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 )
 
+// ErrMalformed is the error of answers that are not well-formed.
+var ErrMalformed = errors.New("malformed answer")
+
 // DefaultClient is like http.DefaultClient, with the checks of a Fetcher.
 var DefaultClient = &http.Client{Transport: &Fetcher{}}
 
@@ -30,10 +34,23 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := check(resp); err != nil {
+		_ = resp.Body.Close() // closes the connection, as the body was not read
+		return nil, err
+	}
 	resp.Body = &body{ReadCloser: resp.Body, resp: resp, sending: s, done: req.Context().Done()}
 	return resp, nil
 }
 
+// check returns an error unless the head of an answer is well-formed. net/http takes any three
+// digits, or a sign and two, for a status.
+func check(resp *http.Response) error {
+	if resp.StatusCode < http.StatusContinue {
+		return fmt.Errorf("%w: status %q", ErrMalformed, resp.Status)
+	}
+	return nil
+}
+
 // body is the body of an answer.
 type body struct {
 	io.ReadCloser
--- a/fetcher/fetcher_test.go
+++ b/fetcher/fetcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -91,3 +92,16 @@
 		NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	})
 }
+
+// Guards against answers that net/http takes for well-formed.
+func TestMalformedAnswersAreErrors(t *testing.T) {
+	for name, text := range map[string]string{
+		"status 000":         "HTTP/1.1 000 X\r\n\r\n",
+		"status with a sign": "HTTP/1.1 +42 X\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := fetch(t, http.MethodPost, "request", text, false)
+			NewWithT(t).Expect(errors.Is(err, fetcher.ErrMalformed)).To(BeTrue(), "%v", err)
+		})
+	}
+}
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -48,6 +49,24 @@
 var _ = Describe("Loader", func() {
 	const answer = `data: {"choices":[{"text":"hi"}]}` + "\n\n"
 
+	// Guards against answers of something that is no entry, which a report counts as outcomes.
+	DescribeTable("counts malformed answers as invalid",
+		func(answer string) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, answer)
+				_ = conn.Close()
+			}))
+			DeferCleanup(s.Close)
+			l := &loader.Loader{EntryURLs: []string{s.URL}, Check: func(_ string, _ int, text string) bool { return text == "hi" }}
+			expectOutcomes(l.Run(context.Background(), loader.Plan{Requests: 3, Timeout: time.Minute}), coder.OK, 3)
+		},
+		Entry("status 000", "HTTP/1.1 000 X\r\nBramleyshunt-Code: 2003\r\nContent-Length: 0\r\n\r\n"),
+	)
+
 	DescribeTable("reports the outcome of requests",
 		func(status int, sent coder.Code, body string, want coder.Code, invalid int) {
 			expectOutcomes(send(status, sent, body), want, invalid)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -140,3 +141,27 @@
 		Expect(f.operator().Status(ctx, &buf)).To(Succeed())
 	})
 })
+
+// Guards against answers of something that is no keeper, which a command reports as the fleet's.
+var _ = Describe("a malformed answer of a listener", func() {
+	DescribeTable("is passed over for that of another one",
+		func(answer string) {
+			bad := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, answer)
+				_ = conn.Close()
+			}))
+			DeferCleanup(bad.Close)
+			o := newFleet().operator()
+			o.Bases = append([]string{bad.URL}, o.Bases...)
+			got, err := o.Configuration(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got.Version).To(BeZero())
+		},
+		Entry("status 000", "HTTP/1.1 000 X\r\n\r\n{\"error\":{\"code\":1011}}"),
+		Entry("status 099", "HTTP/1.1 099 X\r\n\r\n{\"error\":{\"code\":4002}}"),
+	)
+})
