Refuse answers with a broken name of a field

A target in trouble that sent a field like "Content-Length : 2" got its answer passed on as a success, with a body that went to the end of the connection in place of the two bytes; with "Transfer-Encoding : chunked", the chunks were the body.

Cause: net/http accepts blanks in names and leaves such fields without effect, in heads, informational heads and trailers. Other bytes that no name may have it refuses.

Fetcher refuses the answer wherever such a name comes, on the platform, at agents, in operators' commands and in the loader. The hook for informational heads lifts net/http's bound on them, so fetcher bounds their number at 16.

The names come from golang.org/x/net, until now an indirect dependency.

--- a/driver/malformed_test.go
+++ b/driver/malformed_test.go
@@ -61,5 +61,18 @@
 		Entry("status 000", "HTTP/1.1 000 X\r\n", ""),
 		Entry("status 099", "HTTP/1.1 099 X\r\n", ""),
 		Entry("status with a sign", "HTTP/1.1 +20 X\r\n", ""),
+		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX-Own : 1\r\n", ""),
+		Entry("blank in the name of the length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n", ""),
+		Entry("control byte in a name", "HTTP/1.1 200 OK\r\nX-\x01Own: 1\r\n", ""),
+		Entry("blank in a name of an informational answer", "HTTP/1.1 103 X\r\nX-Own : 1\r\n\r\nHTTP/1.1 200 OK\r\n", ""),
+	)
+
+	DescribeTable("in chunks is no answer to a call",
+		func(head, end string) {
+			expectLost(call(newRawDriver(head+"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"+end), "x"))
+		},
+		Entry("blank in a name of the trailer", "HTTP/1.1 200 OK\r\n", "0\r\nX-Own : 1\r\n\r\n"),
+		Entry("control byte in a name of the trailer", "HTTP/1.1 200 OK\r\n", "0\r\nX-\x01Own: 1\r\n\r\n"),
+		Entry("no last chunk", "HTTP/1.1 200 OK\r\n", ""),
 	)
 })
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -8,8 +8,15 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+
+	"golang.org/x/net/http/httpguts"
 )
 
+// maxInformational bounds the informational answers before an answer. The protocol has no use
+// for more than one; net/http does not bound them where they are looked at.
+const maxInformational = 16
+
 // ErrMalformed is the error of answers that are not well-formed.
 var ErrMalformed = errors.New("malformed answer")
 
@@ -29,7 +36,16 @@
 		t = http.DefaultTransport
 	}
 	s := &sending{}
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: s.begin, WroteRequest: s.end})
+	informational := 0
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: s.begin, WroteRequest: s.end,
+		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+			if informational++; informational > maxInformational {
+				return fmt.Errorf("%w: more than %d informational ones", ErrMalformed, maxInformational)
+			}
+			return checkNames(fmt.Sprintf("head of status %d", code), h)
+		},
+	})
 	resp, err := t.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
@@ -43,11 +59,22 @@
 }
 
 // check returns an error unless the head of an answer is well-formed. net/http takes any three
-// digits, or a sign and two, for a status.
+// digits, or a sign and two, for a status, and blanks in names of fields.
 func check(resp *http.Response) error {
 	if resp.StatusCode < http.StatusContinue {
 		return fmt.Errorf("%w: status %q", ErrMalformed, resp.Status)
 	}
+	return checkNames("head", resp.Header)
+}
+
+// checkNames returns an error if a field's name has a byte that no name may have. Others would
+// read such a line as another field, or as framing.
+func checkNames[H ~map[string][]string](part string, h H) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field %q in its %s", ErrMalformed, name, part)
+		}
+	}
 	return nil
 }
 
@@ -75,6 +102,9 @@
 
 // checkEnd returns io.EOF if the answer is whole, else the reason why it is not.
 func (b *body) checkEnd() error {
+	if err := checkNames("trailer", b.resp.Trailer); err != nil {
+		return err
+	}
 	if !b.endsWithConnection() {
 		return io.EOF
 	}
--- a/fetcher/fetcher_test.go
+++ b/fetcher/fetcher_test.go
@@ -96,8 +96,12 @@
 // Guards against answers that net/http takes for well-formed.
 func TestMalformedAnswersAreErrors(t *testing.T) {
 	for name, text := range map[string]string{
-		"status 000":         "HTTP/1.1 000 X\r\n\r\n",
-		"status with a sign": "HTTP/1.1 +42 X\r\n\r\n",
+		"status 000":          "HTTP/1.1 000 X\r\n\r\n",
+		"status with a sign":  "HTTP/1.1 +42 X\r\n\r\n",
+		"name":                "HTTP/1.1 200 OK\r\nX Own: 1\r\n\r\n",
+		"name, informational": "HTTP/1.1 103 X\r\nX Own: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"name, trailer":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Own: 1\r\n\r\n",
+		"many informational":  strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 100) + "HTTP/1.1 200 OK\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := fetch(t, http.MethodPost, "request", text, false)
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -65,6 +65,7 @@
 			expectOutcomes(l.Run(context.Background(), loader.Plan{Requests: 3, Timeout: time.Minute}), coder.OK, 3)
 		},
 		Entry("status 000", "HTTP/1.1 000 X\r\nBramleyshunt-Code: 2003\r\nContent-Length: 0\r\n\r\n"),
+		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX-Own : 1\r\n\r\n"+answer+"data: [DONE]\n\n"),
 	)
 
 	DescribeTable("reports the outcome of requests",
