Refuse answers of other versions, and chunks of HTTP/1.0

A target in trouble whose answer called itself HTTP/0.9, 2.0 or 3.0 had it passed on. An answer of HTTP/1.0 in chunks was passed on with the sizes of the chunks in the body, which was not the target's.

Cause: net/http parses any version and reads the rest as HTTP/1.1. It drops the field Transfer-Encoding from answers of HTTP/1.0.

Fetcher refuses other major versions that TLS has not negotiated. Connections to targets keep the head of an answer that begins with HTTP/1.0, so that fetcher sees the dropped field; other answers are not kept.

--- a/driver/exchange.go
+++ b/driver/exchange.go
@@ -27,11 +27,19 @@
 	Transport: &fetcher.Fetcher{Transport: &http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
-		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:        dial,
 	}},
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
 
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return fetcher.Watch(conn), nil
+}
+
 var errIdle = errors.New("no byte in time")
 
 // call is one HTTP request to the target.
--- a/driver/malformed_test.go
+++ b/driver/malformed_test.go
@@ -65,6 +65,7 @@
 		Entry("blank in the name of the length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n", ""),
 		Entry("control byte in a name", "HTTP/1.1 200 OK\r\nX-\x01Own: 1\r\n", ""),
 		Entry("blank in a name of an informational answer", "HTTP/1.1 103 X\r\nX-Own : 1\r\n\r\nHTTP/1.1 200 OK\r\n", ""),
+		Entry("another version", "HTTP/2.0 200 OK\r\n", ""),
 	)
 
 	DescribeTable("in chunks is no answer to a call",
@@ -73,6 +74,7 @@
 		},
 		Entry("blank in a name of the trailer", "HTTP/1.1 200 OK\r\n", "0\r\nX-Own : 1\r\n\r\n"),
 		Entry("control byte in a name of the trailer", "HTTP/1.1 200 OK\r\n", "0\r\nX-\x01Own: 1\r\n\r\n"),
+		Entry("HTTP/1.0", "HTTP/1.0 200 OK\r\n", "0\r\n\r\n"),
 		Entry("no last chunk", "HTTP/1.1 200 OK\r\n", ""),
 	)
 })
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := check(resp); err != nil {
+	if err := check(resp, s); err != nil {
 		_ = resp.Body.Close() // closes the connection, as the body was not read
 		return nil, err
 	}
@@ -59,11 +59,17 @@
 }
 
 // check returns an error unless the head of an answer is well-formed. net/http takes any three
-// digits, or a sign and two, for a status, and blanks in names of fields.
-func check(resp *http.Response) error {
+// digits, or a sign and two, for a status, any version, and blanks in names of fields.
+func check(resp *http.Response, s *sending) error {
 	if resp.StatusCode < http.StatusContinue {
 		return fmt.Errorf("%w: status %q", ErrMalformed, resp.Status)
 	}
+	if resp.ProtoMajor != 1 && resp.TLS == nil { // TLS negotiates the version
+		return fmt.Errorf("%w: version %q", ErrMalformed, resp.Proto)
+	}
+	if resp.ProtoMajor == 1 && resp.ProtoMinor == 0 && s.chunked() {
+		return fmt.Errorf("%w: %s in chunks", ErrMalformed, resp.Proto)
+	}
 	return checkNames("head", resp.Header)
 }
 
--- a/fetcher/fetcher_test.go
+++ b/fetcher/fetcher_test.go
@@ -29,7 +29,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return slowReader{c}, nil
+		return wrapped{fetcher.Watch(slowReader{c})}, nil
 	}}
 	req, err := http.NewRequest(method, "http://"+l.Addr().String(), strings.NewReader(request))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -68,6 +68,11 @@
 
 func (c slowReader) Read(p []byte) (int, error) { return c.Conn.Read(p[:min(1, len(p))]) }
 
+// wrapped hides a watched connection as others do.
+type wrapped struct{ net.Conn }
+
+func (w wrapped) NetConn() net.Conn { return w.Conn }
+
 // Guards against whole answers that are refused.
 func TestWholeAnswersAreReturned(t *testing.T) {
 	for name, text := range map[string]string{
@@ -96,12 +101,16 @@
 // Guards against answers that net/http takes for well-formed.
 func TestMalformedAnswersAreErrors(t *testing.T) {
 	for name, text := range map[string]string{
-		"status 000":          "HTTP/1.1 000 X\r\n\r\n",
-		"status with a sign":  "HTTP/1.1 +42 X\r\n\r\n",
-		"name":                "HTTP/1.1 200 OK\r\nX Own: 1\r\n\r\n",
-		"name, informational": "HTTP/1.1 103 X\r\nX Own: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
-		"name, trailer":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Own: 1\r\n\r\n",
-		"many informational":  strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 100) + "HTTP/1.1 200 OK\r\n\r\n",
+		"status 000":            "HTTP/1.1 000 X\r\n\r\n",
+		"status with a sign":    "HTTP/1.1 +42 X\r\n\r\n",
+		"version":               "HTTP/3.0 200 OK\r\n\r\n",
+		"name":                  "HTTP/1.1 200 OK\r\nX Own: 1\r\n\r\n",
+		"name, informational":   "HTTP/1.1 103 X\r\nX Own: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"name, trailer":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Own: 1\r\n\r\n",
+		"many informational":    strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 100) + "HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.0 in chunks":    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.0, long head":   "HTTP/1.0 200 OK\r\nX-Own: " + strings.Repeat("x", 20_000) + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.0, bare ending": "HTTP/1.0 200 OK\nTransfer-Encoding: chunked\n\n4\r\nbody\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := fetch(t, http.MethodPost, "request", text, false)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -164,5 +164,6 @@
 		Entry("status 000", "HTTP/1.1 000 X\r\n\r\n{\"error\":{\"code\":1011}}"),
 		Entry("status 099", "HTTP/1.1 099 X\r\n\r\n{\"error\":{\"code\":4002}}"),
 		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX-Own : 1\r\n\r\n{\"version\":7,\"confirmed\":true}"),
+		Entry("another version", "HTTP/2.0 200 OK\r\n\r\n{\"version\":7,\"confirmed\":true}"),
 	)
 })
