Bound the long messages that other processes send

On the platform the handshake between processes needs no secret, so whoever reaches the port could send messages of up to 16 MiB on each connection after it: 96 connections with 8 MiB took entry and keeper to 937 and 948 MiB of 64.

Cause: a frame grew in memory as it arrived, with no bound on the frames of all connections.

Frames above 64 KiB on accepted connections are read within a budget of their own, an eighth of the memory, so that neither callers' bodies nor these can displace the other. A frame that stays incomplete is given up as bodies are; its connection ends, and an honest peer opens another one. Refused and given up bodies of every budget have a log line now, once a second.

Open: messages that have arrived and wait in a stream are not counted; their sender has been admitted.

--- a/bufferer/bufferer.go
+++ b/bufferer/bufferer.go
@@ -27,6 +27,9 @@
 	// retryAfter is how long callers should wait after a refusal. Within a second, bodies that
 	// stay incomplete are given up and most requests that wait are answered.
 	retryAfter = time.Second
+	// logInterval is the minimum interval between two log lines about bodies without room. Each
+	// request that is refused has a line of its own.
+	logInterval = time.Second
 )
 
 // Bufferer reads bodies. The zero value works; it must not be copied after its first use.
@@ -42,6 +45,9 @@
 	released *sync.Cond // a reservation was released or given up
 	budget   budgeter.Budgeter
 	bytes    metrics.Gauge
+	evicted  metrics.Counter // bodies given up
+	refused  metrics.Counter
+	logged   time.Time         // when either was last logged
 	cancels  map[uint64]func() // of bodies that are being read
 }
 
@@ -72,12 +78,15 @@
 		b.budget.Max = b.Max
 		b.released = sync.NewCond(&b.mu)
 		b.bytes = metrics.GetOrRegisterGauge(b.Name+".bytes", b.Metrics)
+		b.evicted = metrics.GetOrRegisterCounter(b.Name+".evicted", b.Metrics)
+		b.refused = metrics.GetOrRegisterCounter(b.Name+".refused", b.Metrics)
 		b.cancels = map[uint64]func(){}
 	})
 }
 
 // Read reads a body to its end. Errors carry code TooLarge if the body exceeds its limit,
-// BodiesFull if there is no memory for it, or are those of r. The caller releases the memory
+// BodiesFull if there is no memory for it, or are those of r, io.ErrUnexpectedEOF if r ends
+// before an announced length. The caller releases the memory
 // of the body if Read returns no error.
 func (b *Bufferer) Read(r io.Reader, body Body) (Hold, error) {
 	b.init()
@@ -119,6 +128,8 @@
 			n, err := r.Read(data[len(data):cap(data)])
 			data = data[:len(data)+n]
 			switch {
+			case err == io.EOF && len(data) < int(body.Length):
+				return nil, io.ErrUnexpectedEOF
 			case err == io.EOF:
 				return data, nil
 			case err != nil:
@@ -187,7 +198,8 @@
 		case b.budget.GivenUp(id):
 			return errGivenUp
 		case verdict == budgeter.Refused:
-			metrics.GetOrRegisterCounter(b.Name+".refused", b.Metrics).Inc(1)
+			b.refused.Inc(1)
+			b.report()
 			return b.refusal("no room")
 		}
 		b.released.Wait()
@@ -196,7 +208,8 @@
 
 // giveUp makes the reader of a body release it.
 func (b *Bufferer) giveUp(id uint64) {
-	metrics.GetOrRegisterCounter(b.Name+".evicted", b.Metrics).Inc(1)
+	b.evicted.Inc(1)
+	b.report()
 	if cancel := b.cancels[id]; cancel != nil {
 		delete(b.cancels, id)
 		cancel()
@@ -204,6 +217,18 @@
 	b.released.Broadcast() // it may be waiting itself
 }
 
+// report logs that there is no room, at most once in logInterval. b.mu must be locked.
+func (b *Bufferer) report() {
+	now := b.Now()
+	if now.Sub(b.logged) < logInterval {
+		return
+	}
+	b.logged = now
+	b.Log.WithFields(logrus.Fields{
+		"budget": b.Name, "max": b.Max, "used": b.budget.Used(), "evicted": b.evicted.Count(), "refused": b.refused.Count(),
+	}).Warn("no room for further bodies")
+}
+
 func (b *Bufferer) refusal(reason string) error {
 	e := coder.Errorf(coder.BodiesFull, "%s: %d bytes for %s", reason, b.Max, b.Name)
 	e.Retry = retryAfter
--- a/bufferer/bufferer_test.go
+++ b/bufferer/bufferer_test.go
@@ -105,6 +105,14 @@
 	NewWithT(t).Expect(used(b)).To(BeZero())
 }
 
+// Guards against a message that is taken for whole although its connection ended before.
+func TestBodyShorterThanAnnouncedIsNotWhole(t *testing.T) {
+	b := newBufferer(nil)
+	_, err := b.Read(strings.NewReader("abc"), bufferer.Body{Length: 4, Limit: 5000})
+	NewWithT(t).Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	NewWithT(t).Expect(used(b)).To(BeZero())
+}
+
 type brokenReader struct{}
 
 func (brokenReader) Read([]byte) (int, error) { return 0, errCancelled }
--- a/crowder/crowder.go
+++ b/crowder/crowder.go
@@ -17,7 +17,7 @@
 type Crowder struct {
 	Addr string                         // host:port
 	Size int                            // number of connections
-	Send func(w io.Writer, n int) error // sends what connection n sends, from 0
+	Send func(w io.Writer, n int) error // sends what connection n sends, from 0; w is a net.Conn
 }
 
 // Gather opens the connections and returns once each of them has sent everything or can't
@@ -40,7 +40,7 @@
 			mu.Lock()
 			conns = append(conns, conn)
 			mu.Unlock()
-			if err := c.Send(deadlineWriter{conn}, n); err != nil {
+			if err := c.Send(deadlineConn{conn}, n); err != nil {
 				sent()
 			}
 			sent()
@@ -58,15 +58,15 @@
 	}
 }
 
-// deadlineWriter bounds each write to a connection.
-type deadlineWriter struct {
-	conn net.Conn
+// deadlineConn is a connection on which each write is bounded.
+type deadlineConn struct {
+	net.Conn
 }
 
 // Write writes p or fails after sendTimeout.
-func (w deadlineWriter) Write(p []byte) (int, error) {
-	if err := w.conn.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+func (c deadlineConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 		return 0, err
 	}
-	return w.conn.Write(p)
+	return c.Conn.Write(p)
 }
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -13,16 +13,21 @@
 const (
 	// DefaultMaxFrameBytes applies when Framer.MaxFrameBytes is zero.
 	DefaultMaxFrameBytes = 16 << 20
-	headerBytes          = 4
-	chunkBytes           = 64 << 10
+	// LongBytes is the size in bytes above which frames are long.
+	LongBytes   = 64 << 10
+	headerBytes = 4
 )
 
 // Framer reads and writes frames. One goroutine may read while another writes, but
 // neither Read nor Write may be called concurrently with itself.
 type Framer struct {
 	MaxFrameBytes int // largest frame in bytes; DefaultMaxFrameBytes if zero
-	r             *bufio.Reader
-	w             io.Writer
+	// ReadLong reads the n bytes of a frame above LongBytes. If it is nil, they are read into
+	// memory that is not accounted for.
+	ReadLong func(r io.Reader, n int) ([]byte, error)
+
+	r *bufio.Reader
+	w io.Writer
 }
 
 // New returns a Framer on rw.
@@ -48,16 +53,19 @@
 	if n > f.maxFrameBytes() {
 		return nil, fmt.Errorf("frame of %d bytes exceeds %d", n, f.maxFrameBytes())
 	}
+	if n > LongBytes && f.ReadLong != nil {
+		return f.ReadLong(f.r, n)
+	}
 	return f.readBody(n)
 }
 
 // readBody grows its buffer as bytes arrive, so that a false length alone
 // allocates only one chunk.
 func (f *Framer) readBody(n int) ([]byte, error) {
-	buf := make([]byte, 0, min(n, chunkBytes))
+	buf := make([]byte, 0, min(n, LongBytes))
 	for len(buf) < n {
 		start := len(buf)
-		step := min(n-start, max(chunkBytes, start))
+		step := min(n-start, max(LongBytes, start))
 		buf = append(buf, make([]byte, step)...)
 		if _, err := io.ReadFull(f.r, buf[start:]); err != nil {
 			if err == io.EOF {
--- a/muxer/muxer.go
+++ b/muxer/muxer.go
@@ -18,6 +18,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"bramleyshunt/acceptor"
+	"bramleyshunt/bufferer"
 	"bramleyshunt/coder"
 	"bramleyshunt/framer"
 	"bramleyshunt/messenger"
@@ -38,6 +39,9 @@
 	// node name and some 64 bytes.
 	maxHelloBytes = 4 << 10
 
+	// frameCopies is how many times a long frame is in memory while it is decoded.
+	frameCopies = 2
+
 	maxInbox         = 4096
 	firstDialID      = 1 // the dialing end opens streams with odd IDs, the accepting end with even ones
 	firstAcceptID    = 2
@@ -52,6 +56,9 @@
 	Heartbeat     time.Duration // interval between heartbeats
 	IdleTimeout   time.Duration // closes the connection when no frame arrives for this long
 	MaxFrameBytes int           // bytes; framer.DefaultMaxFrameBytes if zero
+	// Frames reads the long frames of accepted connections within a budget; there is none if
+	// it is nil.
+	Frames *bufferer.Bufferer
 }
 
 func (c Config) heartbeatInterval() time.Duration {
@@ -97,6 +104,8 @@
 	mu      sync.Mutex
 	nextID  uint64
 	streams map[uint64]*Stream
+
+	frame bufferer.Hold // of the frame that was read last, if it is long; for readFrames only
 }
 
 // Dial connects to addr and runs the handshake. The returned function closes the
@@ -174,6 +183,9 @@
 		Peer: peer, cfg: cfg, conn: conn, framer: f, handle: handle,
 		ctx: mctx, stop: stop, nextID: firstID, streams: map[uint64]*Stream{},
 	}
+	if handle != nil && cfg.Frames != nil {
+		f.ReadLong = m.readLong
+	}
 	var stopWatch func() bool
 	if handle != nil {
 		stopWatch = context.AfterFunc(ctx, func() { m.closeWithError(context.Cause(ctx)) })
@@ -262,19 +274,45 @@
 func (m *Muxer) readFrames() {
 	for {
 		_ = m.conn.SetReadDeadline(time.Now().Add(m.cfg.idleTimeout()))
-		p, err := m.framer.Read()
-		if err != nil {
+		if err := m.readFrame(); err != nil {
 			m.closeWithError(err)
 			return
 		}
-		var e envelope
-		if err := msgpack.Unmarshal(p, &e); err != nil {
-			m.closeWithError(coder.Errorf(coder.BadFrame, "decode envelope: %v", err))
-			return
-		}
-		if e.Stream != 0 {
-			m.deliver(&e)
-		}
+	}
+}
+
+// readFrame reads a frame and delivers its message.
+func (m *Muxer) readFrame() error {
+	p, err := m.framer.Read()
+	if err != nil {
+		return err
+	}
+	defer m.releaseFrame()
+	var e envelope
+	if err := msgpack.Unmarshal(p, &e); err != nil {
+		return coder.Errorf(coder.BadFrame, "decode envelope: %v", err)
+	}
+	if e.Stream != 0 {
+		m.deliver(&e)
+	}
+	return nil
+}
+
+// readLong reads a long frame. The connection ends if there is no memory for it.
+func (m *Muxer) readLong(r io.Reader, n int) ([]byte, error) {
+	hold, err := m.cfg.Frames.Read(io.LimitReader(r, int64(n)), bufferer.Body{
+		Length: int64(n), Limit: int64(n), Copies: frameCopies,
+		Cancel: func() { _ = m.conn.SetReadDeadline(time.Unix(1, 0)) }, // fails only if the connection has ended
+	})
+	m.frame = hold
+	return hold.Data, err
+}
+
+// releaseFrame frees the memory of a long frame.
+func (m *Muxer) releaseFrame() {
+	if m.frame.Release != nil {
+		m.frame.Release()
+		m.frame = bufferer.Hold{}
 	}
 }
 
--- a/muxer/muxer_test.go
+++ b/muxer/muxer_test.go
@@ -6,13 +6,16 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
+	"bramleyshunt/bufferer"
 	"bramleyshunt/coder"
 	"bramleyshunt/messenger"
 	"bramleyshunt/muxer"
@@ -135,6 +138,23 @@
 		Expect(err).To(MatchError(io.EOF))
 	})
 
+	// Guards against memory of long messages that is not released, or messages that are lost.
+	It("reads long messages within a budget", func() {
+		registry := metrics.NewRegistry()
+		bounded := muxer.Config{Node: "a", Key: []byte("fleet"), Frames: &bufferer.Bufferer{Name: "frames", Max: 1 << 20, Metrics: registry}}
+		m, closer, err := muxer.Dial(context.Background(), startServer(bounded, echo), cfg)
+		Expect(err).NotTo(HaveOccurred())
+		defer closer()
+		for range 5 {
+			var out messenger.Cancelled
+			long := strings.Repeat("x", 300_000)
+			Expect(m.Call(context.Background(), messenger.KindCancel, &messenger.Cancel{Attempt: long}, &out)).To(Succeed())
+			Expect(out.Attempt).To(Equal(long))
+		}
+		Eventually(func() int64 { return metrics.GetOrRegisterGauge("frames.bytes", registry).Value() }).Should(BeZero())
+		Expect(metrics.GetOrRegisterCounter("frames.refused", registry).Count()).To(BeZero())
+	})
+
 	It("ends a stream with a full inbox without affecting other streams", func() {
 		ended := make(chan struct{}, 1)
 		var opened atomic.Int32
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -19,6 +19,8 @@
 	// bodyShare is the fraction of the memory for the bodies of requests. The heap may grow to
 	// twice what is in use before it is collected.
 	bodyShare = 1.0 / 4
+	// frameShare is the fraction for long messages between processes of the system.
+	frameShare = 1.0 / 8
 	// callerShare is the fraction of the memory for what connections of callers, operators and
 	// targets hold besides bodies, at callerBytes for each of them.
 	callerShare = 1.0 / 3
@@ -62,6 +64,10 @@
 // Bodies returns the bytes that the bodies of all requests may have together.
 func (p Provisioner) Bodies() int { return int(bodyShare * p.memory()) }
 
+// Frames returns the bytes that long messages from other processes of the system may have
+// together while they arrive.
+func (p Provisioner) Frames() int { return int(frameShare * p.memory()) }
+
 // Callers returns the number of connections of one listener of callers, operators or targets.
 func (p Provisioner) Callers() int {
 	return int(max(1, min(callerFiles*p.files(), callerShare*p.memory()/callerBytes)))
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -12,6 +12,7 @@
 	"bramleyshunt/acceptor"
 	"bramleyshunt/agent"
 	"bramleyshunt/applier"
+	"bramleyshunt/bufferer"
 	"bramleyshunt/coder"
 	"bramleyshunt/configurer"
 	"bramleyshunt/controller"
@@ -283,9 +284,11 @@
 	if err != nil {
 		return err
 	}
+	cfg := r.muxerConfig()
+	cfg.Frames = &bufferer.Bufferer{Name: "frames", Max: r.cfg.Limits.Frames(), Log: r.cfg.Log, Metrics: r.cfg.Metrics}
 	a := acceptor.New(l, acceptor.Config{Name: "peers", Max: r.cfg.Limits.Peers(), Log: r.cfg.Log, Metrics: r.cfg.Metrics})
 	r.wg.Go(func() {
-		if err := muxer.Serve(r.ctx, a, r.muxerConfig(), r.dispatch); err != nil {
+		if err := muxer.Serve(r.ctx, a, cfg, r.dispatch); err != nil {
 			r.fatal(fmt.Errorf("serve %s: %w", l.Addr(), err))
 		}
 	})
