--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -1,6 +1,7 @@
 package budgeter_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -17,6 +18,16 @@
 
 var start = time.Unix(1000, 0)
 
+// The seed is fixed so that each run has the same result. The flags -rapid.seed and
+// -rapid.checks on the command line take precedence.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
 // open adds a reservation that began at a time and has a size.
 func open(t *testing.T, b *budgeter.Budgeter, at time.Time, bytes int) uint64 {
 	t.Helper()
