--- a/decoder/decoder_test.go
+++ b/decoder/decoder_test.go
@@ -40,7 +40,7 @@
 
 	DescribeTable("reports all faults with their positions", expectFaults,
 		Entry("unknown key", "{\n  \"nod\": 1}",
-			`settings.json:2:3: unknown key "nod"; known are node, zone, region, roles, key, listen, http, admin, folder, keepers, target, grow, join, direct, grace, log, zones`),
+			`settings.json:2:3: unknown key "nod"; known are node, zone, region, roles, key, listen, http, admin, folder, keepers, target, grow, join, direct, grace, memory, log, zones`),
 		Entry("key in the wrong case", `{"target": {"ID": "x"}}`,
 			`settings.json:1:13: unknown key "ID"; known are id, service, kind, model, url, memory, slots, fences`),
 		Entry("duplicate key", "{\"node\": \"é\", \"node\": \"b\"}", `settings.json:1:15: key "node" is doubled`),
