--- a/bufferer/bufferer.go
+++ b/bufferer/bufferer.go
@@ -86,8 +86,8 @@
 
 // Read reads a body to its end. Errors carry code TooLarge if the body exceeds its limit,
 // BodiesFull if there is no memory for it, or are those of r, io.ErrUnexpectedEOF if r ends
-// before an announced length. The caller releases the memory
-// of the body if Read returns no error.
+// before an announced length. The caller releases the memory of the body if Read returns no
+// error.
 func (b *Bufferer) Read(r io.Reader, body Body) (Hold, error) {
 	b.init()
 	if body.Length > body.Limit {
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	if err := check(resp, s); err != nil {
-		_ = resp.Body.Close() // closes the connection, as the body was not read
+		_ = resp.Body.Close() // the error that is returned matters more
 		return nil, err
 	}
 	resp.Body = &body{ReadCloser: resp.Body, resp: resp, sending: s, done: req.Context().Done()}
--- a/prover/crowd_test.go
+++ b/prover/crowd_test.go
@@ -1,7 +1,7 @@
 package prover_test
 
 import (
-	wire "encoding/binary"
+	endian "encoding/binary"
 	"fmt"
 	"io"
 	"net/http"
@@ -117,7 +117,7 @@
 // frames returns a crowd that sends the first message of a connection between processes, too
 // long for one and without its end.
 func frames(addr string) *crowder.Crowder {
-	head := string(wire.BigEndian.AppendUint32(nil, frameBytes))
+	head := string(endian.BigEndian.AppendUint32(nil, frameBytes))
 	return &crowder.Crowder{Addr: addr, Size: crowdSize, Send: func(w io.Writer, _ int) error {
 		_, err := io.WriteString(w, head+strings.Repeat("x", frameBytes-1))
 		return err
